--- /dev/null
+++ b/Source/base/Ids.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/StrongId.h"
+
+namespace Tarragon {
+
+/// A service that callers ask for, such as "catalog".
+using ServiceId = StrongId<struct ServiceTag>;
+
+/// A region, made of failure domains.
+using RegionId = StrongId<struct RegionTag>;
+
+/// A failure domain, with entry instances and targets of its own.
+using FailureDomainId = StrongId<struct FailureDomainTag>;
+
+/// An entry instance as named in the document.
+using InstanceId = StrongId<struct InstanceTag>;
+
+/// A target of a service.
+using TargetId = StrongId<struct TargetTag>;
+
+/// A team that owns sections of the document.
+using TeamId = StrongId<struct TeamTag>;
+
+/// A section of the document, such as "topology" or "services.catalog".
+using SectionName = StrongId<struct SectionTag>;
+
+/// A request as identified by its caller.
+using RequestId = StrongId<struct RequestTag>;
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/base/Units.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace Tarragon {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Tag of the monotonic clock of one process. Its time points are not comparable with those of
+/// another process.
+struct MonotonicClock
+{
+    using duration = microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<MonotonicClock>;
+    static constexpr bool is_steady = true;
+};
+
+/// A moment of the process's monotonic clock, in microseconds.
+using MonotonicTime = MonotonicClock::time_point;
+
+/// A share in parts per million; Share::whole() is all of it.
+struct Share
+{
+    std::int64_t partsPerMillion = 0;
+
+    static constexpr Share whole() { return Share{ 1'000'000 }; }
+    constexpr double ratio() const { return static_cast<double>(partsPerMillion) / 1e6; }
+    friend constexpr auto operator<=>(const Share &, const Share &) = default;
+};
+
+/// A data rate in Mbit/s.
+struct Mbps
+{
+    double value = 0;
+    friend constexpr auto operator<=>(const Mbps &, const Mbps &) = default;
+};
+
+/// A size in bytes.
+struct ByteCount
+{
+    std::uint64_t value = 0;
+    friend constexpr auto operator<=>(const ByteCount &, const ByteCount &) = default;
+};
+
+/// A number of requests that a target can run at the same time.
+struct SlotCount
+{
+    int value = 0;
+    friend constexpr auto operator<=>(const SlotCount &, const SlotCount &) = default;
+};
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/net/HttpServer.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/Units.h"
+#include "net/EventLoop.h"
+#include "net/HttpExchange.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Tarragon {
+
+/// Limits of an HttpServer.
+struct HttpServerLimits
+{
+    /// Request line and header fields together; above it the answer is 431.
+    ByteCount headerBytes{ 16 * 1024 };
+    /// Request body; above it the answer is 413.
+    ByteCount bodyBytes{ 1024 * 1024 };
+    /// Time that a connection may stay without a request.
+    seconds idleTimeout{ 60 };
+};
+
+/// HTTP/1.1 server on evhttp. Requests are handed over when their body is complete. Requests that
+/// cannot be parsed are answered with an error by the server and never reach the handler.
+class HttpServer
+{
+public:
+    using Handler = sigc::slot<void(const HttpExchangePtr &)>;
+
+    /// Listens on the address; port 0 takes a free port. Throws Error if it cannot listen.
+    HttpServer(EventLoop &loop, const std::string &address, std::uint16_t port,
+               const HttpServerLimits &limits, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// The port that is listened on.
+    std::uint16_t port() const;
+    /// Stops accepting connections; running exchanges go on, and their answers carry
+    /// "Connection: close".
+    void stopListening();
+    /// Number of exchanges that have not ended.
+    std::size_t exchangesInProgress() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace Tarragon
