--- a/Source/document/DocumentParser.h
+++ b/Source/document/DocumentParser.h
@@ -2,27 +2,21 @@
 
 #include "document/Configuration.h"
 #include "document/Finding.h"
+#include "document/SectionTexts.h"
 
-#include <map>
 #include <optional>
 #include <string>
 
 namespace Tarragon {
 
-/// Texts of a document's sections. Each text is YAML and holds the section's value without its
-/// top-level key.
-using SectionTexts = std::map<SectionName, std::string>;
-
-/// Splits a whole document into its sections. Adds a finding for every fault, such as text that
-/// is not YAML; file names the document in findings.
-SectionTexts splitDocument(const std::string &text, const std::string &file, Findings &findings);
-
-/// Joins sections into one document, in the order access, topology, services, shifts, stops.
-std::string joinDocument(const SectionTexts &sections);
-
 /// Parses and validates all sections together. Returns nothing and adds all findings if there is
-/// any fault.
+/// any fault. Lines of findings count from 1 within the section's text; see locateFindings(). File
+/// names the document in findings and may be empty.
 std::optional<Configuration> parseDocument(const SectionTexts &sections, const std::string &file,
                                            Findings &findings);
 
+/// Same for a whole document in one text. Lines of findings are those of the text.
+std::optional<Configuration> parseWholeDocument(const std::string &text, const std::string &file,
+                                                Findings &findings);
+
 } // namespace Tarragon
--- a/Source/document/PlannedStop.h
+++ b/Source/document/PlannedStop.h
@@ -2,6 +2,7 @@
 
 #include "base/Units.h"
 
+#include <optional>
 #include <string>
 
 namespace Tarragon {
@@ -12,6 +13,9 @@
 /// The spelling used in the document: "target", "instance", "domain" or "region".
 std::string toString(StopKind kind);
 
+/// Parses the spelling of toString(); nothing if the text is none of them.
+std::optional<StopKind> parseStopKind(const std::string &text);
+
 /// A planned stop from the "stops" section. It is in force for as long as the document names it.
 struct PlannedStop
 {
@@ -21,6 +25,8 @@
     /// Time that running requests get to finish.
     seconds deadline{ 60 };
     std::string reason;
+
+    friend bool operator==(const PlannedStop &, const PlannedStop &) = default;
 };
 
 } // namespace Tarragon
--- /dev/null
+++ b/Source/document/SectionTexts.cpp
@@ -0,0 +1,291 @@
+#include "document/SectionTexts.h"
+
+#include "document/MappingReader.h"
+#include "document/ValueFormats.h"
+#include "document/YamlValue.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace Tarragon {
+
+namespace {
+
+constexpr std::string_view ServicePrefix = "services.";
+constexpr std::array<const char *, 5> TopLevelKeys = { "access", "topology", "services", "shifts",
+                                                       "stops" };
+constexpr std::size_t IndentWidth = 2;
+
+std::vector<std::string> splitLines(const std::string &text)
+{
+    std::vector<std::string> lines;
+    std::istringstream in(text);
+    std::string line;
+    while (std::getline(in, line)) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+std::size_t indentOf(const std::string &line)
+{
+    return std::min(line.find_first_not_of(' '), line.size());
+}
+
+bool isBlank(const std::string &line)
+{
+    return line.find_first_not_of(" \t\r") == std::string::npos;
+}
+
+bool isCommentOrBlank(const std::string &line)
+{
+    return isBlank(line) || line[indentOf(line)] == '#';
+}
+
+/// A key of a block mapping and the lines that belong to it, counted from 0.
+struct KeyBlock
+{
+    std::string key;
+    /// First line of the comments above the key.
+    std::size_t commentLine = 0;
+    std::size_t keyLine = 0;
+    /// Column behind the key's colon.
+    std::size_t valueColumn = 0;
+    /// Line behind the last line of the value.
+    std::size_t endLine = 0;
+};
+
+/// Cuts the lines of a block mapping, up to the given end, into its keys' blocks.
+std::vector<KeyBlock> cutBlocks(const YAML::Node &mapping, const std::vector<std::string> &lines,
+                                std::size_t firstLine, std::size_t endLine)
+{
+    std::vector<KeyBlock> blocks;
+    for (const auto &it : mapping) {
+        KeyBlock block;
+        block.key = it.first.IsScalar() ? it.first.Scalar() : "";
+        block.keyLine = std::size_t(it.first.Mark().line);
+        const std::size_t column = std::size_t(it.first.Mark().column);
+        block.valueColumn = std::min(lines[block.keyLine].find(':', column + block.key.size()),
+                                     lines[block.keyLine].size() - 1)
+                            + 1;
+        block.commentLine = block.keyLine;
+        // Comments with the key's indentation or less belong to the key below them.
+        while (block.commentLine > firstLine && isCommentOrBlank(lines[block.commentLine - 1])
+               && (isBlank(lines[block.commentLine - 1])
+                   || indentOf(lines[block.commentLine - 1]) <= column)) {
+            --block.commentLine;
+        }
+        while (block.commentLine < block.keyLine && isBlank(lines[block.commentLine])) {
+            ++block.commentLine;
+        }
+        blocks.push_back(block);
+        firstLine = block.keyLine + 1;
+    }
+    for (std::size_t i = 0; i < blocks.size(); ++i) {
+        blocks[i].endLine = i + 1 < blocks.size() ? blocks[i + 1].commentLine : endLine;
+        while (blocks[i].endLine > blocks[i].keyLine + 1 && isBlank(lines[blocks[i].endLine - 1])) {
+            --blocks[i].endLine;
+        }
+    }
+    return blocks;
+}
+
+/// Appends a line of the text and remembers where it stands in the file.
+void appendLine(std::string &text, SectionOrigin &origin, const std::string &line,
+                std::size_t index)
+{
+    text += line + "\n";
+    origin.lines.push_back(int(index) + 1);
+}
+
+/// Extracts the value's text without its key and common indentation.
+std::string extractText(const std::vector<std::string> &lines, const KeyBlock &block,
+                        SectionOrigin &origin)
+{
+    std::string text;
+    for (std::size_t i = block.commentLine; i < block.keyLine; ++i) {
+        appendLine(text, origin, lines[i].substr(indentOf(lines[i])), i);
+    }
+    const std::string rest = lines[block.keyLine].substr(block.valueColumn);
+    if (!isBlank(rest)) {
+        appendLine(text, origin, rest.substr(indentOf(rest)), block.keyLine);
+    }
+    std::size_t indent = std::string::npos;
+    for (std::size_t i = block.keyLine + 1; i < block.endLine; ++i) {
+        if (!isCommentOrBlank(lines[i])) {
+            indent = std::min(indent, indentOf(lines[i]));
+        }
+    }
+    for (std::size_t i = block.keyLine + 1; i < block.endLine; ++i) {
+        appendLine(text, origin, lines[i].substr(std::min(indent, indentOf(lines[i]))), i);
+    }
+    return text;
+}
+
+/// Takes the sections out of a document whose lines and findings it refers to.
+class DocumentSplitter
+{
+public:
+    DocumentSplitter(const std::string &text, const std::string &file)
+        : m_lines(splitLines(text))
+        , m_file(file)
+    {}
+
+    void split(const YamlValue &document);
+
+    SectionTexts texts;
+    SectionOrigins origins;
+
+private:
+    void addSection(const SectionName &name, const KeyBlock &block);
+    void splitServices(const YamlValue &value, const KeyBlock &block);
+
+    std::vector<std::string> m_lines;
+    std::string m_file;
+};
+
+void DocumentSplitter::addSection(const SectionName &name, const KeyBlock &block)
+{
+    SectionOrigin origin{ m_file, int(block.keyLine) + 1, {} };
+    texts[name] = extractText(m_lines, block, origin);
+    origins[name] = std::move(origin);
+}
+
+void DocumentSplitter::splitServices(const YamlValue &value, const KeyBlock &block)
+{
+    const MappingReader reader(value);
+    if (!reader.isMapping()) {
+        return;
+    }
+    for (const auto &[name, it] : reader.entries()) {
+        const IdFormat<ServiceId> format{ false };
+        if (!format(name)) {
+            it.context().report(it.line(), it.key(), quotedText(name), format.expected());
+        }
+    }
+    if (value.node().Style() == YAML::EmitterStyle::Flow) {
+        value.report("one line for each service's key, without braces");
+        return;
+    }
+    for (const KeyBlock &it : cutBlocks(value.node(), m_lines, block.keyLine + 1, block.endLine)) {
+        if (isIdentifier(it.key, false)) {
+            addSection(serviceSection(ServiceId(it.key)), it);
+        }
+    }
+}
+
+void DocumentSplitter::split(const YamlValue &document)
+{
+    MappingReader reader(document);
+    if (!reader.isMapping()) {
+        return;
+    }
+    std::map<std::string, YamlValue> values;
+    for (const char *it : TopLevelKeys) {
+        if (const std::optional<YamlValue> value = reader.find(it)) {
+            values.emplace(it, *value);
+        }
+    }
+    reader.finish();
+    if (document.node().Style() == YAML::EmitterStyle::Flow) {
+        document.report("one line for each section's key, without braces");
+        return;
+    }
+    for (const KeyBlock &it : cutBlocks(document.node(), m_lines, 0, m_lines.size())) {
+        const auto value = values.find(it.key);
+        if (value == values.end()) {
+            continue;
+        }
+        if (it.key == "services") {
+            splitServices(value->second, it);
+        } else {
+            addSection(SectionName(it.key), it);
+        }
+    }
+}
+
+void appendIndented(std::string &out, const std::string &text, std::size_t indent)
+{
+    for (const std::string &it : splitLines(text)) {
+        if (!isBlank(it)) {
+            out.append(indent, ' ');
+            out += it;
+        }
+        out += "\n";
+    }
+}
+
+} // namespace
+
+SectionName serviceSection(const ServiceId &service)
+{
+    return SectionName(std::string(ServicePrefix) + service.value());
+}
+
+std::optional<ServiceId> serviceOfSection(const SectionName &section)
+{
+    if (!section.value().starts_with(ServicePrefix)) {
+        return std::nullopt;
+    }
+    return ServiceId(section.value().substr(ServicePrefix.size()));
+}
+
+SectionTexts splitDocument(const std::string &text, const std::string &file, Findings &findings,
+                           SectionOrigins *origins)
+{
+    Findings own;
+    const FindingContext context{ "", &own };
+    DocumentSplitter splitter(text, file);
+    if (const std::optional<YamlValue> document = loadYaml(text, context)) {
+        splitter.split(*document);
+    }
+    for (Finding &it : own) {
+        it.file = file;
+        findings.push_back(std::move(it));
+    }
+    if (origins) {
+        origins->merge(splitter.origins);
+    }
+    return std::move(splitter.texts);
+}
+
+std::string joinDocument(const SectionTexts &sections)
+{
+    std::string document;
+    for (const char *key : TopLevelKeys) {
+        if (key == std::string_view("services")) {
+            document += "services:\n";
+            for (const auto &[name, text] : sections) {
+                if (const std::optional<ServiceId> service = serviceOfSection(name)) {
+                    document.append(IndentWidth, ' ');
+                    document += service->value() + ":\n";
+                    appendIndented(document, text, 2 * IndentWidth);
+                }
+            }
+            continue;
+        }
+        const auto it = sections.find(SectionName(key));
+        if (it != sections.end()) {
+            document += std::string(key) + ":\n";
+            appendIndented(document, it->second, IndentWidth);
+        }
+    }
+    return document;
+}
+
+void locateFindings(Findings &findings, const SectionOrigins &origins)
+{
+    for (Finding &it : findings) {
+        const auto origin = origins.find(SectionName(it.section));
+        if (origin == origins.end() || !it.file.empty()) {
+            continue;
+        }
+        const std::vector<int> &lines = origin->second.lines;
+        it.file = origin->second.file;
+        const std::size_t index = it.line > 0 ? std::size_t(it.line) - 1 : lines.size();
+        it.line = index < lines.size() ? lines[index] : origin->second.keyLine;
+    }
+}
+
+} // namespace Tarragon
--- a/Source/document/ServiceConfiguration.h
+++ b/Source/document/ServiceConfiguration.h
@@ -72,6 +72,10 @@
     /// Connections per target, over all entries of its failure domain.
     int connectionsPerTarget = 0;
     std::vector<DailyPeak> peaks;
+    /// Path of the targets' health endpoint.
+    std::string healthPath = "/healthz";
+    /// Path of the targets' load endpoint.
+    std::string loadPath = "/load";
 };
 
 } // namespace Tarragon
--- a/Source/document/Topology.h
+++ b/Source/document/Topology.h
@@ -78,6 +78,9 @@
     RegionId storeRegion;
     milliseconds delayBetweenDomains{ 0 };
     milliseconds delayToClients{ 0 };
+
+    /// The link between two regions; null if there is none.
+    const RegionLink *findLink(const RegionId &from, const RegionId &to) const;
 };
 
 } // namespace Tarragon
