--- /dev/null
+++ b/Source/net/EventLoop.cpp
@@ -0,0 +1,91 @@
+#include "net/EventLoop.h"
+
+#include "base/Error.h"
+#include "net/Guard.h"
+#include "net/TimerState.h"
+
+#include <event2/event.h>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+
+namespace Tarragon {
+
+struct EventLoop::SignalHandler
+{
+    event *signalEvent = nullptr;
+    sigc::slot<void()> callback;
+
+    SignalHandler() = default;
+    ~SignalHandler()
+    {
+        if (signalEvent != nullptr) {
+            event_free(signalEvent);
+        }
+    }
+    SignalHandler(const SignalHandler &) = delete;
+    SignalHandler &operator=(const SignalHandler &) = delete;
+
+    static void onSignal(evutil_socket_t, short, void *arg)
+    {
+        SignalHandler *handler = static_cast<SignalHandler *>(arg);
+        guarded("signal", [handler] { handler->callback(); });
+    }
+};
+
+EventLoop::EventLoop()
+{
+    // A write to a socket whose peer has gone is reported by its return value.
+    std::signal(SIGPIPE, SIG_IGN);
+    m_base = event_base_new();
+    if (m_base == nullptr) {
+        throw Error("libevent could not make an event base");
+    }
+}
+
+EventLoop::~EventLoop()
+{
+    m_signals.clear();
+    event_base_free(m_base);
+}
+
+void EventLoop::run()
+{
+    event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+MonotonicTime EventLoop::now() const
+{
+    return MonotonicTime(std::chrono::duration_cast<microseconds>(
+            std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+Timer EventLoop::schedule(microseconds delay, sigc::slot<void()> callback)
+{
+    return Timer(std::make_unique<Timer::State>(m_base, delay, false, std::move(callback)));
+}
+
+Timer EventLoop::scheduleEvery(microseconds period, sigc::slot<void()> callback)
+{
+    return Timer(std::make_unique<Timer::State>(m_base, period, true, std::move(callback)));
+}
+
+void EventLoop::onSignal(int signalNumber, sigc::slot<void()> callback)
+{
+    std::unique_ptr<SignalHandler> handler = std::make_unique<SignalHandler>();
+    handler->callback = std::move(callback);
+    handler->signalEvent =
+            evsignal_new(m_base, signalNumber, SignalHandler::onSignal, handler.get());
+    if (handler->signalEvent == nullptr || evsignal_add(handler->signalEvent, nullptr) != 0) {
+        throw Error("libevent could not handle signal " + std::to_string(signalNumber));
+    }
+    m_signals.push_back(std::move(handler));
+}
+
+} // namespace Tarragon
--- a/Source/net/HttpCall.h
+++ b/Source/net/HttpCall.h
@@ -19,6 +19,8 @@
     void pause();
     /// Reads on.
     void resume();
+    /// For HttpClient.
+    const std::shared_ptr<State> &state() const { return m_state; }
 
 private:
     std::shared_ptr<State> m_state;
--- a/Source/net/HttpClient.h
+++ b/Source/net/HttpClient.h
@@ -30,7 +30,7 @@
 enum class HttpStage {
     /// No connection was made; nothing of the request was sent.
     Connect,
-    /// The connection broke while the request was being sent.
+    /// The connection was made and broke before all of the request was handed to the socket.
     Send,
     /// The request was sent, and no complete response header came.
     AwaitHeaders,
@@ -43,6 +43,11 @@
 {
     HttpStage stage = HttpStage::Connect;
     bool timedOut = false;
+    /// Whether any byte of the request was handed to the socket. If none was, the peer cannot have
+    /// seen the request.
+    bool anySent = false;
+    /// Whether the call used a kept connection, which the peer may have been closing.
+    bool onKeptConnection = false;
     std::string reason;
 };
 
@@ -70,17 +75,21 @@
 };
 
 /// HTTP/1.1 client on evhttp with kept connections by address and port. A connection whose call
-/// failed, timed out or was cancelled is closed and never used again.
+/// failed, timed out or was cancelled is closed and never used again. Kept connections are closed
+/// after 10 s without a call. A client must not be destroyed by one of its own handlers.
 class HttpClient
 {
 public:
+    struct State;
+
     explicit HttpClient(EventLoop &loop);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
     /// Sends the request. Handlers are called from the loop, never from within send(). Destroying
-    /// the returned call cancels it; then no handler is called any more.
+    /// the returned call cancels it; then no handler is called any more. Throws Error if the
+    /// request has an unknown method, or a target or header field that would break the message.
     HttpCallPtr send(const HttpRequest &request, HttpCallHandlers handlers);
     /// Sends the request and gathers the response, up to maxBody bytes; more is a failure at the
     /// stage Body.
@@ -91,7 +100,6 @@
     void setMaxIdleConnections(std::size_t count);
 
 private:
-    struct State;
     std::shared_ptr<State> m_state;
 };
 
--- /dev/null
+++ b/Source/net/HttpClientConnection.cpp
@@ -0,0 +1,493 @@
+#include "net/HttpClientConnection.h"
+
+#include "base/Error.h"
+#include "net/Guard.h"
+#include "net/HttpCallState.h"
+#include "net/HttpClientState.h"
+#include "net/HttpSyntax.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http_struct.h>
+
+#include <algorithm>
+#include <cerrno>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Tarragon {
+
+namespace {
+
+/// Bytes of a response that are read ahead of the call's handler.
+constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
+/// Status line and header fields of a response.
+constexpr ev_ssize_t MaxHeadBytes = 32 * 1024;
+/// Shorter than the time after which servers close idle connections (HttpServerLimits), so that
+/// calls seldom meet a connection that is being closed.
+constexpr seconds IdleTime{ 10 };
+/// evhttp's own time limits count from the last byte; those of calls are kept here.
+constexpr int EvhttpTimeoutSeconds = 7 * 24 * 3600;
+
+constexpr int Continue = 100;
+constexpr int FirstFinalStatus = 200;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
+constexpr int LastStatus = 599;
+
+/// Passes the buffer's bytes on until it is empty or the function answers false.
+template<typename Function>
+void forEachPiece(evbuffer *buffer, const Function &function)
+{
+    while (const std::size_t n = evbuffer_get_contiguous_space(buffer)) {
+        const char *data = reinterpret_cast<const char *>(evbuffer_pullup(buffer, ev_ssize_t(n)));
+        const bool goesOn = function(std::string_view(data, n));
+        evbuffer_drain(buffer, n);
+        if (!goesOn) {
+            return;
+        }
+    }
+}
+
+std::string describe(evhttp_request_error error)
+{
+    switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+        return "no data from the peer";
+    case EVREQ_HTTP_EOF:
+        return "connection closed by the peer";
+    case EVREQ_HTTP_INVALID_HEADER:
+        return "malformed or oversized response head";
+    case EVREQ_HTTP_BUFFER_ERROR:
+        return "error on the connection";
+    case EVREQ_HTTP_REQUEST_CANCEL:
+        return "cancelled";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        return "malformed response body";
+    }
+    return "unknown error";
+}
+
+} // namespace
+
+/// Marks that a callback of the connection is running, so that it is not freed under evhttp.
+class HttpClientConnection::CallbackScope
+{
+public:
+    explicit CallbackScope(HttpClientConnection &connection)
+        : m_connection(&connection)
+    {
+        ++m_connection->m_depth;
+    }
+    ~CallbackScope() { --m_connection->m_depth; }
+    CallbackScope(const CallbackScope &) = delete;
+    CallbackScope &operator=(const CallbackScope &) = delete;
+
+private:
+    HttpClientConnection *m_connection;
+};
+
+HttpClientConnection::HttpClientConnection(HttpClient::State &client, Destination destination)
+    : m_client(&client)
+    , m_destination(std::move(destination))
+{
+    m_bufferEvent = bufferevent_socket_new(client.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    m_connection = evhttp_connection_base_bufferevent_new(
+            client.loop.base(), nullptr, m_bufferEvent, m_destination.first.c_str(),
+            m_destination.second);
+    m_timer = evtimer_new(client.loop.base(), onTimer, this);
+    m_raw = evbuffer_new();
+    if (m_connection == nullptr || m_timer == nullptr || m_raw == nullptr) {
+        throw Error("libevent could not make an HTTP connection");
+    }
+    evhttp_connection_set_timeout(m_connection, EvhttpTimeoutSeconds);
+    evhttp_connection_set_retries(m_connection, 0);
+    evhttp_connection_set_max_headers_size(m_connection, MaxHeadBytes);
+    evhttp_connection_set_closecb(m_connection, onClosed, this);
+    evbuffer_add_cb(bufferevent_get_output(m_bufferEvent), onOutputChanged, this);
+    bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, MaxReadAheadBytes);
+}
+
+HttpClientConnection::~HttpClientConnection()
+{
+    m_closing = true;
+    if (m_call != nullptr) {
+        m_call->connection = nullptr;
+        m_call->ended = true;
+    }
+    evhttp_connection_free(m_connection);
+    event_free(m_timer);
+    evbuffer_free(m_raw);
+}
+
+void HttpClientConnection::start(const HttpRequest &request, evhttp_cmd_type method,
+                                 std::shared_ptr<HttpCall::State> call)
+{
+    m_idle = false;
+    m_kept = std::exchange(m_used, true);
+    m_anySent = false;
+    m_allSent = false;
+    m_headSeen = false;
+    m_reusable = false;
+    m_chunked = false;
+    m_rejectReason.clear();
+    m_error = EVREQ_HTTP_EOF;
+    m_call = std::move(call);
+    m_call->connection = this;
+    m_deadline = m_client->loop.now() + request.timeout;
+
+    evhttp_request *evhttpRequest = evhttp_request_new(onDone, this);
+    evhttp_request_set_header_cb(evhttpRequest, onHead);
+    evhttp_request_set_chunked_cb(evhttpRequest, onBodyData);
+    evhttp_request_set_error_cb(evhttpRequest, onError);
+    evkeyvalq *fields = evhttpRequest->output_headers;
+    for (const HttpHeaders::Field &field : request.headers.fields()) {
+        // An expectation would make evhttp hold the body back; the framing is set below.
+        if (!equalsIgnoringCase(field.first, "Expect")
+            && !equalsIgnoringCase(field.first, "Transfer-Encoding")
+            && !equalsIgnoringCase(field.first, "Content-Length")) {
+            evhttp_add_header(fields, field.first.c_str(), field.second.c_str());
+        }
+    }
+    if (evhttp_find_header(fields, "Host") == nullptr) {
+        const bool isV6 = m_destination.first.find(':') != std::string::npos;
+        const std::string host = (isV6 ? "[" + m_destination.first + "]" : m_destination.first)
+                                 + ":" + std::to_string(m_destination.second);
+        evhttp_add_header(fields, "Host", host.c_str());
+    }
+    const bool hasBody = method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT
+                         || method == EVHTTP_REQ_PATCH || !request.body.empty();
+    if (hasBody) {
+        evhttp_add_header(fields, "Content-Length", std::to_string(request.body.size()).c_str());
+        evbuffer_add(evhttpRequest->output_buffer, request.body.data(), request.body.size());
+    }
+    const milliseconds first =
+            m_connected ? request.timeout : std::min(request.timeout, request.connectTimeout);
+    armTimer(first);
+
+    const CallbackScope scope(*this);
+    m_starting = true;
+    if (evhttp_make_request(m_connection, evhttpRequest, method, request.uri.c_str()) != 0
+        && m_call != nullptr) {
+        fail(false, "evhttp could not start the request");
+    }
+    m_starting = false;
+}
+
+void HttpClientConnection::abandon()
+{
+    m_call.reset();
+    bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+    m_client->discard(*this);
+}
+
+void HttpClientConnection::pause()
+{
+    if (m_headSeen) {
+        bufferevent_disable(m_bufferEvent, EV_READ);
+    }
+}
+
+void HttpClientConnection::resume()
+{
+    if (m_headSeen) {
+        bufferevent_enable(m_bufferEvent, EV_READ);
+        if (m_chunked) {
+            bufferevent_trigger(m_bufferEvent, EV_READ,
+                                BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+        }
+    }
+}
+
+void HttpClientConnection::becomeIdle()
+{
+    m_idle = true;
+    armTimer(IdleTime);
+}
+
+bool HttpClientConnection::isUsable() const
+{
+    char ch = 0;
+    return evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) == 0
+           && recv(bufferevent_getfd(m_bufferEvent), &ch, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+           && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpClientConnection::armTimer(microseconds delay)
+{
+    const timeval tv = toTimeval(std::max(delay, microseconds(0)));
+    event_add(m_timer, &tv);
+}
+
+void HttpClientConnection::onTimer(evutil_socket_t, short, void *arg)
+{
+    static_cast<HttpClientConnection *>(arg)->timeOut();
+}
+
+void HttpClientConnection::timeOut()
+{
+    if (m_idle) {
+        m_client->removeIdle(*this);
+        m_client->discard(*this);
+        return;
+    }
+    const microseconds left = m_deadline - m_client->loop.now();
+    if (m_connected && left > microseconds(0)) {
+        armTimer(left);
+        return;
+    }
+    fail(true, "timed out");
+}
+
+HttpStage HttpClientConnection::stage() const
+{
+    if (!m_connected) {
+        return HttpStage::Connect;
+    }
+    if (m_headSeen) {
+        return HttpStage::Body;
+    }
+    return m_allSent ? HttpStage::AwaitHeaders : HttpStage::Send;
+}
+
+void HttpClientConnection::fail(bool timedOut, const std::string &reason)
+{
+    HttpFailure failure;
+    failure.stage = m_rejectReason.empty() ? stage() : m_rejectStage;
+    failure.timedOut = timedOut;
+    failure.anySent = m_anySent;
+    failure.onKeptConnection = m_kept;
+    failure.reason = (m_rejectReason.empty() ? reason : m_rejectReason) + ", peer "
+                     + m_destination.first + ":" + std::to_string(m_destination.second);
+    const std::shared_ptr<HttpCall::State> call = std::move(m_call);
+    m_call.reset();
+    const bool starting = m_starting;
+    HttpClient::State *client = m_client;
+    bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+    // The connection may be destroyed by this.
+    client->discard(*this);
+    if (call == nullptr) {
+        return;
+    }
+    if (starting) {
+        call->connection = nullptr;
+        client->failLater(call, failure);
+        return;
+    }
+    call->fail(failure);
+}
+
+void HttpClientConnection::onOutputChanged(evbuffer *output, const evbuffer_cb_info *info,
+                                           void *arg)
+{
+    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    const evutil_socket_t fd = bufferevent_getfd(self->m_bufferEvent);
+    if (fd < 0 || self->m_closing) {
+        // evhttp empties the buffer after it has closed the socket.
+        return;
+    }
+    if (info->n_added > 0 && !self->m_connected) {
+        // evhttp writes the request when the connection has been made.
+        self->m_connected = true;
+        const int on = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+    if (info->n_deleted > 0) {
+        self->m_anySent = true;
+        self->m_allSent = evbuffer_get_length(output) == 0;
+    }
+}
+
+int HttpClientConnection::onHead(evhttp_request *request, void *arg)
+{
+    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    const CallbackScope scope(*self);
+    return self->acceptHead(request) ? 0 : -1;
+}
+
+bool HttpClientConnection::rejectHead(HttpStage stage, std::string reason)
+{
+    m_rejectStage = stage;
+    m_rejectReason = std::move(reason);
+    return false;
+}
+
+bool HttpClientConnection::acceptHead(evhttp_request *request)
+{
+    if (m_call == nullptr) {
+        return false;
+    }
+    const int status = request->response_code;
+    if (status == Continue) {
+        return true;
+    }
+    if (status < FirstFinalStatus || status > LastStatus) {
+        return rejectHead(HttpStage::AwaitHeaders, "unexpected status " + std::to_string(status));
+    }
+    HttpResponseHead head;
+    head.status = status;
+    head.headers = copyHeaders(request->input_headers);
+    int lengths = 0;
+    int codings = 0;
+    bool lengthValid = true;
+    bool codingValid = true;
+    m_reusable = request->major == 1 && request->minor >= 1;
+    for (const HttpHeaders::Field &field : head.headers.fields()) {
+        if (!isHttpToken(field.first) || !isHttpFieldValue(field.second)) {
+            return rejectHead(HttpStage::AwaitHeaders, "malformed header field");
+        }
+        if (equalsIgnoringCase(field.first, "Content-Length")) {
+            ++lengths;
+            lengthValid = lengthValid && parseContentLength(field.second).has_value();
+        } else if (equalsIgnoringCase(field.first, "Transfer-Encoding")) {
+            ++codings;
+            codingValid = codingValid && equalsIgnoringCase(field.second, "chunked");
+        } else if (equalsIgnoringCase(field.first, "Connection")
+                   && hasListToken(field.second, "close")) {
+            m_reusable = false;
+        }
+    }
+    if (!lengthValid || lengths > 1 || !codingValid || codings > 1
+        || (lengths > 0 && codings > 0)) {
+        return rejectHead(HttpStage::AwaitHeaders,
+                          "contradictory or unknown framing of the response");
+    }
+    const bool bodyless =
+            request->type == EVHTTP_REQ_HEAD || status == NoContent || status == NotModified;
+    if (!bodyless && lengths == 0 && codings == 0) {
+        return rejectHead(HttpStage::Body, "response without a length, cannot be told complete");
+    }
+    m_headSeen = true;
+    m_chunked = !bodyless && codings > 0;
+    if (m_chunked) {
+        takeOverBody();
+    }
+    const std::shared_ptr<HttpCall::State> call = m_call;
+    guarded("HTTP client", [&call, &head] { call->handlers.onHead(head); });
+    if (m_call == nullptr) {
+        return false;
+    }
+    if (m_call->paused) {
+        pause();
+    }
+    return true;
+}
+
+void HttpClientConnection::takeOverBody()
+{
+    void *arg = nullptr;
+    bufferevent_getcb(m_bufferEvent, &m_evhttpRead, &m_evhttpWrite, &m_evhttpEvent, &arg);
+    bufferevent_setcb(m_bufferEvent, onRead, onWrite, onEvent, this);
+    m_decoder = ChunkedDecoder();
+    evbuffer_drain(m_raw, evbuffer_get_length(m_raw));
+    evbuffer_add_buffer(m_raw, bufferevent_get_input(m_bufferEvent));
+    bufferevent_trigger(m_bufferEvent, EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void HttpClientConnection::onRead(bufferevent *, void *arg)
+{
+    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    const CallbackScope scope(*self);
+    if (self->m_call != nullptr && !self->m_call->paused) {
+        self->decodeBody();
+    }
+}
+
+void HttpClientConnection::onWrite(bufferevent *bev, void *arg)
+{
+    const HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    self->m_evhttpWrite(bev, self->m_connection);
+}
+
+void HttpClientConnection::onEvent(bufferevent *bev, short what, void *arg)
+{
+    const HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    self->m_evhttpEvent(bev, what, self->m_connection);
+}
+
+void HttpClientConnection::decodeBody()
+{
+    evbuffer_add_buffer(m_raw, bufferevent_get_input(m_bufferEvent));
+    const std::shared_ptr<HttpCall::State> call = m_call;
+    const ChunkedDecoder::Result result = m_decoder.decode(m_raw, [&call](std::string_view data) {
+        guarded("HTTP client", [&call, data] { call->handlers.onData(data); });
+        return !call->ended && !call->paused;
+    });
+    if (m_call == nullptr) {
+        return;
+    }
+    if (result == ChunkedDecoder::Result::Malformed) {
+        fail(false, "malformed chunked body");
+    } else if (result == ChunkedDecoder::Result::Done) {
+        m_reusable = m_reusable && evbuffer_get_length(m_raw) == 0;
+        static constexpr std::string_view LastChunk = "0\r\n\r\n";
+        evbuffer *end = evbuffer_new();
+        evbuffer_add(end, LastChunk.data(), LastChunk.size());
+        evbuffer_prepend_buffer(bufferevent_get_input(m_bufferEvent), end);
+        evbuffer_free(end);
+        bufferevent_setcb(m_bufferEvent, m_evhttpRead, m_evhttpWrite, m_evhttpEvent, m_connection);
+        m_evhttpRead(m_bufferEvent, m_connection);
+    }
+}
+
+void HttpClientConnection::onBodyData(evhttp_request *request, void *arg)
+{
+    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    const CallbackScope scope(*self);
+    const std::shared_ptr<HttpCall::State> call = self->m_call;
+    if (call == nullptr) {
+        return;
+    }
+    forEachPiece(request->input_buffer, [&call](std::string_view data) {
+        guarded("HTTP client", [&call, data] { call->handlers.onData(data); });
+        return !call->ended;
+    });
+}
+
+void HttpClientConnection::onError(evhttp_request_error error, void *arg)
+{
+    static_cast<HttpClientConnection *>(arg)->m_error = error;
+}
+
+void HttpClientConnection::onDone(evhttp_request *request, void *arg)
+{
+    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    const CallbackScope scope(*self);
+    if (self->m_call == nullptr) {
+        return;
+    }
+    if (request == nullptr) {
+        self->fail(self->m_error == EVREQ_HTTP_TIMEOUT, describe(self->m_error));
+        return;
+    }
+    if (!self->m_headSeen) {
+        // evhttp reports a failed connection attempt by a request without a status.
+        self->fail(false, "cannot connect");
+        return;
+    }
+    const std::shared_ptr<HttpCall::State> call = std::move(self->m_call);
+    self->m_call.reset();
+    event_del(self->m_timer);
+    if (self->m_reusable && evbuffer_get_length(bufferevent_get_input(self->m_bufferEvent)) == 0) {
+        self->m_client->keep(*self);
+    } else {
+        self->m_client->discard(*self);
+    }
+    call->complete();
+}
+
+void HttpClientConnection::onClosed(evhttp_connection *, void *arg)
+{
+    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    if (self->m_closing || !self->m_idle) {
+        return;
+    }
+    const CallbackScope scope(*self);
+    self->m_client->removeIdle(*self);
+    self->m_client->discard(*self);
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/net/HttpServer.cpp
@@ -0,0 +1,162 @@
+#include "net/HttpServer.h"
+
+#include "base/Error.h"
+#include "net/Guard.h"
+#include "net/HttpServerState.h"
+#include "net/SocketAddress.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Tarragon {
+
+namespace {
+
+/// Connections that wait for being accepted; a surge of callers must not be refused.
+constexpr int ListenBacklog = 1024;
+
+constexpr ev_uint16_t AllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_POST
+                                       | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS
+                                       | EVHTTP_REQ_PATCH;
+
+/// Slack of evhttp's own limits above those that are checked before evhttp sees the input.
+constexpr ev_ssize_t LimitSlackBytes = 1024;
+
+bufferevent *makeBufferEvent(event_base *, void *arg)
+{
+    HttpServer::State *state = static_cast<HttpServer::State *>(arg);
+    bufferevent *result = nullptr;
+    guarded("HTTP server", [state, &result] {
+        const std::shared_ptr<HttpServerConnection> connection =
+                std::make_shared<HttpServerConnection>(*state);
+        state->connections.emplace(connection.get(), connection);
+        state->newConnections.push_back(connection.get());
+        event_active(state->attachEvent, EV_TIMEOUT, 0);
+        result = connection->bufferEvent();
+    });
+    return result;
+}
+
+void onAttach(evutil_socket_t, short, void *arg)
+{
+    static_cast<HttpServer::State *>(arg)->attachNewConnections();
+}
+
+void onRequest(evhttp_request *request, void *arg)
+{
+    const HttpServer::State *state = static_cast<HttpServer::State *>(arg);
+    if (state->current == nullptr) {
+        evhttp_send_error(request, HTTP_INTERNAL, nullptr);
+        return;
+    }
+    state->current->onRequest(request);
+}
+
+} // namespace
+
+HttpServer::State::State(EventLoop &eventLoop, const HttpServerLimits &serverLimits,
+                         Handler requestHandler)
+    : loop(eventLoop)
+    , limits(serverLimits)
+    , handler(std::move(requestHandler))
+{
+    http = evhttp_new(loop.base());
+    attachEvent = evtimer_new(loop.base(), onAttach, this);
+    if (http == nullptr || attachEvent == nullptr) {
+        throw Error("libevent could not make an HTTP server");
+    }
+    evhttp_set_bevcb(http, makeBufferEvent, this);
+    evhttp_set_gencb(http, onRequest, this);
+    evhttp_set_allowed_methods(http, AllowedMethods);
+    evhttp_set_default_content_type(http, nullptr);
+    evhttp_set_max_headers_size(http, ev_ssize_t(limits.headerBytes.value) + LimitSlackBytes);
+    evhttp_set_max_body_size(http, ev_ssize_t(limits.bodyBytes.value) + LimitSlackBytes);
+}
+
+HttpServer::State::~State()
+{
+    attachNewConnections();
+    evhttp_free(http);
+    event_free(attachEvent);
+}
+
+void HttpServer::State::attachNewConnections()
+{
+    for (HttpServerConnection *connection : newConnections) {
+        connection->attach();
+    }
+    newConnections.clear();
+}
+
+void HttpServer::State::remove(HttpServerConnection *connection)
+{
+    connections.erase(connection);
+}
+
+void HttpServer::State::listen(const std::string &address, std::uint16_t requestedPort)
+{
+    const std::optional<SocketAddress> socketAddress = parseSocketAddress(address, requestedPort);
+    if (!socketAddress.has_value()) {
+        throw Error("listen address is \"" + address + "\", expected an IP address");
+    }
+    evconnlistener *connectionListener = evconnlistener_new_bind(
+            loop.base(), nullptr, nullptr,
+            LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE, ListenBacklog,
+            socketAddress->data(), int(socketAddress->length));
+    if (connectionListener == nullptr) {
+        throw Error("cannot listen on " + address + " port " + std::to_string(requestedPort) + ": "
+                    + std::strerror(errno));
+    }
+    // Accepted sockets inherit the option.
+    const int on = 1;
+    const evutil_socket_t fd = evconnlistener_get_fd(connectionListener);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    listener = evhttp_bind_listener(http, connectionListener);
+    if (listener == nullptr) {
+        evconnlistener_free(connectionListener);
+        throw Error("evhttp could not use the listener on " + address);
+    }
+    listening = true;
+    SocketAddress bound;
+    bound.length = sizeof bound.storage;
+    getsockname(fd, reinterpret_cast<sockaddr *>(&bound.storage), &bound.length);
+    port = bound.port();
+}
+
+HttpServer::HttpServer(EventLoop &loop, const std::string &address, std::uint16_t port,
+                       const HttpServerLimits &limits, Handler handler)
+    : m_state(std::make_shared<State>(loop, limits, std::move(handler)))
+{
+    m_state->listen(address, port);
+}
+
+HttpServer::~HttpServer() = default;
+
+std::uint16_t HttpServer::port() const
+{
+    return m_state->port;
+}
+
+void HttpServer::stopListening()
+{
+    if (m_state->listening) {
+        m_state->listening = false;
+        evhttp_del_accept_socket(m_state->http, m_state->listener);
+        m_state->listener = nullptr;
+    }
+}
+
+std::size_t HttpServer::exchangesInProgress() const
+{
+    return m_state->exchangesInProgress;
+}
+
+} // namespace Tarragon
--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -26,6 +26,7 @@
 class HttpServer
 {
 public:
+    struct State;
     using Handler = sigc::slot<void(const HttpExchangePtr &)>;
 
     /// Listens on the address; port 0 takes a free port. Throws Error if it cannot listen.
@@ -44,7 +45,6 @@
     std::size_t exchangesInProgress() const;
 
 private:
-    struct State;
     std::shared_ptr<State> m_state;
 };
 
--- /dev/null
+++ b/Source/net/HttpServerConnection.cpp
@@ -0,0 +1,419 @@
+#include "net/HttpServerConnection.h"
+
+#include "base/Error.h"
+#include "net/Guard.h"
+#include "net/HttpExchangeState.h"
+#include "net/HttpServerState.h"
+#include "net/HttpSyntax.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+#include <sys/socket.h>
+
+namespace Tarragon {
+
+namespace {
+
+/// Input that is read ahead of the request in progress.
+constexpr std::size_t MaxReadAheadBytes = 64 * 1024;
+/// Time for a peer to read an error and close; without it the reset that follows unread input could
+/// destroy the error on its way.
+constexpr seconds LingerTime{ 2 };
+
+constexpr int BadRequest = 400;
+constexpr int RequestTimeout = 408;
+constexpr int PayloadTooLarge = 413;
+constexpr int HeaderTooLarge = 431;
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+    case RequestTimeout:
+        return "Request Timeout";
+    case PayloadTooLarge:
+        return "Content Too Large";
+    case 417:
+        return "Expectation Failed";
+    case HeaderTooLarge:
+        return "Request Header Fields Too Large";
+    case 501:
+        return "Not Implemented";
+    case 505:
+        return "HTTP Version Not Supported";
+    default:
+        return "Bad Request";
+    }
+}
+
+} // namespace
+
+HttpServerConnection::HttpServerConnection(HttpServer::State &server)
+    : m_server(&server)
+{
+    m_bufferEvent = bufferevent_socket_new(server.loop.base(), -1, 0);
+    if (m_bufferEvent == nullptr) {
+        throw Error("libevent could not make a bufferevent");
+    }
+    m_timer = evtimer_new(server.loop.base(), onTimer, this);
+    evbuffer_add_cb(bufferevent_get_input(m_bufferEvent), onInputChanged, this);
+    const std::size_t readAhead =
+            std::max<std::size_t>(MaxReadAheadBytes, server.limits.headerBytes.value * 2);
+    bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, readAhead);
+    const timeval idle = toTimeval(server.limits.idleTimeout);
+    bufferevent_set_timeouts(m_bufferEvent, &idle, &idle);
+}
+
+HttpServerConnection::~HttpServerConnection()
+{
+    if (m_held != nullptr) {
+        evbuffer_free(m_held);
+    }
+    event_free(m_timer);
+}
+
+void HttpServerConnection::attach()
+{
+    wrapCallbacks();
+    evhttp_connection_set_closecb(m_connection, onClosed, this);
+}
+
+void HttpServerConnection::wrapCallbacks()
+{
+    bufferevent_data_cb readCallback = nullptr;
+    bufferevent_data_cb writeCallback = nullptr;
+    bufferevent_event_cb eventCallback = nullptr;
+    void *arg = nullptr;
+    bufferevent_getcb(m_bufferEvent, &readCallback, &writeCallback, &eventCallback, &arg);
+    if (readCallback == nullptr || readCallback == onRead || readCallback == onRejectedRead) {
+        return;
+    }
+    m_evhttpRead = readCallback;
+    m_evhttpWrite = writeCallback;
+    m_evhttpEvent = eventCallback;
+    m_connection = static_cast<evhttp_connection *>(arg);
+    bufferevent_setcb(m_bufferEvent, onRead, onWrite, onEvent, this);
+}
+
+// evhttp sets its callbacks again for every request; they are taken over when input arrives, which
+// is before libevent calls them.
+void HttpServerConnection::onInputChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
+{
+    if (info->n_added > 0) {
+        static_cast<HttpServerConnection *>(arg)->wrapCallbacks();
+    }
+}
+
+void HttpServerConnection::onRead(bufferevent *, void *arg)
+{
+    const std::shared_ptr<HttpServerConnection> self =
+            static_cast<HttpServerConnection *>(arg)->shared_from_this();
+    self->readInput();
+}
+
+void HttpServerConnection::onWrite(bufferevent *bev, void *arg)
+{
+    const HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
+    self->m_evhttpWrite(bev, self->m_connection);
+}
+
+void HttpServerConnection::onEvent(bufferevent *bev, short what, void *arg)
+{
+    const HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
+    self->m_evhttpEvent(bev, what, self->m_connection);
+}
+
+void HttpServerConnection::readInput()
+{
+    switch (m_phase) {
+    case Phase::Head:
+        readHead();
+        break;
+    case Phase::Body:
+        passToEvhttp();
+        break;
+    case Phase::ChunkedBody:
+        readChunkedBody();
+        break;
+    case Phase::Exchange:
+    case Phase::Rejected:
+    case Phase::Closed:
+        break;
+    }
+}
+
+void HttpServerConnection::readHead()
+{
+    evbuffer *input = bufferevent_get_input(m_bufferEvent);
+    std::array<char, 2> start{};
+    while (m_scanned == 0 && evbuffer_copyout(input, start.data(), start.size()) == 2
+           && start[0] == '\r' && start[1] == '\n') {
+        evbuffer_drain(input, start.size());
+    }
+    const std::size_t length = evbuffer_get_length(input);
+    if (length == 0) {
+        return;
+    }
+    static constexpr std::string_view HeadEnd = "\r\n\r\n";
+    evbuffer_ptr from{};
+    evbuffer_ptr_set(input, &from, m_scanned, EVBUFFER_PTR_SET);
+    const evbuffer_ptr found = evbuffer_search(input, HeadEnd.data(), HeadEnd.size(), &from);
+    const std::size_t limit = m_server->limits.headerBytes.value;
+    const std::size_t headLength = found.pos < 0 ? length : std::size_t(found.pos) + HeadEnd.size();
+    if (headLength > limit) {
+        reject(HeaderTooLarge, "request line and header fields above the limit");
+        return;
+    }
+    if (found.pos < 0) {
+        const MonotonicTime now = m_server->loop.now();
+        if (m_scanned == 0) {
+            m_headStart = now;
+        } else if (now - m_headStart > m_server->limits.idleTimeout) {
+            reject(RequestTimeout, "request head not complete in time");
+            return;
+        }
+        m_scanned = std::max<std::size_t>(1, length - std::min(length, HeadEnd.size() - 1));
+        return;
+    }
+    m_scanned = 0;
+    const char *data =
+            reinterpret_cast<const char *>(evbuffer_pullup(input, ev_ssize_t(headLength)));
+    const HttpRequestFraming framing =
+            checkRequestHead(std::string_view(data, headLength), m_server->limits.bodyBytes);
+    if (framing.rejectStatus != 0) {
+        reject(framing.rejectStatus, framing.reason);
+        return;
+    }
+    m_hasChunkedBody = framing.chunked;
+    if (framing.chunked) {
+        if (m_held == nullptr) {
+            m_held = evbuffer_new();
+        }
+        evbuffer *head = evbuffer_new();
+        evbuffer_remove_buffer(input, head, headLength);
+        evbuffer_add_buffer(m_held, input);
+        evbuffer_prepend_buffer(input, head);
+        evbuffer_free(head);
+        m_decoder = ChunkedDecoder();
+        m_chunkedBody.clear();
+        m_phase = Phase::ChunkedBody;
+        passToEvhttp();
+        if (m_phase == Phase::ChunkedBody) {
+            readChunkedBody();
+        }
+        return;
+    }
+    m_phase = Phase::Body;
+    if (framing.contentLength > 0) {
+        // evhttp takes a body only when all of it is in the input buffer.
+        bufferevent_setwatermark(m_bufferEvent, EV_READ, 0,
+                                 MaxReadAheadBytes + framing.contentLength);
+    }
+    passToEvhttp();
+}
+
+void HttpServerConnection::readChunkedBody()
+{
+    evbuffer_add_buffer(m_held, bufferevent_get_input(m_bufferEvent));
+    bool tooLong = false;
+    const ChunkedDecoder::Result result =
+            m_decoder.decode(m_held, [this, &tooLong](std::string_view data) {
+                tooLong = m_chunkedBody.size() + data.size() > m_server->limits.bodyBytes.value;
+                if (!tooLong) {
+                    m_chunkedBody.append(data);
+                }
+                return !tooLong;
+            });
+    if (tooLong) {
+        reject(PayloadTooLarge, "body above the limit");
+    } else if (result == ChunkedDecoder::Result::Malformed) {
+        reject(BadRequest, "malformed chunked body");
+    } else if (result == ChunkedDecoder::Result::Done) {
+        static constexpr std::string_view LastChunk = "0\r\n\r\n";
+        evbuffer *end = evbuffer_new();
+        evbuffer_add(end, LastChunk.data(), LastChunk.size());
+        evbuffer_prepend_buffer(bufferevent_get_input(m_bufferEvent), end);
+        evbuffer_free(end);
+        passToEvhttp();
+    }
+}
+
+void HttpServerConnection::passToEvhttp()
+{
+    HttpServer::State *server = m_server;
+    HttpServerConnection *previous = server->current;
+    server->current = this;
+    m_evhttpRead(m_bufferEvent, m_connection);
+    server->current = previous;
+}
+
+void HttpServerConnection::onRequest(evhttp_request *request)
+{
+    m_phase = Phase::Exchange;
+    m_counted = true;
+    ++m_server->exchangesInProgress;
+    // evhttp answers absolute targets like a proxy would.
+    request->flags &= ~EVHTTP_PROXY_REQUEST;
+    if (request->major == 1 && request->minor == 0) {
+        // evhttp sends a wrong Content-Length in streamed answers on kept HTTP/1.0 connections.
+        evhttp_remove_header(request->input_headers, "Connection");
+    }
+    evhttp_request_set_on_complete_cb(request, onResponseWritten, this);
+    const std::shared_ptr<HttpServerConnection> self = shared_from_this();
+    std::unique_ptr<HttpExchange::State> state =
+            std::make_unique<HttpExchange::State>(self, request);
+    if (m_hasChunkedBody) {
+        state->requestBody = std::move(m_chunkedBody);
+        m_chunkedBody.clear();
+    }
+    exchange = state.get();
+    HttpExchangePtr pointer = std::make_shared<HttpExchange>(std::move(state));
+    const bool done = guarded("HTTP server", [this, &pointer] { m_server->handler(pointer); });
+    if (!done) {
+        pointer->abort();
+    }
+    pointer.reset();
+    if (m_phase == Phase::Exchange && exchange != nullptr && !exchange->ended) {
+        // evhttp stops reading while a request is in progress and would not see a disconnect.
+        disableIdleTimeout();
+        bufferevent_enable(m_bufferEvent, EV_READ);
+    }
+}
+
+void HttpServerConnection::disableIdleTimeout()
+{
+    if (!m_idleTimeoutDisabled) {
+        m_idleTimeoutDisabled = true;
+        const timeval idle = toTimeval(m_server->limits.idleTimeout);
+        bufferevent_set_timeouts(m_bufferEvent, nullptr, &idle);
+    }
+}
+
+bool HttpServerConnection::isServerLeaving() const
+{
+    return m_server == nullptr || !m_server->listening;
+}
+
+void HttpServerConnection::onResponseWritten(evhttp_request *, void *arg)
+{
+    HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
+    if (self->exchange != nullptr) {
+        self->exchange->detach();
+        self->exchange = nullptr;
+    }
+    self->endCount();
+    self->m_phase = Phase::Head;
+    self->m_scanned = 0;
+    if (self->m_idleTimeoutDisabled) {
+        self->m_idleTimeoutDisabled = false;
+        const timeval idle = toTimeval(self->m_server->limits.idleTimeout);
+        bufferevent_set_timeouts(self->m_bufferEvent, &idle, &idle);
+    }
+    // evhttp would parse what is in the input buffer without the checks of readHead().
+    evbuffer *input = bufferevent_get_input(self->m_bufferEvent);
+    if (evbuffer_get_length(input) > 0) {
+        if (self->m_held == nullptr) {
+            self->m_held = evbuffer_new();
+        }
+        evbuffer_add_buffer(self->m_held, input);
+    }
+    if (self->m_held != nullptr && evbuffer_get_length(self->m_held) > 0) {
+        event_active(self->m_timer, EV_TIMEOUT, 0);
+    }
+}
+
+void HttpServerConnection::endCount()
+{
+    if (m_counted) {
+        m_counted = false;
+        --m_server->exchangesInProgress;
+    }
+}
+
+void HttpServerConnection::onTimer(evutil_socket_t, short, void *arg)
+{
+    const std::shared_ptr<HttpServerConnection> self =
+            static_cast<HttpServerConnection *>(arg)->shared_from_this();
+    if (self->m_phase == Phase::Rejected) {
+        self->closeNow();
+    } else if (self->m_phase == Phase::Head && self->m_held != nullptr) {
+        evbuffer_prepend_buffer(bufferevent_get_input(self->m_bufferEvent), self->m_held);
+        self->readInput();
+    }
+}
+
+void HttpServerConnection::reject(int status, std::string_view reason)
+{
+    m_phase = Phase::Rejected;
+    const std::string body = std::string(reason) + "\n";
+    evbuffer_add_printf(bufferevent_get_output(m_bufferEvent),
+                        "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n"
+                        "Connection: close\r\n\r\n%s",
+                        status, std::string(reasonPhrase(status)).c_str(), body.size(),
+                        body.c_str());
+    bufferevent_setcb(m_bufferEvent, onRejectedRead, onRejectedWrite, onRejectedEvent, this);
+    const timeval linger = toTimeval(LingerTime);
+    event_add(m_timer, &linger);
+    evbuffer *input = bufferevent_get_input(m_bufferEvent);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    bufferevent_enable(m_bufferEvent, EV_READ | EV_WRITE);
+}
+
+void HttpServerConnection::onRejectedRead(bufferevent *bev, void *)
+{
+    evbuffer *input = bufferevent_get_input(bev);
+    evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+void HttpServerConnection::onRejectedWrite(bufferevent *bev, void *)
+{
+    shutdown(bufferevent_getfd(bev), SHUT_WR);
+}
+
+void HttpServerConnection::onRejectedEvent(bufferevent *, short, void *arg)
+{
+    static_cast<HttpServerConnection *>(arg)->closeNow();
+}
+
+void HttpServerConnection::reset()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    // Dissolving the association sends a reset at once. A regular close would look like the end of
+    // a body that is delimited by the end of the connection.
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    connect(bufferevent_getfd(m_bufferEvent), &unspecified, sizeof unspecified);
+    closeNow();
+}
+
+void HttpServerConnection::closeNow()
+{
+    if (m_phase != Phase::Closed) {
+        evhttp_connection_free(m_connection);
+    }
+}
+
+void HttpServerConnection::onClosed(evhttp_connection *, void *arg)
+{
+    const std::shared_ptr<HttpServerConnection> self =
+            static_cast<HttpServerConnection *>(arg)->shared_from_this();
+    self->m_phase = Phase::Closed;
+    self->endCount();
+    event_del(self->m_timer);
+    HttpExchange::State *state = self->exchange;
+    self->exchange = nullptr;
+    self->m_server->remove(self.get());
+    if (state != nullptr) {
+        state->peerGone();
+    }
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/net/HttpServerConnection.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "base/Units.h"
+#include "net/ChunkedDecoder.h"
+#include "net/HttpExchange.h"
+#include "net/HttpServer.h"
+
+#include <event2/bufferevent.h>
+#include <event2/util.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace Tarragon {
+
+/// One connection of an HttpServer. Stands between the bufferevent and evhttp's read callback: it
+/// checks request heads and decodes chunked bodies before evhttp sees them, and keeps pipelined
+/// input away from evhttp while a request is in progress.
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
+{
+public:
+    explicit HttpServerConnection(HttpServer::State &server);
+    ~HttpServerConnection();
+    HttpServerConnection(const HttpServerConnection &) = delete;
+    HttpServerConnection &operator=(const HttpServerConnection &) = delete;
+
+    bufferevent *bufferEvent() const { return m_bufferEvent; }
+    /// Takes over evhttp's callbacks once evhttp has set them.
+    void attach();
+    /// Makes an exchange of a request that evhttp has read and hands it to the server's handler.
+    void onRequest(evhttp_request *request);
+    /// Breaks the connection with a reset.
+    void reset();
+    /// Whether the server has stopped listening.
+    bool isServerLeaving() const;
+    /// Limits the time without reading by the peer only, not the time without a request.
+    void disableIdleTimeout();
+
+    /// The exchange in progress, while its owner holds it.
+    HttpExchange::State *exchange = nullptr;
+
+private:
+    enum class Phase {
+        /// Waiting for a complete request head.
+        Head,
+        /// evhttp reads a body with a Content-Length.
+        Body,
+        ChunkedBody,
+        /// A request has been handed over; its response has not been written yet.
+        Exchange,
+        /// An error was sent; input is discarded until the peer has closed.
+        Rejected,
+        /// evhttp has freed its connection.
+        Closed,
+    };
+
+    static void onInputChanged(evbuffer *input, const evbuffer_cb_info *info, void *arg);
+    static void onRead(bufferevent *bev, void *arg);
+    static void onWrite(bufferevent *bev, void *arg);
+    static void onEvent(bufferevent *bev, short what, void *arg);
+    static void onRejectedRead(bufferevent *bev, void *arg);
+    static void onRejectedWrite(bufferevent *bev, void *arg);
+    static void onRejectedEvent(bufferevent *bev, short what, void *arg);
+    static void onTimer(evutil_socket_t fd, short what, void *arg);
+    static void onClosed(evhttp_connection *connection, void *arg);
+    static void onResponseWritten(evhttp_request *request, void *arg);
+
+    void wrapCallbacks();
+    void readInput();
+    void readHead();
+    void readChunkedBody();
+    void passToEvhttp();
+    void reject(int status, std::string_view reason);
+    void closeNow();
+    void endCount();
+
+    HttpServer::State *m_server;
+    bufferevent *m_bufferEvent = nullptr;
+    evhttp_connection *m_connection = nullptr;
+    bufferevent_data_cb m_evhttpRead = nullptr;
+    bufferevent_data_cb m_evhttpWrite = nullptr;
+    bufferevent_event_cb m_evhttpEvent = nullptr;
+    /// Resumes reading of held input, or ends a rejected connection.
+    event *m_timer = nullptr;
+    /// Input behind the request in progress.
+    evbuffer *m_held = nullptr;
+    Phase m_phase = Phase::Head;
+    /// Bytes of the input in which no end of the head was found.
+    std::size_t m_scanned = 0;
+    MonotonicTime m_headStart;
+    bool m_counted = false;
+    bool m_idleTimeoutDisabled = false;
+    ChunkedDecoder m_decoder;
+    std::string m_chunkedBody;
+    bool m_hasChunkedBody = false;
+};
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/net/HttpServerState.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "net/HttpServer.h"
+#include "net/HttpServerConnection.h"
+
+#include <unordered_map>
+#include <vector>
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace Tarragon {
+
+/// What the connections of a server share.
+struct HttpServer::State
+{
+    State(EventLoop &eventLoop, const HttpServerLimits &serverLimits, Handler requestHandler);
+    ~State();
+    State(const State &) = delete;
+    State &operator=(const State &) = delete;
+
+    void listen(const std::string &address, std::uint16_t port);
+    void attachNewConnections();
+    void remove(HttpServerConnection *connection);
+
+    EventLoop &loop;
+    HttpServerLimits limits;
+    Handler handler;
+    evhttp *http = nullptr;
+    evhttp_bound_socket *listener = nullptr;
+    std::uint16_t port = 0;
+    bool listening = false;
+    std::size_t exchangesInProgress = 0;
+    std::unordered_map<HttpServerConnection *, std::shared_ptr<HttpServerConnection>> connections;
+    /// Connections that evhttp has not finished setting up.
+    std::vector<HttpServerConnection *> newConnections;
+    event *attachEvent = nullptr;
+    /// The connection whose input evhttp parses at present.
+    HttpServerConnection *current = nullptr;
+};
+
+} // namespace Tarragon
