--- /dev/null
+++ b/Source/steering/SlotShares.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "base/Versions.h"
+#include "document/Configuration.h"
+
+#include <vector>
+
+namespace Tarragon {
+
+/// A target as the slot ledger sees it.
+struct SlotTarget
+{
+    TargetId id;
+    ServiceId service;
+    SlotCount slots;
+};
+
+/// The part of a document that decides who may use which slots of a failure domain.
+struct SlotShares
+{
+    Generation generation;
+    /// Entry instances of the domain by seat.
+    std::vector<InstanceId> seats;
+    std::vector<SlotTarget> targets;
+};
+
+/// Takes the shares of a failure domain from the document. An unknown domain has none.
+SlotShares slotSharesOf(const Configuration &configuration, const FailureDomainId &domain);
+
+/// Slots of a target that belong to a seat. The shares of all seats add up to the target's slots.
+/// The remainder of the division starts at a seat that depends on the target's id only, so that no
+/// seat is short at every target and a new target does not move the remainder of others.
+SlotCount staticShare(const TargetId &target, SlotCount slots, int seat, int seats);
+
+} // namespace Tarragon
