--- a/Source/steering/SlotLedger.h
+++ b/Source/steering/SlotLedger.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -139,12 +140,23 @@
     bool isWaitingForOthers(MonotonicTime now) const;
 
 private:
+    struct Document
+    {
+        std::vector<InstanceId> seats;
+        /// This entry's own share of each target named.
+        std::map<TargetId, int> shares;
+    };
+    struct Permit
+    {
+        TargetId target;
+        /// Value of m_epoch at acquire(); a permit from before a pause does not start a request.
+        std::uint64_t epoch = 0;
+    };
     struct Lent
     {
         GrantId id;
         InstanceId borrower;
         Incarnation borrowerIncarnation;
-        std::uint64_t sequence = 0;
         MonotonicTime heldUntil;
     };
     struct Borrowed
@@ -156,9 +168,7 @@
         /// Permit that uses the slot; 0 if none.
         std::uint64_t permit = 0;
         MonotonicTime idleSince;
-        bool renewing = false;
-        /// A permit outlived the grant by release; the grant is only kept until then.
-        bool expired = false;
+        std::optional<MonotonicTime> renewalSentAt;
     };
     struct TargetState
     {
@@ -171,55 +181,75 @@
         std::vector<Lent> lent;
         std::vector<Borrowed> borrowed;
         std::optional<MonotonicTime> lastShortage;
+        std::optional<MonotonicTime> lastWanted;
     };
     struct OtherState
     {
-        Incarnation incarnation;
-        std::uint64_t sequence = 0;
+        /// Newest report; nothing while none counts.
         std::optional<ShareReport> report;
         /// When it was last heard, or when waiting for it began.
         MonotonicTime heard;
-        /// First document of this entry's history that names it.
+        /// Oldest document of this entry's history that names it; 0 if that was the first one
+        /// known, so that it may act on an older one.
         Generation since;
-        bool everHeard = false;
+        /// Incarnation that was replaced, and how long its late reports are ignored.
+        Incarnation replaced;
+        MonotonicTime replacedUntil;
     };
-    struct PendingRequest
+    struct Answer
     {
-        InstanceId to;
-        MonotonicTime sentAt;
-        std::vector<TargetId> wanted;
-        std::vector<GrantId> renewals;
+        GrantResponse response;
+        MonotonicTime at;
     };
 
     void observe(MonotonicTime now);
     void becomeFresh(MonotonicTime now);
+    void endFreshIfKnown(MonotonicTime now);
+    void trackOthers(MonotonicTime now);
+    void dropPast(MonotonicTime now);
     bool isFenced(MonotonicTime now) const;
     bool isSilent(const OtherState &other, MonotonicTime now) const;
-    Generation floor(MonotonicTime now, const InstanceId *except) const;
-    int shareUnder(const SlotShares &shares, const TargetId &target) const;
+    Generation current() const;
+    Generation settledOf(const OtherState &other) const;
+    /// Oldest document that another entry, but for the excepted one, may act on.
+    Generation oldestInUse(MonotonicTime now, const InstanceId *except) const;
+    int leastShare(const TargetId &target, Generation from, Generation to) const;
     int ownUse(const TargetState &state, MonotonicTime now) const;
     int usable(const TargetId &target, const TargetState &state, MonotonicTime now) const;
-    Borrowed *findBorrowed(TargetState &state, MonotonicTime now, microseconds needed);
+    int lendable(const TargetId &target, const TargetState &state, MonotonicTime now) const;
+    int freeBorrowed(const TargetState &state, MonotonicTime now, microseconds needed) const;
+    bool mayLend(const TargetState &state, MonotonicTime now) const;
+    void updateSettled(MonotonicTime now);
     SlotResult take(const TargetId &target, TargetState &state, MonotonicTime now,
                     MonotonicTime deadline, microseconds needed);
+    SlotRefusal shortage(MonotonicTime now) const;
 
     InstanceId m_self;
     Incarnation m_incarnation;
     SlotLedgerOptions m_options;
     /// Documents from the oldest that others may act on to the newest adopted.
-    std::map<Generation, SlotShares> m_history;
+    std::map<Generation, Document> m_history;
     std::map<TargetId, TargetState> m_targets;
     std::map<InstanceId, OtherState> m_others;
-    std::map<std::uint64_t, TargetId> m_permits;
-    std::map<std::uint64_t, PendingRequest> m_pending;
+    std::map<std::uint64_t, Permit> m_permits;
+    /// When each request for grants was sent, by its sequence.
+    std::map<std::uint64_t, MonotonicTime> m_pending;
+    /// Answers given, so that a doubled request is not granted twice.
+    std::map<std::tuple<InstanceId, Incarnation, std::uint64_t>, Answer> m_answers;
     std::uint64_t m_nextPermit = 1;
     std::uint64_t m_nextGrant = 1;
     std::uint64_t m_nextSequence = 1;
     std::uint64_t m_nextReport = 1;
     std::size_t m_nextTie = 0;
+    std::size_t m_nextNeighbour = 0;
+    Generation m_settled;
     /// Set while it is unknown what others may still use.
     bool m_fresh = true;
+    std::uint64_t m_epoch = 1;
+    MonotonicTime m_startedAt;
     MonotonicTime m_freshSince;
+    /// First report sequence sent since then.
+    std::uint64_t m_freshReport = 1;
     MonotonicTime m_lastReport;
 };
 
--- a/Source/steering/SlotMessages.h
+++ b/Source/steering/SlotMessages.h
@@ -66,6 +66,10 @@
     /// Newest document that the sender knows all instances but the receiver to have settled on;
     /// 0 while it does not know.
     Generation closed;
+    /// Newest report of the receiver that the sender has seen, with its incarnation. A receiver
+    /// that was paused thereby tells a current report from one that lay in its socket.
+    Incarnation echoedIncarnation;
+    std::uint64_t echoedSequence = 0;
 };
 
 } // namespace Tarragon
--- a/Source/steering/TargetHealth.h
+++ b/Source/steering/TargetHealth.h
@@ -53,6 +53,8 @@
     void onSuccess(const TargetId &target, MonotonicTime now);
     /// A request failed by the target's fault: connection, timeout or server error.
     void onFailure(const TargetId &target, MonotonicTime now);
+    /// A probe that fails counts as a failure and prolongs an ejection; one that passes changes
+    /// nothing.
     void onProbe(const TargetId &target, bool passed, MonotonicTime now);
     /// Load as reported by the service, 0 to 1, and the age of the measurement on receipt.
     void onLoadReport(const TargetId &target, double load, microseconds age, MonotonicTime now);
