--- /dev/null
+++ b/Tests/steering/SteeringFixture.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "document/Configuration.h"
+
+#include <string>
+#include <vector>
+
+namespace Tarragon::Testing {
+
+/// A document with three regions "a", "b" and "c" of two failure domains each, two entries in each
+/// domain, links between all regions, one block 10.<n>.0.0/16 for each region and one service
+/// "catalog" without weights. Domains are "a-1", "a-2" and so on, entries "a-1-0", "a-1-1".
+inline Configuration threeRegions()
+{
+    Configuration configuration;
+    configuration.generation = Generation(1);
+    const std::vector<std::string> names = { "a", "b", "c" };
+    std::uint32_t number = 0;
+    for (const std::string &name : names) {
+        Region region{ RegionId(name), {} };
+        for (int d = 1; d <= 2; ++d) {
+            FailureDomain domain;
+            domain.id = FailureDomainId(name + "-" + std::to_string(d));
+            domain.region = region.id;
+            for (int seat = 0; seat < 2; ++seat) {
+                EntrySeat entry;
+                entry.id = InstanceId(domain.id.value() + "-" + std::to_string(seat));
+                entry.seat = seat;
+                domain.entries.push_back(entry);
+            }
+            region.domains.push_back(domain.id);
+            configuration.topology.domains.emplace(domain.id, domain);
+        }
+        configuration.topology.clientBlocks.push_back(
+                { 10U << 24U | number++ << 16U, 16, region.id });
+        configuration.topology.regions.emplace(region.id, region);
+        for (const std::string &other : names) {
+            if (other != name) {
+                configuration.topology.links.push_back(
+                        { RegionId(name), RegionId(other), Mbps{ 4'000 }, milliseconds(20) });
+            }
+        }
+    }
+    configuration.topology.defaultRegion = RegionId("a");
+    ServiceConfiguration service;
+    service.id = ServiceId("catalog");
+    configuration.services.emplace(service.id, service);
+    return configuration;
+}
+
+} // namespace Tarragon::Testing
