Entry: Carry requests from callers to targets

Nothing served a request from end to end. This adds the daemon with settings, metrics, lookup API and request path, the target and caller stand-ins and the pages for callers.

Entries do not exchange slot reports yet, so domains with two entries serve nothing, and the document comes from a file.

--- /dev/null
+++ b/Source/entry/Daemon.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "entry/LookupApi.h"
+#include "entry/Metrics.h"
+#include "entry/ProxyContext.h"
+#include "entry/RequestProxy.h"
+#include "entry/ServingState.h"
+#include "entry/Settings.h"
+#include "net/EventLoop.h"
+#include "net/HttpClient.h"
+#include "net/HttpServer.h"
+#include "steering/DrainState.h"
+
+#include <memory>
+#include <optional>
+
+namespace Tarragon {
+
+/// One entry instance: everything that lives as long as the process.
+class Daemon
+{
+public:
+    /// Listens on the settings' addresses. Throws Error if that fails.
+    Daemon(EventLoop &loop, const Settings &settings);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /// Runs the loop until the shutdown has finished.
+    void run();
+    /// Starts the graceful shutdown; the loop stops when nothing is pending or the deadline of the
+    /// settings has passed.
+    void leave();
+
+private:
+    void route(const HttpExchangePtr &exchange);
+    void tick();
+    void adopt(const ConfigurationPtr &configuration);
+    void adoptDocumentFile();
+    void checkShutdown();
+
+    EventLoop &m_loop;
+    const Settings &m_settings;
+    Incarnation m_incarnation;
+    Metrics m_metrics;
+    HttpClient m_client;
+    ServingState m_state;
+    DrainState m_drain;
+    ProxyContext m_proxyContext;
+    RequestProxy m_proxy;
+    LookupApi m_lookupApi;
+    std::unique_ptr<HttpServer> m_server;
+    /// When new work is refused during a shutdown; nothing while serving.
+    std::optional<MonotonicTime> m_refuseFrom;
+    MonotonicTime m_shutdownDeadline;
+    MonotonicTime m_nextShutdownLog;
+    Timer m_tick;
+};
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/entry/ProxiedRequest.cpp
@@ -0,0 +1,558 @@
+#include "entry/ProxiedRequest.h"
+
+#include "base/Digest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+/// Targets send this status when they refuse to start a request.
+constexpr int TargetRefusedStatus = 429;
+
+/// Status in metrics for callers that went away, since no response was sent.
+constexpr int CallerGoneStatus = 499;
+
+/// Bodies of bookings up to this size are kept for later attempts.
+constexpr std::size_t MaxKeptBody = 64 * 1024;
+
+/// A refusal's body is only passed on as text.
+constexpr std::size_t MaxRefusalBody = 4096;
+
+constexpr milliseconds RetryAfterNoCapacity{ 1'000 };
+
+/// Least time that the service's requests are expected to need on a borrowed slot.
+constexpr microseconds LeastRunTime{ 50'000 };
+
+std::string detailOf(const std::string &body)
+{
+    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    return json.is_object() ? json.value("detail", body) : body;
+}
+
+milliseconds retryAfterOf(const HttpHeaders &headers)
+{
+    const std::string text = headers.find("Retry-After").value_or("");
+    int n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return std::clamp<milliseconds>(seconds(n), milliseconds(0), seconds(60));
+}
+
+} // namespace
+
+ProxiedRequest::ProxiedRequest(ProxyContext &context, const Callbacks &callbacks,
+                               std::uint64_t number, HttpExchangePtr exchange, RequestHead head,
+                               const ServiceConfiguration &service)
+    : m_context(context)
+    , m_callbacks(callbacks)
+    , m_number(number)
+    , m_exchange(std::move(exchange))
+    , m_head(std::move(head))
+    , m_rule(ruleOf(service, m_exchange->method(), m_head.targetUri))
+    , m_connectTimeout(service.connectTimeout)
+    , m_started(context.loop.now())
+    , m_deadline(m_started + m_head.timeLeft.value_or(service.requestTimeout))
+{}
+
+ProxiedRequest::~ProxiedRequest() = default;
+
+void ProxiedRequest::start()
+{
+    if (!m_rule.idempotent && m_head.requestId.isEmpty()) {
+        fail(Failure{
+                400, "bad-request", Verdict::NotRun,
+                std::string(RequestIdHeader)
+                        + ": found nothing, expected an id, since the request is not idempotent",
+                milliseconds(0) });
+        return;
+    }
+    if (m_head.requestId.isEmpty()) {
+        m_head.requestId =
+                RequestId(m_context.settings.instance.value() + "-" + std::to_string(m_number));
+    }
+    const std::optional<std::uint64_t> work = m_context.drain.begin(
+            "request " + m_head.requestId.value() + " of service " + m_head.service.value(),
+            m_started);
+    if (!work.has_value()) {
+        fail(Failure{ 503, "leaving", Verdict::NotRun, "this entry is stopping",
+                      RetryAfterNoCapacity });
+        return;
+    }
+    m_drainWork = *work;
+    m_context.state.retryBudget(m_head.service).onRequest(m_started);
+
+    const std::weak_ptr<ProxiedRequest> weak = weak_from_this();
+    m_exchange->disconnected().connect([weak] {
+        if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+            it->onDisconnected();
+        }
+    });
+    m_exchange->drained().connect([weak] {
+        const std::shared_ptr<ProxiedRequest> it = weak.lock();
+        if (it != nullptr && it->m_call != nullptr) {
+            it->m_call->resume();
+        }
+    });
+    m_deadlineTimer = m_context.loop.schedule(m_deadline - m_started, [weak] {
+        if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+            it->onDeadline();
+        }
+    });
+    place();
+}
+
+void ProxiedRequest::place()
+{
+    const std::optional<RegionId> serving =
+            m_context.state.servingRegion(m_head.service, m_head.callerAddress);
+    // The sender of a forwarded request has decided; deciding again with other weights could send
+    // requests in a circle.
+    const bool servesHere =
+            m_head.isForwarded || !serving.has_value() || *serving == m_context.settings.region;
+    const bool mustQueue = m_context.state.admission(m_head.service).mustQueue(m_rule.requestClass);
+    SlotRefusal refusal = SlotRefusal::NoFreeSlot;
+    if (servesHere && !mustQueue && takeTarget(refusal)) {
+        claimThenSend();
+        return;
+    }
+    if (!m_head.isForwarded && forward()) {
+        return;
+    }
+    if (!servesHere) {
+        fail(Failure{ 503, "no-capacity", m_verdict,
+                      "no entry of region \"" + serving->value() + "\" can take the request",
+                      RetryAfterNoCapacity });
+        return;
+    }
+    if (refusal != SlotRefusal::NoFreeSlot) {
+        fail(Failure{ 503, "no-capacity", m_verdict,
+                      "no target of \"" + m_head.service.value() + "\" can take the request",
+                      RetryAfterNoCapacity });
+        return;
+    }
+    m_isWaiting = true;
+    m_callbacks.enqueue(shared_from_this());
+}
+
+bool ProxiedRequest::tryTarget()
+{
+    SlotRefusal refusal = SlotRefusal::NoFreeSlot;
+    if (!takeTarget(refusal)) {
+        return false;
+    }
+    m_isWaiting = false;
+    claimThenSend();
+    return true;
+}
+
+bool ProxiedRequest::takeTarget(SlotRefusal &refusal)
+{
+    const SlotResult result = m_context.state.ledger().acquireAny(
+            m_head.service, m_tried, m_context.loop.now(), m_deadline, LeastRunTime);
+    if (const SlotRefusal *refused = std::get_if<SlotRefusal>(&result)) {
+        refusal = *refused;
+        return false;
+    }
+    m_permit = std::get<SlotPermit>(result);
+    return true;
+}
+
+void ProxiedRequest::claimThenSend()
+{
+    if (m_rule.idempotent) {
+        sendToTarget();
+        return;
+    }
+    const std::weak_ptr<ProxiedRequest> weak = weak_from_this();
+    m_context.claims.claim(m_head.requestId, m_head.isFirstAttempt,
+                           [weak](const ClaimAnswer &answer) {
+                               if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+                                   it->onClaimAnswer(answer);
+                               }
+                           });
+}
+
+void ProxiedRequest::onClaimAnswer(const ClaimAnswer &answer)
+{
+    if (m_ended) {
+        if (const ClaimGranted *granted = std::get_if<ClaimGranted>(&answer)) {
+            // The caller has gone or the deadline has passed; nothing was sent under this claim.
+            m_context.claims.recordOutcome(m_head.requestId, granted->claim, Verdict::NotRun, {});
+        }
+        return;
+    }
+    if (const Failure *failure = std::get_if<Failure>(&answer)) {
+        endAttempt();
+        fail(*failure);
+        return;
+    }
+    if (const ClaimReplay *kept = std::get_if<ClaimReplay>(&answer)) {
+        endAttempt();
+        replay(kept->response);
+        return;
+    }
+    m_claim = std::get<ClaimGranted>(answer);
+    sendToTarget();
+}
+
+void ProxiedRequest::sendToTarget()
+{
+    const MonotonicTime now = m_context.loop.now();
+    const Target *target = m_context.state.findTarget(m_permit->target);
+    // Permissions are checked at the moment of use, since the process may have been paused after
+    // it got them.
+    const bool mayStart = target != nullptr && m_context.state.ledger().mayStart(*m_permit, now)
+                          && (!m_claim.has_value() || now < m_claim->startBefore);
+    if (!mayStart) {
+        recordOutcome(Verdict::NotRun);
+        endAttempt();
+        fail(Failure{ 503, "no-capacity", m_verdict, "the permission to start has expired",
+                      RetryAfterNoCapacity });
+        return;
+    }
+    m_tried.insert(target->id);
+    m_isForwarding = false;
+    HttpRequest request = outgoingRequest(target->http, std::min(m_deadline, m_permit->runUntil));
+    request.uri = m_head.targetUri;
+    request.headers.remove(AttemptHeader);
+    request.headers.remove(CallerHeader);
+    sendCall(request);
+}
+
+HttpRequest ProxiedRequest::outgoingRequest(const Endpoint &endpoint, MonotonicTime until) const
+{
+    HttpRequest request;
+    request.address = endpoint.address;
+    request.port = endpoint.port;
+    request.method = m_exchange->method();
+    request.body = m_exchange->body();
+    request.connectTimeout = m_connectTimeout;
+    // Rounded down, so that the other side gives up no later than this one.
+    request.timeout = std::chrono::floor<milliseconds>(until - m_context.loop.now());
+    for (const HttpHeaders::Field &it : m_exchange->headers().fields()) {
+        if (!isConnectionHeader(it.first)) {
+            request.headers.add(it.first, it.second);
+        }
+    }
+    request.headers.remove("Content-Length");
+    request.headers.set("Host", endpoint.address + ":" + std::to_string(endpoint.port));
+    request.headers.set(RequestIdHeader, m_head.requestId.value());
+    request.headers.set(DeadlineHeader,
+                        std::to_string(std::max<std::int64_t>(request.timeout.count(), 1)));
+    request.headers.remove(ForwardedByHeader);
+    return request;
+}
+
+void ProxiedRequest::sendCall(const HttpRequest &request)
+{
+    m_attemptStarted = m_context.loop.now();
+    m_isSent = true;
+    m_refusal.reset();
+    m_refusalBody.clear();
+    const std::weak_ptr<ProxiedRequest> weak = weak_from_this();
+    HttpCallHandlers handlers;
+    handlers.onHead = [weak](const HttpResponseHead &head) {
+        if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+            it->onHead(head);
+        }
+    };
+    handlers.onData = [weak](std::string_view data) {
+        if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+            it->onData(data);
+        }
+    };
+    handlers.onComplete = [weak] {
+        if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+            it->onComplete();
+        }
+    };
+    handlers.onFailure = [weak](const HttpFailure &failure) {
+        if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+            it->onCallFailure(failure);
+        }
+    };
+    m_call = m_context.client.send(request, std::move(handlers));
+}
+
+bool ProxiedRequest::forward()
+{
+    LookupDecider *decider = m_context.state.decider();
+    const std::optional<std::uint32_t> address = parseIpv4(m_head.callerAddress);
+    if (decider == nullptr || !address.has_value()) {
+        return false;
+    }
+    const LookupDecision decision =
+            decider->decide(m_head.service, *address, stableHash(m_head.callerAddress),
+                            m_context.state.entryStates());
+    for (std::size_t i = 0; i < decision.entryCount; ++i) {
+        const LookupDecider::Entry &entry = decider->entries()[decision.entries[i]];
+        // Only the region that the caller's share belongs to may take the request; anything else
+        // would be a shift that no cap covers.
+        const bool isServingRegion = entry.region == decision.servingRegion;
+        const bool isOwnDomain = entry.domain == m_context.settings.domain;
+        if (!isServingRegion || isOwnDomain || m_triedEntries.count(entry.seat.id) != 0) {
+            continue;
+        }
+        sendToEntry(entry);
+        return true;
+    }
+    return false;
+}
+
+void ProxiedRequest::sendToEntry(const LookupDecider::Entry &entry)
+{
+    const RegionId &region = m_context.state.decider()->regions()[entry.region];
+    if (region != m_context.settings.region && m_context.mayUseLink
+        && !m_context.mayUseLink(region, m_exchange->body().size())) {
+        fail(Failure{ 429, "overload", m_verdict,
+                      "the link to region \"" + region.value() + "\" is used up to its cap",
+                      RetryAfterNoCapacity });
+        return;
+    }
+    m_triedEntries.insert(entry.seat.id);
+    m_isForwarding = true;
+    m_context.metrics.recordForward(m_head.service);
+    HttpRequest request = outgoingRequest(entry.seat.http, m_deadline);
+    request.uri = m_exchange->uri();
+    request.headers.set(ForwardedByHeader, m_context.settings.instance.value());
+    request.headers.set(CallerHeader, m_head.callerAddress);
+    sendCall(request);
+}
+
+void ProxiedRequest::onHead(const HttpResponseHead &head)
+{
+    const bool isTargetRefusal = !m_isForwarding && head.status == TargetRefusedStatus;
+    const bool isEntryFailure = m_isForwarding && head.headers.find(ErrorHeader).has_value();
+    if (isTargetRefusal || isEntryFailure) {
+        m_refusal = head;
+        return;
+    }
+    startResponse(head, Verdict::Ran);
+}
+
+void ProxiedRequest::startResponse(const HttpResponseHead &head, Verdict verdict)
+{
+    HttpHeaders headers;
+    for (const HttpHeaders::Field &it : head.headers.fields()) {
+        if (!isConnectionHeader(it.first)) {
+            headers.add(it.first, it.second);
+        }
+    }
+    headers.set(VerdictHeader, std::string(toString(verdict)));
+    headers.set(RequestIdHeader, m_head.requestId.value());
+    m_verdict = combined(m_verdict, verdict);
+    m_responseStarted = true;
+    m_status = head.status;
+    if (m_claim.has_value()) {
+        m_kept.status = head.status;
+        m_kept.headers = headers;
+    }
+    m_exchange->startReply(head.status, headers);
+}
+
+void ProxiedRequest::onData(std::string_view data)
+{
+    if (m_refusal.has_value()) {
+        m_refusalBody.append(data.substr(0, MaxRefusalBody - m_refusalBody.size()));
+        return;
+    }
+    keepBody(data);
+    m_exchange->send(data);
+    if (m_call != nullptr
+        && m_exchange->bufferedBytes() > m_context.settings.responseBuffer.value) {
+        m_call->pause();
+    }
+}
+
+void ProxiedRequest::keepBody(std::string_view data)
+{
+    if (!m_claim.has_value() || m_kept.isBodyDropped) {
+        return;
+    }
+    if (m_kept.body.size() + data.size() > MaxKeptBody) {
+        m_kept.body.clear();
+        m_kept.isBodyDropped = true;
+        return;
+    }
+    m_kept.body.append(data);
+}
+
+void ProxiedRequest::onComplete()
+{
+    if (m_refusal.has_value()) {
+        const HttpResponseHead refusal = *m_refusal;
+        const std::string body = m_refusalBody;
+        if (!m_isForwarding) {
+            attemptFailed(Verdict::NotRun, "no-capacity", 503, "the target refused the request");
+            return;
+        }
+        // A verdict that cannot be read must not allow a second run.
+        const Verdict verdict = parseVerdict(refusal.headers.find(VerdictHeader).value_or(""))
+                                        .value_or(Verdict::MayHaveRun);
+        m_verdict = combined(m_verdict, verdict);
+        endAttempt();
+        retryOrFail(Failure{ refusal.status, *refusal.headers.find(ErrorHeader), m_verdict,
+                             detailOf(body), retryAfterOf(refusal.headers) });
+        return;
+    }
+    if (!m_isForwarding) {
+        const MonotonicTime now = m_context.loop.now();
+        m_context.state.health().onSuccess(m_permit->target, now);
+        m_context.state.admission(m_head.service).onServed(now - m_attemptStarted);
+    }
+    recordOutcome(Verdict::Ran);
+    endAttempt();
+    m_exchange->finish();
+    end(m_status, Verdict::Ran);
+}
+
+void ProxiedRequest::onCallFailure(const HttpFailure &failure)
+{
+    const Verdict verdict =
+            failure.stage == HttpStage::Connect ? Verdict::NotRun : Verdict::MayHaveRun;
+    const std::string detail =
+            std::string(m_isForwarding ? "the other entry: " : "the target: ") + failure.reason;
+    if (!m_isForwarding) {
+        m_context.state.health().onFailure(m_permit->target, m_context.loop.now());
+    }
+    const bool isDeadline = m_context.loop.now() >= m_deadline;
+    attemptFailed(verdict, isDeadline ? "deadline" : "target-failed", isDeadline ? 504 : 502,
+                  detail);
+}
+
+void ProxiedRequest::attemptFailed(Verdict verdict, const std::string &error, int status,
+                                   const std::string &detail)
+{
+    m_verdict = combined(m_verdict, verdict);
+    recordOutcome(verdict);
+    endAttempt();
+    if (m_responseStarted) {
+        m_exchange->abort();
+        end(status, Verdict::MayHaveRun);
+        return;
+    }
+    const bool mayComeBack = m_verdict == Verdict::NotRun || m_rule.idempotent;
+    retryOrFail(Failure{ status, error, m_verdict, detail,
+                         mayComeBack ? RetryAfterNoCapacity : milliseconds(0) });
+}
+
+void ProxiedRequest::retryOrFail(const Failure &failure)
+{
+    const MonotonicTime now = m_context.loop.now();
+    FailedAttempt attempt;
+    attempt.verdict = m_verdict;
+    attempt.idempotent = m_rule.idempotent;
+    attempt.responseStarted = m_responseStarted;
+    attempt.deadline = m_deadline;
+    attempt.tried = m_tried;
+    const int targetsLeft =
+            m_context.state.ledger().freeSlots(m_head.service, now) > 0 || !m_head.isForwarded ? 1
+                                                                                               : 0;
+    const RetryDecision decision = m_context.retryPolicy.decide(
+            attempt, targetsLeft, m_context.state.retryBudget(m_head.service), now);
+    if (decision != RetryDecision::Retry) {
+        fail(failure);
+        return;
+    }
+    m_context.metrics.recordRetry(m_head.service);
+    place();
+}
+
+void ProxiedRequest::onDeadline()
+{
+    if (m_ended) {
+        return;
+    }
+    if (m_isSent) {
+        m_verdict = combined(m_verdict, Verdict::MayHaveRun);
+        if (!m_isForwarding && m_permit.has_value()) {
+            m_context.state.health().onFailure(m_permit->target, m_context.loop.now());
+        }
+    }
+    recordOutcome(m_isSent ? Verdict::MayHaveRun : Verdict::NotRun);
+    endAttempt();
+    if (m_responseStarted) {
+        m_exchange->abort();
+        end(504, Verdict::MayHaveRun);
+        return;
+    }
+    fail(Failure{ 504, "deadline", m_verdict, "the deadline has passed", milliseconds(0) });
+}
+
+void ProxiedRequest::onDisconnected()
+{
+    if (m_ended) {
+        return;
+    }
+    recordOutcome(m_isSent ? Verdict::MayHaveRun : Verdict::NotRun);
+    endAttempt();
+    end(CallerGoneStatus, combined(m_verdict, Verdict::MayHaveRun));
+}
+
+void ProxiedRequest::recordOutcome(Verdict verdict)
+{
+    if (!m_claim.has_value()) {
+        return;
+    }
+    m_context.claims.recordOutcome(m_head.requestId, m_claim->claim, verdict, m_kept);
+    m_claim.reset();
+}
+
+void ProxiedRequest::replay(const KeptResponse &response)
+{
+    if (response.isBodyDropped) {
+        fail(Failure{ 409, "already-ran", Verdict::Ran, "the first response is no longer kept",
+                      milliseconds(0) });
+        return;
+    }
+    m_exchange->reply(response.status, response.headers, response.body);
+    end(response.status, Verdict::Ran);
+}
+
+void ProxiedRequest::fail(const Failure &failure)
+{
+    if (m_ended) {
+        return;
+    }
+    Failure final = failure;
+    final.verdict = combined(m_verdict, failure.verdict);
+    replyWithFailure(*m_exchange, final, m_head.requestId.value());
+    end(final.status, final.verdict);
+}
+
+void ProxiedRequest::endAttempt()
+{
+    m_call.reset();
+    m_isSent = false;
+    if (m_permit.has_value()) {
+        m_context.state.ledger().release(m_permit->id, m_context.loop.now());
+        m_permit.reset();
+        m_callbacks.slotFreed(m_head.service);
+    }
+}
+
+void ProxiedRequest::end(int status, Verdict verdict)
+{
+    if (m_ended) {
+        return;
+    }
+    m_ended = true;
+    if (m_isWaiting) {
+        m_isWaiting = false;
+        m_callbacks.dequeue(*this);
+    }
+    m_deadlineTimer.reset();
+    if (m_drainWork != 0) {
+        m_context.drain.end(m_drainWork);
+    }
+    m_context.metrics.recordRequest(m_head.service, m_rule.requestClass, status, verdict,
+                                    m_context.loop.now() - m_started);
+    m_callbacks.ended(*this);
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/entry/RequestHead.cpp
@@ -0,0 +1,123 @@
+#include "entry/RequestHead.h"
+
+#include "entry/ServingState.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace Tarragon {
+
+namespace {
+
+constexpr std::string_view ServicePrefix = "/s/";
+
+Failure badRequest(const std::string &detail)
+{
+    return Failure{ 400, "bad-request", Verdict::NotRun, detail, milliseconds(0) };
+}
+
+bool isRequestIdCharacter(char c)
+{
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' || c == '-' || c == '_';
+}
+
+std::optional<Failure> readRequestId(const HttpExchange &exchange, RequestHead &head)
+{
+    const std::optional<std::string> text = exchange.headers().find(RequestIdHeader);
+    if (!text.has_value()) {
+        return std::nullopt;
+    }
+    const bool isValid = !text->empty() && text->size() <= MaxRequestIdBytes
+                         && std::all_of(text->begin(), text->end(), isRequestIdCharacter);
+    if (!isValid) {
+        return badRequest(std::string(RequestIdHeader) + ": found " + std::to_string(text->size())
+                          + " bytes, expected 1 to " + std::to_string(MaxRequestIdBytes)
+                          + " letters, digits, '.', '-' and '_'");
+    }
+    head.requestId = RequestId(*text);
+    return std::nullopt;
+}
+
+std::optional<Failure> readDeadline(const HttpExchange &exchange, RequestHead &head)
+{
+    const std::optional<std::string> text = exchange.headers().find(DeadlineHeader);
+    if (!text.has_value()) {
+        return std::nullopt;
+    }
+    std::int64_t n = 0;
+    const char *end = text->data() + text->size();
+    const std::from_chars_result result = std::from_chars(text->data(), end, n);
+    if (result.ec != std::errc() || result.ptr != end || n < 1 || n > MaxDeadline.count()) {
+        return badRequest(std::string(DeadlineHeader) + ": found \"" + text->substr(0, 40)
+                          + "\", expected 1 to " + std::to_string(MaxDeadline.count()));
+    }
+    head.timeLeft = milliseconds(n);
+    return std::nullopt;
+}
+
+} // namespace
+
+std::variant<RequestHead, Failure> parseRequestHead(const HttpExchange &exchange)
+{
+    RequestHead head;
+    const std::string &uri = exchange.uri();
+    const std::size_t nameStart = uri.find(ServicePrefix);
+    if (nameStart != 0) {
+        return badRequest("found the path \"" + exchange.path() + "\", expected /s/SERVICE/PATH");
+    }
+    const std::size_t nameEnd = uri.find_first_of("/?", ServicePrefix.size());
+    head.service = ServiceId(uri.substr(ServicePrefix.size(), nameEnd - ServicePrefix.size()));
+    head.targetUri = nameEnd == std::string::npos ? "/" : uri.substr(nameEnd);
+    if (head.targetUri.front() == '?') {
+        head.targetUri.insert(0, "/");
+    }
+    if (std::optional<Failure> failure = readRequestId(exchange, head)) {
+        return *failure;
+    }
+    if (std::optional<Failure> failure = readDeadline(exchange, head)) {
+        return *failure;
+    }
+    head.isFirstAttempt = exchange.headers().find(AttemptHeader) == "1";
+    head.isForwarded = exchange.headers().find(ForwardedByHeader).has_value();
+    head.callerAddress = exchange.headers().find(CallerHeader).value_or(exchange.remoteAddress());
+    if (!parseIpv4(head.callerAddress).has_value()) {
+        return badRequest(std::string(CallerHeader) + ": found \""
+                          + head.callerAddress.substr(0, 40) + "\", expected an IPv4 address");
+    }
+    return head;
+}
+
+RequestRule ruleOf(const ServiceConfiguration &service, const std::string &method,
+                   const std::string &targetUri)
+{
+    for (const RequestRule &it : service.rules) {
+        const bool matchesMethod = it.method == "*" || it.method == method;
+        if (matchesMethod && targetUri.compare(0, it.pathPrefix.size(), it.pathPrefix) == 0) {
+            return it;
+        }
+    }
+    const bool isSafe = method == "GET" || method == "HEAD" || method == "OPTIONS";
+    return RequestRule{ method, "", isSafe ? RequestClass::Lookup : RequestClass::Booking, isSafe };
+}
+
+bool isConnectionHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> Names{ "connection",
+                                                             "keep-alive",
+                                                             "proxy-connection",
+                                                             "proxy-authenticate",
+                                                             "proxy-authorization",
+                                                             "te",
+                                                             "trailer",
+                                                             "transfer-encoding",
+                                                             "upgrade",
+                                                             "expect" };
+    std::string lower(name);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    return std::find(Names.begin(), Names.end(), lower) != Names.end();
+}
+
+} // namespace Tarragon
--- a/Source/net/EventLoop.cpp
+++ b/Source/net/EventLoop.cpp
@@ -34,6 +34,16 @@
     }
 };
 
+namespace {
+
+void runPosted(evutil_socket_t, short, void *arg)
+{
+    const std::unique_ptr<sigc::slot<void()>> callback(static_cast<sigc::slot<void()> *>(arg));
+    guarded("posted callback", [&callback] { (*callback)(); });
+}
+
+} // namespace
+
 EventLoop::EventLoop()
 {
     // A write to a socket whose peer has gone is reported by its return value.
@@ -71,6 +81,18 @@
     return Timer(std::make_unique<Timer::State>(m_base, delay, false, std::move(callback)));
 }
 
+void EventLoop::post(sigc::slot<void()> callback)
+{
+    std::unique_ptr<sigc::slot<void()>> owned =
+            std::make_unique<sigc::slot<void()>>(std::move(callback));
+    const timeval immediately{ 0, 0 };
+    if (event_base_once(m_base, -1, EV_TIMEOUT, runPosted, owned.get(), &immediately) != 0) {
+        throw Error("libevent could not post a callback");
+    }
+    // The event owns the slot from here on.
+    static_cast<void>(owned.release());
+}
+
 Timer EventLoop::scheduleEvery(microseconds period, sigc::slot<void()> callback)
 {
     return Timer(std::make_unique<Timer::State>(m_base, period, true, std::move(callback)));
--- a/Source/net/EventLoop.h
+++ b/Source/net/EventLoop.h
@@ -30,6 +30,8 @@
     MonotonicTime now() const;
     /// Calls the slot once after the delay, unless the returned timer is destroyed before.
     Timer schedule(microseconds delay, sigc::slot<void()> callback);
+    /// Calls the slot once at the next turn of the loop.
+    void post(sigc::slot<void()> callback);
     /// Calls the slot every period until the returned timer is destroyed.
     Timer scheduleEvery(microseconds period, sigc::slot<void()> callback);
     /// Calls the slot when the process receives the signal, for the life of the loop.
--- /dev/null
+++ b/Tests/StandIns/caller/LoadRun.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "CallerOptions.h"
+#include "CallerOutcome.h"
+#include "CallerRequest.h"
+#include "LookupCache.h"
+
+#include <cstdio>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Tarragon {
+
+/// Sends the requests of the options, records each outcome as a JSON line and sums them up.
+class LoadRun
+{
+public:
+    /// Appends outcomes to the journal file; an empty path keeps none. Throws Error if it cannot
+    /// be opened.
+    LoadRun(EventLoop &loop, HttpClient &client, const CallerOptions &options,
+            const std::string &journalPath);
+    ~LoadRun();
+    LoadRun(const LoadRun &) = delete;
+    LoadRun &operator=(const LoadRun &) = delete;
+
+    /// Starts; stops the loop after the last outcome.
+    void start();
+    /// Counts by result and latency percentiles of whole responses, as JSON.
+    std::string summary() const;
+
+private:
+    void startOne();
+    void onOutcome(const CallerOutcome &outcome);
+
+    EventLoop &m_loop;
+    HttpClient &m_client;
+    CallerOptions m_options;
+    LookupCache m_lookups;
+    std::FILE *m_journal = nullptr;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_finished = 0;
+    std::map<CallerResult, std::uint64_t> m_counts;
+    std::vector<double> m_latencies;
+    Timer m_timer;
+};
+
+} // namespace Tarragon
--- /dev/null
+++ b/Tests/StandIns/target/main.cpp
@@ -0,0 +1,93 @@
+#include "Journal.h"
+#include "TargetServer.h"
+
+#include "base/Error.h"
+#include "document/DocumentParser.h"
+#include "net/EventLoop.h"
+#include "net/Logging.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <vector>
+
+namespace {
+
+using namespace Tarragon;
+
+Configuration readDocument(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        throw Error("cannot read the document \"" + path + "\"");
+    }
+    Findings findings;
+    const SectionTexts sections = splitDocument(text.str(), path, findings);
+    const std::optional<Configuration> configuration = parseDocument(sections, path, findings);
+    if (!configuration.has_value()) {
+        for (const Finding &it : findings) {
+            std::cerr << toString(it) << '\n';
+        }
+        throw Error("the document \"" + path + "\" is not valid");
+    }
+    return *configuration;
+}
+
+int run(int argc, char **argv)
+{
+    cxxopts::Options options("target-standin", "Serves all targets of a document, for tests");
+    cxxopts::OptionAdder add = options.add_options();
+    add("document", "document that names the targets", cxxopts::value<std::string>());
+    add("domain", "only targets of this failure domain",
+        cxxopts::value<std::string>()->default_value(""));
+    add("journal", "file that gets a line for each start and end of a request",
+        cxxopts::value<std::string>()->default_value(""));
+    add("service-time-ms", "time to run a request", cxxopts::value<int>()->default_value("5"));
+    add("help", "print this help");
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    if (arguments.count("help") != 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    initializeLogging("INFO");
+    const Configuration configuration = readDocument(arguments["document"].as<std::string>());
+    const FailureDomainId domain(arguments["domain"].as<std::string>());
+    EventLoop loop;
+    Journal journal(arguments["journal"].as<std::string>());
+    std::vector<std::unique_ptr<TargetServer>> servers;
+    for (const auto &[id, service] : configuration.services) {
+        for (const Target &it : service.targets) {
+            if (!domain.isEmpty() && it.domain != domain) {
+                continue;
+            }
+            TargetBehaviour behaviour;
+            behaviour.slots = it.slots.value;
+            behaviour.serviceTime = milliseconds(arguments["service-time-ms"].as<int>());
+            servers.push_back(std::make_unique<TargetServer>(
+                    loop, journal, it.id.value(), it.http.address, it.http.port, behaviour));
+        }
+    }
+    std::cout << "ready targets=" << servers.size() << std::endl;
+    loop.onSignal(SIGTERM, [&loop] { loop.stop(); });
+    loop.onSignal(SIGINT, [&loop] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "target-standin: " << error.what() << '\n';
+        return 1;
+    }
+}
