Document: Add the head, section edits, differences and API bodies

prepareEdit() decides on an edit without any IO: token, owner, conflict of each section, findings of the merged whole, next head and objects to write. reconcile() settles a lost answer. Folders in Tests/document/Faults hold one kind of bad input each with the findings expected of it.

--- /dev/null
+++ b/Source/document/DocumentEdit.cpp
@@ -0,0 +1,245 @@
+#include "document/DocumentEdit.h"
+
+#include "base/Digest.h"
+#include "document/DocumentParser.h"
+
+#include <algorithm>
+
+namespace Tarragon {
+
+namespace {
+
+const SectionName AccessSection("access");
+
+EditResult refused(EditStatus status, std::string detail)
+{
+    EditResult result;
+    result.status = status;
+    result.detail = std::move(detail);
+    return result;
+}
+
+std::string currentTextOf(const CurrentDocument &current, const SectionName &section)
+{
+    const auto it = current.texts.find(section);
+    return it == current.texts.end() ? std::string() : it->second;
+}
+
+/// Version that an edit of the section must be based on; 0 if the section does not exist.
+SectionVersion currentVersion(const Head &head, const SectionName &section)
+{
+    const auto it = head.sections.find(section);
+    return it == head.sections.end() ? SectionVersion() : it->second.version;
+}
+
+/// Version of the section after an edit. A new section takes the generation's number: no version
+/// exceeds the generation, so a section that was removed and added again repeats none.
+SectionVersion nextVersion(const Head &head, const SectionName &section)
+{
+    const auto it = head.sections.find(section);
+    return it == head.sections.end() ? SectionVersion(head.generation.next().value())
+                                     : it->second.version.next();
+}
+
+std::string digestOfVersion(const Head &head, const SectionName &section, SectionVersion version)
+{
+    for (const Acceptance &acceptance : head.recent) {
+        const auto it = acceptance.sections.find(section);
+        if (it != acceptance.sections.end() && it->second.version == version) {
+            return it->second.digest;
+        }
+    }
+    return {};
+}
+
+/// Whether the section already is as the edit wants it.
+bool isInForce(const CurrentDocument &current, const SectionName &section, const SectionEdit &edit)
+{
+    const auto it = current.head.sections.find(section);
+    if (!edit.text) {
+        return it == current.head.sections.end();
+    }
+    return it != current.head.sections.end() && it->second.digest == sha256Hex(*edit.text);
+}
+
+/// Sections of the edit that the team may not change. A section that does not exist has no owner
+/// yet; it is added by the team that owns "access", as it must be given an owner there.
+std::vector<SectionName> sectionsNotOwned(const AccessRules &access, const TeamId &team,
+                                          const DocumentEdit &edit)
+{
+    std::vector<SectionName> notOwned;
+    const auto accessOwner = access.owners.find(AccessSection);
+    const bool ownsAccess = accessOwner != access.owners.end() && accessOwner->second == team;
+    for (const auto &[section, it] : edit.sections) {
+        const auto owner = access.owners.find(section);
+        const bool isOwner = owner != access.owners.end() && owner->second == team;
+        const bool isNewOrRemoved = owner == access.owners.end() || !it.text;
+        if (!isOwner && !(isNewOrRemoved && ownsAccess)) {
+            notOwned.push_back(section);
+        }
+    }
+    return notOwned;
+}
+
+std::vector<SectionConflict> findConflicts(const CurrentDocument &current, const DocumentEdit &edit)
+{
+    std::vector<SectionConflict> conflicts;
+    for (const auto &[section, it] : edit.sections) {
+        const SectionVersion version = currentVersion(current.head, section);
+        // An edit that is in force already, as after a lost answer, is no conflict.
+        if (it.basedOn == version || isInForce(current, section, it)) {
+            continue;
+        }
+        conflicts.push_back({ section, it.basedOn, version, currentTextOf(current, section),
+                              it.text.value_or(std::string()),
+                              digestOfVersion(current.head, section, it.basedOn), std::nullopt });
+    }
+    return conflicts;
+}
+
+std::string describe(const std::vector<SectionName> &sections)
+{
+    std::string text;
+    for (const SectionName &it : sections) {
+        text += (text.empty() ? "" : ", ") + it.value();
+    }
+    return text;
+}
+
+/// Builds the next head from the changed sections and validates the whole.
+EditResult makeNext(const CurrentDocument &current, const DocumentEdit &edit, const TeamId &team)
+{
+    EditResult result;
+    result.team = team;
+    result.next = current.head;
+    result.texts = current.texts;
+    Acceptance acceptance;
+    acceptance.generation = current.head.generation.next();
+    acceptance.team = team;
+    acceptance.proposalId = edit.proposalId;
+    acceptance.unixSeconds = edit.unixSeconds;
+    for (const auto &[section, it] : edit.sections) {
+        if (isInForce(current, section, it)) {
+            continue;
+        }
+        SectionReference reference{ {}, nextVersion(current.head, section) };
+        if (it.text) {
+            reference.digest = sha256Hex(*it.text);
+            result.next.sections[section] = reference;
+            result.texts[section] = *it.text;
+            result.objects[sectionObjectKey(section, reference.digest)] = *it.text;
+        } else {
+            result.next.sections.erase(section);
+            result.texts.erase(section);
+        }
+        acceptance.sections[section] = reference;
+    }
+    if (acceptance.sections.empty()) {
+        result.status = EditStatus::Unchanged;
+        return result;
+    }
+    result.configuration = parseDocument(result.texts, "", result.findings);
+    if (!result.configuration) {
+        EditResult faulty = refused(EditStatus::Findings, "the document would have faults");
+        faulty.team = team;
+        faulty.findings = std::move(result.findings);
+        return faulty;
+    }
+    result.next.generation = acceptance.generation;
+    result.configuration->generation = acceptance.generation;
+    std::vector<Acceptance> &recent = result.next.recent;
+    recent.insert(recent.begin(), std::move(acceptance));
+    if (recent.size() > Head::MaxRecentAcceptances) {
+        recent.resize(Head::MaxRecentAcceptances);
+    }
+    return result;
+}
+
+} // namespace
+
+std::optional<TeamId> findTeam(const AccessRules &access, const std::string &token)
+{
+    const std::string digest = sha256Hex(token);
+    std::optional<TeamId> team;
+    for (const auto &[id, expected] : access.tokenDigests) {
+        if (secretsEqual(digest, expected)) {
+            team = id;
+        }
+    }
+    return team;
+}
+
+EditResult prepareEdit(const CurrentDocument &current, const DocumentEdit &edit)
+{
+    if (current.head.generation == Generation()) {
+        return refused(EditStatus::NoDocument,
+                       "no document has been accepted yet; start an entry with a document in its "
+                       "settings");
+    }
+    // Only this section is parsed: a document that a newer version of the program finds fault with
+    // can still be edited.
+    Findings findings;
+    const std::optional<AccessRules> access = parseAccessRules(current.texts, findings);
+    if (!access) {
+        EditResult result = refused(EditStatus::Findings, "the accepted section access has faults");
+        result.findings = std::move(findings);
+        return result;
+    }
+    const std::optional<TeamId> team = findTeam(*access, edit.token);
+    if (!team || (!edit.team.isEmpty() && *team != edit.team)) {
+        return refused(EditStatus::UnknownToken,
+                       edit.team.isEmpty() ? "the token is not known"
+                                           : "the token is not one of team " + edit.team.value());
+    }
+    const std::vector<SectionName> notOwned = sectionsNotOwned(*access, *team, edit);
+    if (!notOwned.empty()) {
+        EditResult result = refused(EditStatus::NotOwner, "team " + team->value() + " does not own "
+                                                                  + describe(notOwned));
+        result.team = *team;
+        return result;
+    }
+    std::vector<SectionConflict> conflicts = findConflicts(current, edit);
+    if (!conflicts.empty()) {
+        EditResult result = refused(EditStatus::Conflict, "");
+        std::vector<SectionName> sections;
+        for (const SectionConflict &it : conflicts) {
+            sections.push_back(it.section);
+        }
+        result.detail =
+                "changed since the version that the edit is based on: " + describe(sections);
+        result.team = *team;
+        result.conflicts = std::move(conflicts);
+        return result;
+    }
+    return makeNext(current, edit, *team);
+}
+
+EditResult prepareSeed(const SectionTexts &texts, const std::string &proposalId,
+                       std::int64_t unixSeconds)
+{
+    DocumentEdit edit;
+    edit.proposalId = proposalId;
+    edit.unixSeconds = unixSeconds;
+    for (const auto &[section, text] : texts) {
+        edit.sections[section] = SectionEdit{ text, SectionVersion() };
+    }
+    return makeNext(CurrentDocument(), edit, TeamId());
+}
+
+ProposalOutcome reconcile(const Head &head, const std::string &proposalId, Generation proposed)
+{
+    for (const Acceptance &it : head.recent) {
+        if (it.proposalId == proposalId) {
+            return ProposalOutcome::Accepted;
+        }
+    }
+    if (head.generation < proposed) {
+        return ProposalOutcome::Undecided;
+    }
+    const bool isNamed =
+            std::any_of(head.recent.begin(), head.recent.end(),
+                        [&](const Acceptance &it) { return it.generation == proposed; });
+    return isNamed ? ProposalOutcome::NotAccepted : ProposalOutcome::Forgotten;
+}
+
+} // namespace Tarragon
--- a/Source/document/DocumentParser.cpp
+++ b/Source/document/DocumentParser.cpp
@@ -30,6 +30,8 @@
     {}
 
     Configuration parse();
+    /// Parses the access section; nothing if there is none or it cannot be loaded.
+    std::optional<AccessRules> parseAccessOnly();
 
 private:
     void checkNames();
@@ -53,7 +55,8 @@
     const Topology *topology = nullptr;
     if (topologyValue) {
         m_configuration.topology = parseTopology(*topologyValue);
-        topology = &m_configuration.topology;
+        // Without any region each reference would be reported in place of the one cause.
+        topology = m_configuration.topology.regions.empty() ? nullptr : &m_configuration.topology;
     }
     parseServices(topology);
     if (const std::optional<YamlValue> shifts = load(SectionName("shifts"))) {
@@ -62,16 +65,23 @@
     if (const std::optional<YamlValue> stops = load(SectionName("stops"))) {
         m_configuration.stops = parseStops(*stops, stoppableIds(topology != nullptr));
     }
-    if (const std::optional<YamlValue> access = load(SectionName("access"))) {
-        std::set<SectionName> names;
-        for (const auto &[name, text] : m_sections) {
-            names.insert(name);
-        }
-        m_configuration.access = parseAccess(*access, names);
-    }
+    m_configuration.access = parseAccessOnly().value_or(AccessRules());
     return std::move(m_configuration);
 }
 
+std::optional<AccessRules> SectionsParser::parseAccessOnly()
+{
+    const std::optional<YamlValue> value = load(SectionName("access"));
+    if (!value) {
+        return std::nullopt;
+    }
+    std::set<SectionName> names;
+    for (const auto &[name, text] : m_sections) {
+        names.insert(name);
+    }
+    return parseAccess(*value, names);
+}
+
 void SectionsParser::checkNames()
 {
     for (const char *name : FixedSections) {
@@ -194,24 +204,45 @@
     return std::nullopt;
 }
 
+std::optional<AccessRules> parseAccessRules(const SectionTexts &sections, Findings &findings)
+{
+    Findings own;
+    const std::optional<AccessRules> access = SectionsParser(sections, own).parseAccessOnly();
+    if (!access && own.empty()) {
+        own.push_back({ "", "access", 0, "", "nothing", "the section access" });
+    }
+    findings.insert(findings.end(), own.begin(), own.end());
+    return own.empty() ? access : std::nullopt;
+}
+
+std::optional<Configuration> parseSplitDocument(const SectionTexts &sections,
+                                                const SectionOrigins &origins, Findings &findings)
+{
+    std::optional<Configuration> configuration;
+    if (!sections.empty()) {
+        configuration = parseDocument(sections, "", findings);
+    }
+    locateFindings(findings, origins);
+    if (!findings.empty()) {
+        configuration.reset();
+    }
+    sortFindings(findings);
+    // Splitting and parsing both report a section that is not YAML.
+    findings.erase(std::unique(findings.begin(), findings.end()), findings.end());
+    return configuration;
+}
+
 std::optional<Configuration> parseWholeDocument(const std::string &text, const std::string &file,
                                                 Findings &findings)
 {
     Findings own;
     SectionOrigins origins;
     const SectionTexts sections = splitDocument(text, file, own, &origins);
-    std::optional<Configuration> configuration;
-    if (!sections.empty()) {
-        configuration = parseDocument(sections, "", own);
-    }
-    locateFindings(own, origins);
+    std::optional<Configuration> configuration = parseSplitDocument(sections, origins, own);
     for (Finding &it : own) {
         it.file = file;
+        findings.push_back(std::move(it));
     }
-    if (!own.empty()) {
-        configuration.reset();
-    }
-    findings.insert(findings.end(), own.begin(), own.end());
     return configuration;
 }
 
--- a/Source/document/DocumentParser.h
+++ b/Source/document/DocumentParser.h
@@ -15,8 +15,17 @@
 std::optional<Configuration> parseDocument(const SectionTexts &sections, const std::string &file,
                                            Findings &findings);
 
+/// Same for sections that splitDocument() took from files. Findings are located in these files;
+/// with findings of the splitting at the start nothing is returned.
+std::optional<Configuration> parseSplitDocument(const SectionTexts &sections,
+                                                const SectionOrigins &origins, Findings &findings);
+
 /// Same for a whole document in one text. Lines of findings are those of the text.
 std::optional<Configuration> parseWholeDocument(const std::string &text, const std::string &file,
                                                 Findings &findings);
 
+/// Parses the "access" section alone. Returns nothing and adds all findings if it is absent or has
+/// any fault.
+std::optional<AccessRules> parseAccessRules(const SectionTexts &sections, Findings &findings);
+
 } // namespace Tarragon
--- a/Source/document/MappingReader.cpp
+++ b/Source/document/MappingReader.cpp
@@ -1,7 +1,7 @@
 #include "document/MappingReader.h"
 
 #include <algorithm>
-#include <map>
+#include <set>
 
 namespace Tarragon {
 
@@ -18,7 +18,7 @@
         value.report("a mapping");
         return;
     }
-    std::map<std::string, int> lines;
+    std::set<std::string> keys;
     for (const auto &it : value.node()) {
         const int keyLine = it.first.Mark().line + 1;
         if (!it.first.IsScalar()) {
@@ -27,12 +27,8 @@
         }
         const std::string &key = it.first.Scalar();
         const std::string path = joinKey(value.key(), key);
-        const auto [position, isNew] = lines.emplace(key, keyLine);
-        if (!isNew) {
-            value.context().report(keyLine, path,
-                                   "the key a second time, after line "
-                                           + std::to_string(position->second),
-                                   "each key once");
+        if (!keys.insert(key).second) {
+            value.context().report(keyLine, path, "the key a second time", "each key once");
             continue;
         }
         // A block mapping or list is reported at its key, a scalar where it stands.
--- a/Source/document/SectionTexts.cpp
+++ b/Source/document/SectionTexts.cpp
@@ -91,6 +91,25 @@
     return blocks;
 }
 
+/// Finds the keys of a block mapping at the column without parsing YAML, for a text that is none.
+std::vector<KeyBlock> scanBlocks(const std::vector<std::string> &lines, std::size_t firstLine,
+                                 std::size_t endLine, std::size_t column)
+{
+    std::vector<KeyBlock> blocks;
+    for (std::size_t i = firstLine; i < endLine; ++i) {
+        const std::size_t colon = lines[i].find(':');
+        if (isCommentOrBlank(lines[i]) || indentOf(lines[i]) != column
+            || colon == std::string::npos) {
+            continue;
+        }
+        if (!blocks.empty()) {
+            blocks.back().endLine = i;
+        }
+        blocks.push_back({ lines[i].substr(column, colon - column), i, i, colon + 1, endLine });
+    }
+    return blocks;
+}
+
 /// Appends a line of the text and remembers where it stands in the file.
 void appendLine(std::string &text, SectionOrigin &origin, const std::string &line,
                 std::size_t index)
@@ -132,7 +151,10 @@
         , m_file(file)
     {}
 
+    /// Takes the sections from the parsed document.
     void split(const YamlValue &document);
+    /// Takes the sections from a text that is not YAML by the indentation of their keys.
+    void scan();
 
     SectionTexts texts;
     SectionOrigins origins;
@@ -205,6 +227,39 @@
     }
 }
 
+void DocumentSplitter::scan()
+{
+    for (const KeyBlock &it : scanBlocks(m_lines, 0, m_lines.size(), 0)) {
+        if (it.key == "services") {
+            std::size_t line = it.keyLine + 1;
+            while (line < it.endLine && isCommentOrBlank(m_lines[line])) {
+                ++line;
+            }
+            const std::size_t column = line < it.endLine ? indentOf(m_lines[line]) : 0;
+            for (const KeyBlock &service : scanBlocks(m_lines, line, it.endLine, column)) {
+                if (isIdentifier(service.key, false)) {
+                    addSection(serviceSection(ServiceId(service.key)), service);
+                }
+            }
+        } else if (std::find(TopLevelKeys.begin(), TopLevelKeys.end(), it.key)
+                   != TopLevelKeys.end()) {
+            addSection(SectionName(it.key), it);
+        }
+    }
+}
+
+/// Findings of the sections that are not YAML on their own.
+Findings findBrokenSections(const SectionTexts &texts, const SectionOrigins &origins)
+{
+    Findings findings;
+    for (const auto &[name, text] : texts) {
+        const FindingContext context{ name.value(), &findings };
+        loadYaml(text, context);
+    }
+    locateFindings(findings, origins);
+    return findings;
+}
+
 void appendIndented(std::string &out, const std::string &text, std::size_t indent)
 {
     for (const std::string &it : splitLines(text)) {
@@ -239,6 +294,13 @@
     DocumentSplitter splitter(text, file);
     if (const std::optional<YamlValue> document = loadYaml(text, context)) {
         splitter.split(*document);
+    } else {
+        // With one section's fault alone, the faults of all others would only show in a next run.
+        splitter.scan();
+        Findings broken = findBrokenSections(splitter.texts, splitter.origins);
+        if (!broken.empty()) {
+            own = std::move(broken);
+        }
     }
     for (Finding &it : own) {
         it.file = file;
--- a/Source/document/ShiftsParser.cpp
+++ b/Source/document/ShiftsParser.cpp
@@ -38,7 +38,7 @@
     if (!link) {
         value.context().report(value.line(), value.key(), "a cap " + pair,
                                "two regions with a link of the topology");
-    } else if (cap.linkRate > link->capacity) {
+    } else if (cap.linkRate > link->capacity && link->capacity > Mbps()) {
         value.context().report(value.line(), joinKey(value.key(), "linkRate"),
                                "more than the link " + pair + " carries",
                                "at most the link's capacity");
--- a/Source/document/TopologyParser.cpp
+++ b/Source/document/TopologyParser.cpp
@@ -15,7 +15,7 @@
 constexpr int MaxSeat = 63;
 constexpr milliseconds MaxDelay{ 10'000 };
 
-const std::string KnownRegion = "a region of the topology";
+constexpr const char *KnownRegion = "a region of the topology";
 
 /// Parses one topology section. Remembers what must be unique over all failure domains.
 class TopologyReader
@@ -33,9 +33,9 @@
     void readKnownRegion(MappingReader &reader, const std::string &key, RegionId &out);
 
     Topology m_topology;
-    std::map<InstanceId, int> m_instanceLines;
-    std::map<Endpoint, int> m_endpointLines;
-    std::map<std::pair<std::uint32_t, int>, int> m_blockLines;
+    std::map<InstanceId, std::string> m_instanceKeys;
+    std::map<Endpoint, std::string> m_endpointKeys;
+    std::map<std::pair<std::uint32_t, int>, std::string> m_blockKeys;
 };
 
 Topology TopologyReader::read(const YamlValue &value)
@@ -132,10 +132,9 @@
     EntrySeat entry;
     MappingReader reader(value);
     if (reader.require("id", entry.id, IdFormat<InstanceId>())) {
-        const auto [position, isNew] = m_instanceLines.emplace(entry.id, value.line());
+        const auto [position, isNew] = m_instanceKeys.emplace(entry.id, value.key());
         if (!isNew) {
-            reader.find("id")->report("an entry id used once; line "
-                                      + std::to_string(position->second) + " has it too");
+            reader.find("id")->report("an entry id used once; " + position->second + " has it too");
         }
     }
     if (reader.require("seat", entry.seat, IntegerFormat{ 0, MaxSeat })
@@ -157,10 +156,9 @@
         return;
     }
     const YamlValue value = *reader.find(key);
-    const auto [position, isNew] = m_endpointLines.emplace(out, value.line());
+    const auto [position, isNew] = m_endpointKeys.emplace(out, value.key());
     if (!isNew) {
-        value.report("an address and port used once; line " + std::to_string(position->second)
-                     + " has it too");
+        value.report("an address and port used once; " + position->second + " has it too");
     }
 }
 
@@ -201,10 +199,9 @@
                 continue;
             }
             const auto [position, isNew] =
-                    m_blockLines.emplace(std::pair(block->network, block->prefixLength), it.line());
+                    m_blockKeys.emplace(std::pair(block->network, block->prefixLength), it.key());
             if (!isNew) {
-                it.report("a block used once; line " + std::to_string(position->second)
-                          + " has it too");
+                it.report("a block used once; " + position->second + " has it too");
                 continue;
             }
             block->region = region;
--- a/Source/document/YamlValue.cpp
+++ b/Source/document/YamlValue.cpp
@@ -56,8 +56,9 @@
             { "", section, line, std::move(key), std::move(found), std::move(expected) });
 }
 
-YamlValue::YamlValue(YAML::Node node, int line, std::string key, const FindingContext &context)
-    : m_node(std::move(node))
+YamlValue::YamlValue(const YAML::Node &node, int line, std::string key,
+                     const FindingContext &context)
+    : m_node(node)
     , m_line(line)
     , m_key(std::move(key))
     , m_context(&context)
@@ -113,7 +114,14 @@
         return std::nullopt;
     }
     try {
-        const YAML::Node node = YAML::Load(text);
+        // The library starts another document, without a marker, at a line with less indentation.
+        const std::vector<YAML::Node> nodes = YAML::LoadAll(text);
+        if (nodes.size() > 1) {
+            context.report(nodes[1].Mark().line + 1, "", "a key outside of the mapping above it",
+                           "one YAML document with even indentation");
+            return std::nullopt;
+        }
+        const YAML::Node node = nodes.empty() ? YAML::Node() : nodes.front();
         const int line = node.IsNull() ? 1 : node.Mark().line + 1;
         return YamlValue(node, line, "", context);
     } catch (const YAML::Exception &e) {
--- a/Source/document/YamlValue.h
+++ b/Source/document/YamlValue.h
@@ -26,7 +26,7 @@
 class YamlValue
 {
 public:
-    YamlValue(YAML::Node node, int line, std::string key, const FindingContext &context);
+    YamlValue(const YAML::Node &node, int line, std::string key, const FindingContext &context);
 
     bool isNull() const { return m_node.IsNull(); }
     const YAML::Node &node() const { return m_node; }
--- a/Tests/document/DeploymentsTest.cpp
+++ b/Tests/document/DeploymentsTest.cpp
@@ -1,10 +1,10 @@
 #include "document/DocumentParser.h"
+#include "document/TextFile.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include <fstream>
-#include <sstream>
+#include <array>
 
 namespace Tarragon {
 namespace {
@@ -18,14 +18,6 @@
     std::map<std::string, std::array<int, 3>> services;
 };
 
-std::string readFile(const std::string &path)
-{
-    const std::ifstream in(path);
-    std::ostringstream out;
-    out << in.rdbuf();
-    return out.str();
-}
-
 class DeploymentsTest : public testing::TestWithParam<ExpectedDeployment>
 {};
 
@@ -38,7 +30,7 @@
             std::string(TARRAGON_SOURCE_DIR "/Deployments/") + expected.name + "/document.yaml";
     Findings findings;
     const std::optional<Configuration> document =
-            parseWholeDocument(readFile(path), path, findings);
+            parseWholeDocument(readTextFile(path), path, findings);
     for (const Finding &it : findings) {
         ADD_FAILURE() << toString(it);
     }
