--- /dev/null
+++ b/Source/ctl/DrainCommand.cpp
@@ -0,0 +1,108 @@
+#include "ctl/AdminClient.h"
+#include "ctl/Command.h"
+#include "ctl/Output.h"
+#include "ctl/UsageError.h"
+#include "document/AdminMessages.h"
+#include "document/ValueFormats.h"
+
+#include <iostream>
+
+namespace Tarragon {
+
+namespace {
+
+constexpr seconds MaxDeadline{ 24 * 3600 };
+
+void addArguments(cxxopts::OptionAdder &options)
+{
+    options("kind", "target, instance, domain or region", cxxopts::value<std::string>());
+    options("id", "Id of what is stopped", cxxopts::value<std::string>());
+    addTokenOptions(options);
+}
+
+void addDrainOptions(cxxopts::OptionAdder &options)
+{
+    addArguments(options);
+    options("deadline", "Time that running requests get to finish",
+            cxxopts::value<std::string>()->default_value("60s"), "DURATION");
+    options("reason", "Reason, for other operators", cxxopts::value<std::string>(), "TEXT");
+}
+
+PlannedStop readStop(const cxxopts::ParseResult &arguments)
+{
+    PlannedStop stop;
+    const std::string kind = requiredArgument(arguments, "kind");
+    const std::optional<StopKind> parsed = parseStopKind(kind);
+    if (!parsed) {
+        throw UsageError("found kind \"" + kind
+                         + "\", expected target, instance, domain or region");
+    }
+    stop.kind = *parsed;
+    stop.id = requiredArgument(arguments, "id");
+    if (!isIdentifier(stop.id, true)) {
+        throw UsageError("found id \"" + stop.id + "\", expected an identifier");
+    }
+    return stop;
+}
+
+ExitCode report(const cxxopts::ParseResult &arguments, const AdminReply &reply,
+                const std::string &what)
+{
+    const bool asJson = arguments.count("json") > 0;
+    if (reply.status != 200) {
+        return reportRefusal(reply, {}, asJson);
+    }
+    if (asJson) {
+        std::cout << reply.body << "\n";
+    } else {
+        const AcceptedEdit accepted = parseAcceptedEdit(reply.body);
+        std::cout << what << (accepted.isChanged ? ", accepted as generation " : ", as before at ")
+                  << accepted.generation << ".\n";
+    }
+    return ExitCode::Done;
+}
+
+ExitCode runDrain(const cxxopts::ParseResult &arguments)
+{
+    PlannedStop stop = readStop(arguments);
+    const SecondsFormat format{ seconds(0), MaxDeadline };
+    const std::optional<seconds> deadline = format(textOption(arguments, "deadline"));
+    if (!deadline) {
+        throw UsageError("found deadline \"" + textOption(arguments, "deadline") + "\", expected "
+                         + format.expected());
+    }
+    stop.deadline = *deadline;
+    stop.reason = textOption(arguments, "reason");
+    const AdminReply reply =
+            makeAdminClient(arguments, true).call("POST", "/admin/v1/stops", stopBody(stop));
+    return report(arguments, reply, "Stop of " + toString(stop.kind) + " " + stop.id);
+}
+
+ExitCode runUndrain(const cxxopts::ParseResult &arguments)
+{
+    const PlannedStop stop = readStop(arguments);
+    const AdminReply reply =
+            makeAdminClient(arguments, true)
+                    .call("DELETE", "/admin/v1/stops/" + toString(stop.kind) + "/" + stop.id);
+    return report(arguments, reply, "No stop of " + toString(stop.kind) + " " + stop.id);
+}
+
+} // namespace
+
+Command drainCommand()
+{
+    return { "drain",   "Plan the stop of a target, entry instance, failure domain or region.",
+             "KIND ID", { "kind", "id" },
+             true,      addDrainOptions,
+             runDrain };
+}
+
+Command undrainCommand()
+{
+    return { "undrain", "Take back a planned stop.",
+             "KIND ID", { "kind", "id" },
+             true,      addArguments,
+             runUndrain };
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/ctl/ExitCode.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace Tarragon {
+
+/// Exit codes of tarragonctl, as its help and manual pages name them.
+enum class ExitCode {
+    Done = 0,
+    Usage = 1,
+    Findings = 2,
+    Conflict = 3,
+    Unreachable = 4,
+    Refused = 5,
+};
+
+} // namespace Tarragon
--- a/Source/document/AdminMessages.cpp
+++ b/Source/document/AdminMessages.cpp
@@ -241,7 +241,7 @@
 
 PlannedStop parseStopBody(const std::string &body)
 {
-    static constexpr std::uint64_t MaxDeadlineSeconds = 24 * 3600;
+    static constexpr std::uint64_t MaxDeadlineSeconds = 86'400;
     const json object = parseJsonObject(body);
     const std::optional<StopKind> kind = parseStopKind(jsonText(object, "kind"));
     if (!kind) {
--- a/Source/document/DocumentEdit.cpp
+++ b/Source/document/DocumentEdit.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const SectionName AccessSection("access");
+const SectionName accessSection("access");
 
 EditResult refused(EditStatus status, std::string detail)
 {
@@ -62,19 +62,21 @@
     return it != current.head.sections.end() && it->second.digest == sha256Hex(*edit.text);
 }
 
-/// Sections of the edit that the team may not change. A section that does not exist has no owner
-/// yet; it is added by the team that owns "access", as it must be given an owner there.
-std::vector<SectionName> sectionsNotOwned(const AccessRules &access, const TeamId &team,
-                                          const DocumentEdit &edit)
+/// Sections of the edit that the team may not change. One that stays as it is needs no right, so
+/// that a whole document can be applied for the sake of one section. A section that does not exist
+/// has no owner yet; it is added by the team that owns "access", as it must be given an owner
+/// there.
+std::vector<SectionName> sectionsNotOwned(const CurrentDocument &current, const AccessRules &access,
+                                          const TeamId &team, const DocumentEdit &edit)
 {
     std::vector<SectionName> notOwned;
-    const auto accessOwner = access.owners.find(AccessSection);
+    const auto accessOwner = access.owners.find(accessSection);
     const bool ownsAccess = accessOwner != access.owners.end() && accessOwner->second == team;
     for (const auto &[section, it] : edit.sections) {
         const auto owner = access.owners.find(section);
         const bool isOwner = owner != access.owners.end() && owner->second == team;
         const bool isNewOrRemoved = owner == access.owners.end() || !it.text;
-        if (!isOwner && !(isNewOrRemoved && ownsAccess)) {
+        if (!isOwner && !(isNewOrRemoved && ownsAccess) && !isInForce(current, section, it)) {
             notOwned.push_back(section);
         }
     }
@@ -191,7 +193,7 @@
                        edit.team.isEmpty() ? "the token is not known"
                                            : "the token is not one of team " + edit.team.value());
     }
-    const std::vector<SectionName> notOwned = sectionsNotOwned(*access, *team, edit);
+    const std::vector<SectionName> notOwned = sectionsNotOwned(current, *access, *team, edit);
     if (!notOwned.empty()) {
         EditResult result = refused(EditStatus::NotOwner, "team " + team->value() + " does not own "
                                                                   + describe(notOwned));
@@ -202,6 +204,7 @@
     if (!conflicts.empty()) {
         EditResult result = refused(EditStatus::Conflict, "");
         std::vector<SectionName> sections;
+        sections.reserve(conflicts.size());
         for (const SectionConflict &it : conflicts) {
             sections.push_back(it.section);
         }
--- a/Source/document/SectionDiff.cpp
+++ b/Source/document/SectionDiff.cpp
@@ -38,19 +38,24 @@
     const int offset = maxEdits + 1;
     // reach[k + offset] is the farthest position in a on diagonal k, where k is the position in a
     // minus that in b.
-    std::vector<int> reach(std::size_t(2 * offset + 1), 0);
+    std::vector<int> reach(2 * std::size_t(offset) + 1, 0);
+    const auto reachOf = [&](int k) -> int & {
+        const int index = k + offset;
+        return reach[std::size_t(index)];
+    };
+    const auto isSame = [&](int x, int y) { return a[std::size_t(x)] == b[std::size_t(y)]; };
     std::vector<std::vector<int>> rows;
     int edits = -1;
     for (int d = 0; d <= maxEdits && edits < 0; ++d) {
         rows.emplace_back(reach.begin() + offset - d - 1, reach.begin() + offset + d + 2);
         for (int k = -d; k <= d; k += 2) {
-            const int left = reach[std::size_t(k - 1 + offset)];
-            const int right = reach[std::size_t(k + 1 + offset)];
+            const int left = reachOf(k - 1);
+            const int right = reachOf(k + 1);
             int x = k == -d || (k != d && left < right) ? right : left + 1;
-            while (x < n && x - k < m && a[std::size_t(x)] == b[std::size_t(x - k)]) {
+            while (x < n && x - k < m && isSame(x, x - k)) {
                 ++x;
             }
-            reach[std::size_t(k + offset)] = x;
+            reachOf(k) = x;
             if (x >= n && x - k >= m) {
                 edits = d;
                 break;
@@ -67,7 +72,10 @@
     int y = m;
     for (int d = edits; d >= 0; --d) {
         const std::vector<int> &row = rows[std::size_t(d)];
-        const auto at = [&](int k) { return row[std::size_t(k + d + 1)]; };
+        const auto at = [&](int diagonal) {
+            const int index = diagonal + d + 1;
+            return row[std::size_t(index)];
+        };
         const int k = x - y;
         const bool isDown = k == -d || (k != d && at(k - 1) < at(k + 1));
         const int fromX = d == 0 ? 0 : at(isDown ? k + 1 : k - 1);
--- a/Source/document/SectionTexts.cpp
+++ b/Source/document/SectionTexts.cpp
@@ -317,14 +317,15 @@
     std::string document;
     for (const char *key : TopLevelKeys) {
         if (key == std::string_view("services")) {
-            document += "services:\n";
+            std::string services;
             for (const auto &[name, text] : sections) {
                 if (const std::optional<ServiceId> service = serviceOfSection(name)) {
-                    document.append(IndentWidth, ' ');
-                    document += service->value() + ":\n";
-                    appendIndented(document, text, 2 * IndentWidth);
+                    services.append(IndentWidth, ' ');
+                    services += service->value() + ":\n";
+                    appendIndented(services, text, 2 * IndentWidth);
                 }
             }
+            document += services.empty() ? "" : "services:\n" + services;
             continue;
         }
         const auto it = sections.find(SectionName(key));
--- a/Tests/document/EditTest.cpp
+++ b/Tests/document/EditTest.cpp
@@ -14,8 +14,8 @@
 using testing::Pair;
 using testing::SizeIs;
 
-const SectionName Parts("services.parts");
-const SectionName Stops("stops");
+const SectionName partsSection("services.parts");
+const SectionName stopsSection("stops");
 
 /// The document of base.yaml, accepted as generation 1. Team "platform" has the token "p", team
 /// "parts" the token "q".
@@ -52,9 +52,9 @@
     /// An edit of the parts service by its team, with another text at each number of slots.
     DocumentEdit partsEdit(int slots, SectionVersion basedOn) const
     {
-        std::string text = m_current.texts.at(Parts);
+        std::string text = m_current.texts.at(partsSection);
         replace(text, "slots: 6", "slots: " + std::to_string(slots));
-        return edit("q", Parts, text, basedOn);
+        return edit("q", partsSection, text, basedOn);
     }
 
     static DocumentEdit edit(const std::string &token, const SectionName &section,
@@ -75,12 +75,12 @@
 {
     const EditResult result = prepareEdit(m_current, partsEdit(7, SectionVersion(1)));
     const CurrentDocument next = accept(result);
-    const std::string digest = sha256Hex(next.texts.at(Parts));
+    const std::string digest = sha256Hex(next.texts.at(partsSection));
     EXPECT_EQ(next.head.generation, Generation(2));
-    EXPECT_EQ(next.head.sections.at(Parts), (SectionReference{ digest, SectionVersion(2) }));
-    EXPECT_EQ(next.head.sections.at(Stops).version, SectionVersion(1));
-    EXPECT_THAT(result.objects,
-                ElementsAre(Pair("config/section/services.parts/" + digest, next.texts.at(Parts))));
+    EXPECT_EQ(next.head.sections.at(partsSection), (SectionReference{ digest, SectionVersion(2) }));
+    EXPECT_EQ(next.head.sections.at(stopsSection).version, SectionVersion(1));
+    EXPECT_THAT(result.objects, ElementsAre(Pair("config/section/services.parts/" + digest,
+                                                 next.texts.at(partsSection))));
     ASSERT_THAT(next.head.recent, SizeIs(2));
     EXPECT_EQ(next.head.recent.front().team, TeamId("parts"));
     EXPECT_EQ(next.head.recent.front().proposalId, "proposal");
@@ -104,9 +104,9 @@
 // A team that could add a section of its own would have rights that nobody gave it.
 TEST_F(EditTest, TeamEditsOnlySectionsItOwns)
 {
-    EXPECT_EQ(prepareEdit(m_current, edit("q", Stops, "[]", SectionVersion(1))).status,
+    EXPECT_EQ(prepareEdit(m_current, edit("q", stopsSection, "[]", SectionVersion(1))).status,
               EditStatus::NotOwner);
-    EXPECT_EQ(prepareEdit(m_current, edit("p", Parts, "{}", SectionVersion(1))).status,
+    EXPECT_EQ(prepareEdit(m_current, edit("p", partsSection, "{}", SectionVersion(1))).status,
               EditStatus::NotOwner);
     EXPECT_EQ(
             prepareEdit(m_current, edit("q", SectionName("services.new"), "{}", SectionVersion(0)))
@@ -114,13 +114,22 @@
             EditStatus::NotOwner);
 }
 
+// An operator may apply the whole document after editing the team's section in it.
+TEST_F(EditTest, SectionsThatStayAsTheyAreNeedNoOwner)
+{
+    DocumentEdit whole = partsEdit(7, SectionVersion(1));
+    whole.sections[stopsSection] = { m_current.texts.at(stopsSection), SectionVersion(1) };
+    const CurrentDocument next = accept(prepareEdit(m_current, whole));
+    EXPECT_EQ(next.head.sections.at(stopsSection).version, SectionVersion(1));
+}
+
 TEST_F(EditTest, OwnerOfAccessAddsAndRemovesAService)
 {
     const SectionName fresh("services.fresh");
     const SectionName accessName("access");
     std::string access = m_current.texts.at(accessName);
     replace(access, "services.parts: parts", "services.parts: parts, services.fresh: parts");
-    std::string text = m_current.texts.at(Parts);
+    std::string text = m_current.texts.at(partsSection);
     replace(text, "id: parts-1", "id: fresh-1");
     replace(text, "id: parts-2", "id: fresh-2");
     replace(text, "127.0.3.1:7080", "127.0.4.1:7080");
@@ -147,38 +156,39 @@
 {
     const DocumentEdit first = partsEdit(7, SectionVersion(1));
     const DocumentEdit second = partsEdit(8, SectionVersion(1));
-    const std::string oldText = m_current.texts.at(Parts);
+    const std::string oldText = m_current.texts.at(partsSection);
     m_current = accept(prepareEdit(m_current, first));
     const EditResult result = prepareEdit(m_current, second);
     ASSERT_EQ(result.status, EditStatus::Conflict);
     ASSERT_THAT(result.conflicts, SizeIs(1));
     const SectionConflict &conflict = result.conflicts.front();
     EXPECT_EQ(conflict.current, SectionVersion(2));
-    EXPECT_EQ(conflict.currentText, *first.sections.at(Parts).text);
-    EXPECT_EQ(conflict.proposedText, *second.sections.at(Parts).text);
+    EXPECT_EQ(conflict.currentText, *first.sections.at(partsSection).text);
+    EXPECT_EQ(conflict.proposedText, *second.sections.at(partsSection).text);
     EXPECT_EQ(conflict.basedOnDigest, sha256Hex(oldText));
 }
 
 TEST_F(EditTest, EditOfAnotherSectionIsNoConflict)
 {
     const DocumentEdit parts = partsEdit(7, SectionVersion(1));
-    const CurrentDocument other = accept(
-            prepareEdit(m_current, edit("p", Stops, "- { kind: region, id: north, deadline: 5s }\n",
-                                        SectionVersion(1))));
+    const CurrentDocument other = accept(prepareEdit(
+            m_current, edit("p", stopsSection, "- { kind: region, id: north, deadline: 5s }\n",
+                            SectionVersion(1))));
     const CurrentDocument both = accept(prepareEdit(other, parts));
     EXPECT_EQ(both.head.generation, Generation(3));
-    EXPECT_NE(both.texts.at(Stops), m_current.texts.at(Stops));
+    EXPECT_NE(both.texts.at(stopsSection), m_current.texts.at(stopsSection));
 }
 
 // The merged whole is validated: two edits that are right on their own can contradict each other.
 TEST_F(EditTest, EditThatBreaksAnotherSectionHasFindings)
 {
     m_current = accept(prepareEdit(
-            m_current, edit("p", Stops, "- { kind: target, id: parts-1, deadline: 5s }\n",
+            m_current, edit("p", stopsSection, "- { kind: target, id: parts-1, deadline: 5s }\n",
                             SectionVersion(1))));
-    std::string text = m_current.texts.at(Parts);
+    std::string text = m_current.texts.at(partsSection);
     replace(text, "id: parts-1", "id: parts-9");
-    const EditResult result = prepareEdit(m_current, edit("q", Parts, text, SectionVersion(1)));
+    const EditResult result =
+            prepareEdit(m_current, edit("q", partsSection, text, SectionVersion(1)));
     EXPECT_EQ(result.status, EditStatus::Findings);
     ASSERT_THAT(result.findings, SizeIs(1));
     EXPECT_EQ(result.findings[0].section, "stops");
@@ -216,7 +226,7 @@
     CurrentDocument other = accept(prepareEdit(m_current, partsEdit(8, SectionVersion(1))));
     EXPECT_EQ(reconcile(other.head, "mine", proposed), ProposalOutcome::NotAccepted);
     for (std::size_t i = 0; i < Head::MaxRecentAcceptances; ++i) {
-        const SectionVersion version = other.head.sections.at(Parts).version;
+        const SectionVersion version = other.head.sections.at(partsSection).version;
         other = accept(prepareEdit(other, partsEdit(i % 2 == 0 ? 9 : 10, version)));
     }
     EXPECT_THAT(other.head.recent, SizeIs(Head::MaxRecentAcceptances));
--- a/Tests/document/FaultsTest.cpp
+++ b/Tests/document/FaultsTest.cpp
@@ -9,12 +9,12 @@
 namespace Tarragon {
 namespace {
 
-const std::filesystem::path DataFolder(TARRAGON_TEST_DATA);
+const std::filesystem::path dataFolder(TARRAGON_TEST_DATA);
 
 std::vector<std::string> faultNames()
 {
     std::vector<std::string> names;
-    for (const auto &it : std::filesystem::directory_iterator(DataFolder / "Faults")) {
+    for (const auto &it : std::filesystem::directory_iterator(dataFolder / "Faults")) {
         names.push_back(it.path().filename());
     }
     std::sort(names.begin(), names.end());
@@ -28,9 +28,9 @@
 // or sends the operator looking elsewhere. The sections of each input replace those of base.yaml.
 TEST_P(FaultsTest, ReportsAllFaultsOfTheInput)
 {
-    const std::filesystem::path folder = DataFolder / "Faults" / GetParam();
+    const std::filesystem::path folder = dataFolder / "Faults" / GetParam();
     Findings findings;
-    SectionTexts sections = splitDocument(readTextFile(DataFolder / "base.yaml"), "", findings);
+    SectionTexts sections = splitDocument(readTextFile(dataFolder / "base.yaml"), "", findings);
     ASSERT_THAT(findings, testing::IsEmpty());
     SectionOrigins origins;
     for (const auto &[name, text] :
--- a/Tests/document/StopsEditTest.cpp
+++ b/Tests/document/StopsEditTest.cpp
@@ -11,7 +11,7 @@
     return { StopKind::Target, id, seconds(90), "new \"board\"" };
 }
 
-const std::string AddedLine =
+const std::string addedLine =
         "- { kind: target, id: \"t-3\", deadline: 90s, reason: \"new \\\"board\\\"\" }\n";
 
 // A drain must not disturb other teams' stops nor their comments.
@@ -24,7 +24,7 @@
                              "  # The second one.\n"
                              "  - { kind: region, id: north, deadline: 5s }\n";
     const std::string with = withStop(text, targetStop("t-3"));
-    EXPECT_EQ(with, text + "  " + AddedLine);
+    EXPECT_EQ(with, text + "  " + addedLine);
     EXPECT_EQ(withoutStop(with, StopKind::Target, "t-3"), text);
     EXPECT_EQ(withoutStop(text, StopKind::Target, "t-1"),
               "# Maintenance.\n  # The second one.\n  - { kind: region, id: north, deadline: 5s "
@@ -34,17 +34,17 @@
 
 TEST(StopsEdit, HandlesEmptyAndBracedLists)
 {
-    EXPECT_EQ(withStop("", targetStop("t-3")), AddedLine);
-    EXPECT_EQ(withStop("# None.\n[]\n", targetStop("t-3")), "# None.\n" + AddedLine);
+    EXPECT_EQ(withStop("", targetStop("t-3")), addedLine);
+    EXPECT_EQ(withStop("# None.\n[]\n", targetStop("t-3")), "# None.\n" + addedLine);
     EXPECT_EQ(withStop("[{ kind: region, id: north, deadline: 5s }]\n", targetStop("t-3")),
-              "- { kind: region, id: \"north\", deadline: 5s }\n" + AddedLine);
-    EXPECT_EQ(withoutStop(AddedLine, StopKind::Target, "t-3"), "[]\n");
+              "- { kind: region, id: \"north\", deadline: 5s }\n" + addedLine);
+    EXPECT_EQ(withoutStop(addedLine, StopKind::Target, "t-3"), "[]\n");
 }
 
 TEST(StopsEdit, ChangesTheStopThatIsThereAlready)
 {
     EXPECT_EQ(withStop("- { kind: target, id: t-3, deadline: 5s }\n", targetStop("t-3")),
-              AddedLine);
+              addedLine);
 }
 
 TEST(StopsEdit, ThrowsForATextWithFaults)
