Steering: Add the registry that runs a request at most once

Bookings need a permission that two entries have agreed on. Attempts carry a number, and one below the highest seen is not permitted any more; without this a late first attempt could run after a later one was told NotRun.

--- /dev/null
+++ b/Source/steering/AtMostOnceRunner.cpp
@@ -0,0 +1,272 @@
+#include "steering/AtMostOnceRunner.h"
+
+#include "base/Error.h"
+
+namespace Tarragon {
+namespace {
+
+/// Claims made for one request before it is given up; more would only add load.
+constexpr int MaxClaims = 5;
+
+} // namespace
+
+AtMostOnceRunner::AtMostOnceRunner(const InstanceId &self, Incarnation incarnation,
+                                   const AtMostOnceOptions &options)
+    : m_self(self)
+    , m_incarnation(incarnation)
+    , m_options(options)
+{}
+
+RunNumber AtMostOnceRunner::begin(const RequestId &id, int attempt, MonotonicTime deadline,
+                                  MonotonicTime now, RegistryMessages &out)
+{
+    const RunNumber number = m_nextRun++;
+    Run &run = m_runs[number];
+    run.number = number;
+    run.id = id;
+    run.attempt = attempt;
+    run.deadline = deadline;
+    const auto parsed = parseRequestId(id.value());
+    if (!parsed) {
+        settle(run, Verdict::NotRun, "request id does not begin with a seed from a lookup");
+        return number;
+    }
+    run.seed = parsed->first;
+    claim(run, now, out);
+    return number;
+}
+
+void AtMostOnceRunner::receive(const ClaimAnswer &answer, MonotonicTime now, RegistryMessages &out)
+{
+    const auto found = m_bySequence.find(answer.claim.sequence);
+    if (answer.claim.runner != m_self || answer.claim.runnerIncarnation != m_incarnation
+        || found == m_bySequence.end()) {
+        return;
+    }
+    Run &run = m_runs.at(found->second);
+    if (run.status.phase != RunPhase::Waiting) {
+        return;
+    }
+    switch (answer.outcome) {
+    case ClaimOutcome::Permitted:
+        run.permittedByBackup = answer.fromBackup;
+        if (now - run.claimedAt < m_options.permission) {
+            setPhase(run, RunPhase::Permitted);
+        } else if (run.claims < MaxClaims && now < run.deadline) {
+            report(run, answer.fromBackup ? run.seed.backup : run.seed.primary, Verdict::NotRun,
+                   std::nullopt, out);
+            claim(run, now, out);
+        } else {
+            giveUp(run, "permission came too late", out);
+        }
+        break;
+    case ClaimOutcome::InProgress:
+        run.inProgress = true;
+        break;
+    case ClaimOutcome::Confirmed:
+        (answer.holder == answer.claim ? run.confirmedForSelf : run.confirmedForOther) = true;
+        break;
+    case ClaimOutcome::Finished:
+        run.status.response = answer.response;
+        settle(run, answer.verdict, "an earlier attempt has ended");
+        break;
+    case ClaimOutcome::Again:
+        if (run.claims < MaxClaims) {
+            claim(run, now, out);
+        } else {
+            giveUp(run, "too many claims", out);
+        }
+        break;
+    case ClaimOutcome::AskBackup:
+        askBackup(run, out);
+        break;
+    case ClaimOutcome::Superseded:
+        settle(run, Verdict::MayHaveRun, "a later attempt of the request was made");
+        break;
+    case ClaimOutcome::Stale:
+    case ClaimOutcome::Full:
+    case ClaimOutcome::NoBackup:
+        (answer.fromBackup ? run.backupRefused : run.primaryRefused) = true;
+        if (run.primaryRefused && run.backupRefused) {
+            giveUp(run, "neither primary nor backup can permit the request", out);
+        } else if (run.primaryRefused) {
+            askBackup(run, out);
+        }
+        break;
+    }
+}
+
+void AtMostOnceRunner::tick(MonotonicTime now, RegistryMessages &out)
+{
+    for (auto &[number, run] : m_runs) {
+        if (run.status.phase != RunPhase::Waiting) {
+            continue;
+        }
+        if (now >= run.deadline) {
+            giveUp(run, "deadline passed while waiting for a permission", out);
+        } else if (!run.inProgress && now - run.claimedAt >= m_options.permission) {
+            giveUp(run, "neither primary nor backup answered", out);
+        } else if (!run.inProgress && now - run.claimedAt >= PrimaryTimeout) {
+            askBackup(run, out);
+        }
+    }
+}
+
+std::vector<RunNumber> AtMostOnceRunner::takeChanged()
+{
+    std::vector<RunNumber> changed = std::move(m_changed);
+    m_changed.clear();
+    return changed;
+}
+
+const RunStatus &AtMostOnceRunner::status(RunNumber run) const
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        throw Error("run " + std::to_string(run) + " is not known, expected one from begin()");
+    }
+    return found->second.status;
+}
+
+bool AtMostOnceRunner::start(RunNumber number, MonotonicTime now, RegistryMessages &out)
+{
+    Run &run = runAt(number);
+    if (run.status.phase != RunPhase::Permitted) {
+        return false;
+    }
+    if (now - run.claimedAt >= m_options.permission || now >= run.deadline) {
+        report(run, run.permittedByBackup ? run.seed.backup : run.seed.primary, Verdict::NotRun,
+               std::nullopt, out);
+        settle(run, run.attempt == 0 ? Verdict::MayHaveRun : Verdict::NotRun,
+               "permission expired before the request was sent");
+        return false;
+    }
+    setPhase(run, RunPhase::Started);
+    return true;
+}
+
+void AtMostOnceRunner::notStarted(RunNumber number)
+{
+    Run &run = runAt(number);
+    if (run.status.phase == RunPhase::Started) {
+        setPhase(run, RunPhase::Permitted);
+    }
+}
+
+Verdict AtMostOnceRunner::finish(RunNumber number, Verdict verdict,
+                                 const std::optional<FinishedResponse> &response, MonotonicTime now,
+                                 RegistryMessages &out)
+{
+    Run &run = runAt(number);
+    Verdict told = verdict;
+    switch (run.status.phase) {
+    case RunPhase::Waiting:
+        giveUp(run, now < run.deadline ? "given up" : "deadline passed", out);
+        told = run.status.verdict;
+        break;
+    case RunPhase::Settled:
+        told = run.status.verdict;
+        break;
+    case RunPhase::Permitted:
+    case RunPhase::Started:
+        if (run.status.phase == RunPhase::Permitted) {
+            told = Verdict::NotRun;
+        }
+        report(run, run.permittedByBackup ? run.seed.backup : run.seed.primary, told, response,
+               out);
+        if (told == Verdict::NotRun && run.attempt == 0) {
+            told = Verdict::MayHaveRun;
+        }
+        break;
+    }
+    m_bySequence.erase(run.sequence);
+    m_runs.erase(number);
+    return told;
+}
+
+Verdict AtMostOnceRunner::verdictOfRefusal(int attempt)
+{
+    return attempt == 1 ? Verdict::NotRun : Verdict::MayHaveRun;
+}
+
+void AtMostOnceRunner::claim(Run &run, MonotonicTime now, RegistryMessages &out)
+{
+    m_bySequence.erase(run.sequence);
+    run.sequence = m_nextSequence++;
+    m_bySequence.emplace(run.sequence, run.number);
+    run.claimedAt = now;
+    run.backupAsked = false;
+    run.inProgress = false;
+    run.confirmedForSelf = false;
+    run.confirmedForOther = false;
+    run.primaryRefused = false;
+    run.backupRefused = false;
+    ++run.claims;
+    out.push_back({ run.seed.primary,
+                    ClaimRequest{ run.id, ClaimKey{ m_self, m_incarnation, run.sequence },
+                                  run.attempt, false } });
+}
+
+void AtMostOnceRunner::askBackup(Run &run, RegistryMessages &out)
+{
+    if (run.backupAsked) {
+        return;
+    }
+    run.backupAsked = true;
+    out.push_back({ run.seed.backup,
+                    ClaimRequest{ run.id, ClaimKey{ m_self, m_incarnation, run.sequence },
+                                  run.attempt, true } });
+}
+
+void AtMostOnceRunner::setPhase(Run &run, RunPhase phase)
+{
+    run.status.phase = phase;
+    m_changed.push_back(run.number);
+}
+
+void AtMostOnceRunner::settle(Run &run, Verdict verdict, const std::string &reason)
+{
+    run.status.verdict = verdict;
+    run.status.reason = reason;
+    m_bySequence.erase(run.sequence);
+    setPhase(run, RunPhase::Settled);
+}
+
+void AtMostOnceRunner::giveUp(Run &run, const std::string &reason, RegistryMessages &out)
+{
+    report(run, run.seed.primary, Verdict::NotRun, std::nullopt, out);
+    if (run.backupAsked) {
+        report(run, run.seed.backup, Verdict::NotRun, std::nullopt, out);
+    }
+    settle(run, verdictUnpermitted(run), reason);
+}
+
+void AtMostOnceRunner::report(const Run &run, const InstanceId &to, Verdict verdict,
+                              const std::optional<FinishedResponse> &response,
+                              RegistryMessages &out) const
+{
+    out.push_back({ to, OutcomeReport{ run.id, ClaimKey{ m_self, m_incarnation, run.sequence },
+                                       verdict, response } });
+}
+
+/// A claim that the backup has confirmed excludes all others, and those with a lower number for
+/// good. Otherwise only a first attempt is known to have none before it.
+Verdict AtMostOnceRunner::verdictUnpermitted(const Run &run) const
+{
+    if (run.inProgress || run.confirmedForOther) {
+        return Verdict::MayHaveRun;
+    }
+    return run.attempt == 1 || (run.confirmedForSelf && run.attempt > 1) ? Verdict::NotRun
+                                                                         : Verdict::MayHaveRun;
+}
+
+AtMostOnceRunner::Run &AtMostOnceRunner::runAt(RunNumber run)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        throw Error("run " + std::to_string(run) + " is not known, expected one from begin()");
+    }
+    return found->second;
+}
+
+} // namespace Tarragon
--- a/Source/steering/SlotLedger.cpp
+++ b/Source/steering/SlotLedger.cpp
@@ -658,7 +658,8 @@
     }
     Generation result = m_settled;
     const Generation from = std::min(oldestInUse(now, nullptr), current());
-    for (const auto &[generation, document] : m_history) {
+    for (const auto &document : m_history) {
+        const Generation generation = document.first;
         if (generation <= result) {
             continue;
         }
