--- a/Source/steering/AtMostOnceRegistry.h
+++ b/Source/steering/AtMostOnceRegistry.h
@@ -35,9 +35,9 @@
     /// Records in all, as primary and as backup. About 400 bytes each.
     std::size_t maxRecords = 60'000;
     /// Largest response that is kept; of a larger one only the verdict is.
-    ByteCount maxResponse{ 16 * 1024 };
+    ByteCount maxResponse{ 16'384 };
     /// All responses kept.
-    ByteCount maxResponses{ 16 * 1024 * 1024 };
+    ByteCount maxResponses{ 16'777'216 };
     /// Claims that may wait for the end of the one that runs; others get its verdict at once.
     std::size_t maxWaiters = 4;
 };
