--- /dev/null
+++ b/Source/steering/AppliedWeights.cpp
@@ -0,0 +1,200 @@
+#include "steering/AppliedWeights.h"
+
+#include "steering/ConfiguredWeights.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+/// Least time between two moves of a row, as a fraction of the window. It bounds the rows that
+/// must be remembered for each window.
+constexpr int MovesPerWindow = 16;
+
+const WeightRow *findRow(const Weights &weights, const ServiceId &service, const RegionId &caller)
+{
+    const auto rows = weights.find(service);
+    if (rows == weights.end()) {
+        return nullptr;
+    }
+    const auto row = rows->second.find(caller);
+    return row == rows->second.end() ? nullptr : &row->second;
+}
+
+} // namespace
+
+AppliedWeights::AppliedWeights(ConfigurationPtr configuration)
+{
+    setConfiguration(std::move(configuration));
+}
+
+void AppliedWeights::setConfiguration(ConfigurationPtr configuration)
+{
+    m_configuration = std::move(configuration);
+    m_configured = configuredWeights(*m_configuration);
+    m_limits.clear();
+    for (const auto &[id, service] : m_configuration->services) {
+        m_limits.emplace(id, ShiftLimits(*m_configuration, id));
+    }
+    m_isSettled = false;
+}
+
+void AppliedWeights::start(const Weights &weights, const RegionId &failover, MonotonicTime now)
+{
+    m_weights = weights;
+    m_failover = failover;
+    m_past.clear();
+    for (const auto &[service, limits] : m_limits) {
+        m_heldUntil[service] = now + limits.longestWindow();
+    }
+    m_isSettled = false;
+}
+
+void AppliedWeights::setPlan(PlanPtr plan)
+{
+    if (plan != nullptr && (m_plan == nullptr || m_plan->version < plan->version)) {
+        m_plan = std::move(plan);
+        m_isSettled = false;
+    }
+}
+
+void AppliedWeights::setLostRegions(std::set<RegionId> regions)
+{
+    if (regions != m_lost) {
+        m_lost = std::move(regions);
+        m_isSettled = false;
+    }
+}
+
+bool AppliedWeights::planUses(const RegionId &region) const
+{
+    for (const auto &[service, rows] : m_plan->weights) {
+        for (const auto &[caller, row] : rows) {
+            if (shareOf(row, region).partsPerMillion > 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void AppliedWeights::chooseFailover(MonotonicTime now)
+{
+    if (m_plan == nullptr) {
+        return;
+    }
+    if (!m_failover.isEmpty()) {
+        const bool isOver = m_lost.count(m_failover) == 0 || !planUses(m_failover);
+        if (!isOver || !m_isSettled) {
+            return;
+        }
+        microseconds window{ 0 };
+        for (const auto &[service, limits] : m_limits) {
+            window = std::max(window, limits.longestWindow());
+        }
+        m_failover = RegionId();
+        m_failoverFrom = now + 2 * window;
+    }
+    if (now < m_failoverFrom) {
+        return;
+    }
+    // Entries with the same view of the regions choose the same one.
+    const auto it = std::find_if(m_lost.begin(), m_lost.end(),
+                                 [&](const RegionId &region) { return planUses(region); });
+    if (it != m_lost.end()) {
+        m_failover = *it;
+        m_isSettled = false;
+    }
+}
+
+WeightRow AppliedWeights::target(const ServiceId &service, const RegionId &caller) const
+{
+    const WeightRow *row = m_plan ? findRow(m_plan->weights, service, caller) : nullptr;
+    if (row == nullptr) {
+        row = findRow(m_configured, service, caller);
+    }
+    if (row == nullptr) {
+        return {};
+    }
+    if (m_plan == nullptr || m_lost.count(m_failover) == 0
+        || shareOf(*row, m_failover).partsPerMillion == 0) {
+        return *row;
+    }
+    const auto failover = m_plan->failover.find(m_failover);
+    const WeightRow *replacement = failover == m_plan->failover.end()
+                                           ? nullptr
+                                           : findRow(failover->second, service, caller);
+    if (replacement == nullptr) {
+        return *row;
+    }
+    WeightRow result = *replacement;
+    const std::int64_t rest = Share::whole().partsPerMillion - totalOf(result).partsPerMillion;
+    if (rest > 0) {
+        result[m_failover] = Share{ rest };
+    }
+    return result;
+}
+
+bool AppliedWeights::advanceRow(const ServiceId &service, const RegionId &caller, WeightRow &row,
+                                const ShiftLimits &limits, MonotonicTime now)
+{
+    const WeightRow goal = target(service, caller);
+    if (goal.empty() || goal == row) {
+        return false;
+    }
+    if (row.empty()) {
+        row = goal;
+        return true;
+    }
+    m_isSettled = false;
+    const auto held = m_heldUntil.find(service);
+    if (held != m_heldUntil.end() && now < held->second) {
+        return false;
+    }
+    std::deque<PastRow> &past = m_past[{ service, caller }];
+    const microseconds window = limits.longestWindow();
+    while (!past.empty() && now - past.front().replacedAt >= window) {
+        past.pop_front();
+    }
+    if (!past.empty() && now - past.back().replacedAt < window / MovesPerWindow) {
+        return false;
+    }
+    std::vector<ShiftLimits::PastRow> rows = { { row, microseconds(0) } };
+    for (const PastRow &it : past) {
+        rows.push_back({ it.row, now - it.replacedAt });
+    }
+    WeightRow next = limits.step(row, goal, rows);
+    if (next == row) {
+        return false;
+    }
+    past.push_back({ std::move(row), now });
+    row = std::move(next);
+    return true;
+}
+
+bool AppliedWeights::advance(MonotonicTime now)
+{
+    chooseFailover(now);
+    if (m_isSettled) {
+        return false;
+    }
+    m_isSettled = true;
+    bool changed = false;
+    for (const auto &[service, settings] : m_configuration->services) {
+        const ShiftLimits &limits = m_limits.at(service);
+        ServiceWeights &rows = m_weights[service];
+        for (const auto &[caller, region] : m_configuration->topology.regions) {
+            changed = advanceRow(service, caller, rows[caller], limits, now) || changed;
+        }
+    }
+    return changed;
+}
+
+PlanVersion AppliedWeights::fullyApplied() const
+{
+    return m_isSettled && m_plan ? m_plan->version : PlanVersion();
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/steering/ConfiguredWeights.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "document/Configuration.h"
+#include "steering/Weights.h"
+
+namespace Tarragon {
+
+/// The weights that the document asks for, with a row for each service and caller region. A caller
+/// region without weights is served by its own region if that has entries, otherwise by the
+/// nearest one by link delay. Shares are scaled so that each row adds up to the whole. A row is
+/// left out if no region can serve it.
+Weights configuredWeights(const Configuration &configuration);
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/steering/ShiftLimits.cpp
@@ -0,0 +1,160 @@
+#include "steering/ShiftLimits.h"
+
+#include "steering/WeightMoves.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Tarragon {
+
+namespace {
+
+/// Rounding of the computed moves, far below one part per million.
+constexpr double Tolerance = 1e-9;
+
+/// Parts per million added before rounding down, so that an amount that is whole but for the error
+/// of floating point keeps its last part.
+constexpr double RoundingGuard = 1e-6;
+
+/// Halvings tried to find the largest step; the result is within 0.4% of it.
+constexpr int SearchRounds = 8;
+
+/// Halvings tried before a step is given up; then it is below one part per million of the row.
+constexpr int MaxHalvings = 20;
+
+/// A planned move of a share between two regions.
+struct Move
+{
+    RegionId from;
+    RegionId to;
+    double partsPerMillion = 0;
+};
+
+/// Splits the change from one row to another into moves: each region that gains takes from each
+/// region that loses in proportion to both.
+std::vector<Move> movesBetween(const WeightRow &current, const WeightRow &target)
+{
+    std::vector<Move> losing;
+    std::vector<Move> gaining;
+    double total = 0;
+    WeightRow all = current;
+    all.insert(target.begin(), target.end());
+    for (const auto &[region, unused] : all) {
+        const auto change = static_cast<double>(shareOf(target, region).partsPerMillion
+                                                - shareOf(current, region).partsPerMillion);
+        if (change < 0) {
+            losing.push_back({ region, {}, -change });
+        } else if (change > 0) {
+            gaining.push_back({ {}, region, change });
+            total += change;
+        }
+    }
+    std::vector<Move> moves;
+    for (const Move &from : losing) {
+        for (const Move &to : gaining) {
+            moves.push_back(
+                    { from.from, to.to, from.partsPerMillion * to.partsPerMillion / total });
+        }
+    }
+    return moves;
+}
+
+WeightRow applied(const WeightRow &current, const std::vector<Move> &moves, double scale)
+{
+    WeightRow row = current;
+    for (const Move &it : moves) {
+        const auto amount =
+                static_cast<std::int64_t>(std::floor(it.partsPerMillion * scale + RoundingGuard));
+        row[it.from].partsPerMillion -= amount;
+        row[it.to].partsPerMillion += amount;
+    }
+    std::erase_if(row, [](const auto &it) { return it.second.partsPerMillion == 0; });
+    return row;
+}
+
+} // namespace
+
+ShiftLimits::ShiftLimits(const Configuration &configuration, const ServiceId &service)
+{
+    const auto settings = configuration.services.find(service);
+    const milliseconds ttl =
+            settings == configuration.services.end() ? milliseconds(0) : settings->second.lookupTtl;
+    for (const ShiftCap &it : configuration.shifts) {
+        if (it.service == service) {
+            m_limits.push_back({ it.from, it.to, it.sharePerPeriod.ratio(), it.period + ttl });
+            m_longestWindow = std::max(m_longestWindow, m_limits.back().window);
+        }
+    }
+}
+
+bool ShiftLimits::forbids(const RegionId &from, const RegionId &to) const
+{
+    return std::any_of(m_limits.begin(), m_limits.end(), [&](const Limit &it) {
+        return it.from == from && it.to == to && it.share <= 0;
+    });
+}
+
+bool ShiftLimits::allows(const std::vector<PastRow> &past, const WeightRow &next) const
+{
+    return std::all_of(m_limits.begin(), m_limits.end(), [&](const Limit &limit) {
+        return std::all_of(past.begin(), past.end(), [&](const PastRow &it) {
+            return it.age >= limit.window
+                   || movedShare(it.row, next, limit.from, limit.to) <= limit.share + Tolerance;
+        });
+    });
+}
+
+double ShiftLimits::remaining(const RegionId &from, const RegionId &to, const WeightRow &current,
+                              const std::vector<PastRow> &past) const
+{
+    double share = 1;
+    for (const Limit &limit : m_limits) {
+        if (limit.from != from || limit.to != to) {
+            continue;
+        }
+        share = std::min(share, limit.share);
+        for (const PastRow &it : past) {
+            if (it.age < limit.window) {
+                share = std::min(share, limit.share - movedShare(it.row, current, from, to));
+            }
+        }
+    }
+    return std::max(share, 0.0);
+}
+
+WeightRow ShiftLimits::step(const WeightRow &current, const WeightRow &target,
+                            const std::vector<PastRow> &past) const
+{
+    if (current == target || allows(past, target)) {
+        return target;
+    }
+    std::vector<Move> moves = movesBetween(current, target);
+    for (Move &it : moves) {
+        const double limit = remaining(it.from, it.to, current, past) * 1e6;
+        it.partsPerMillion = std::min(it.partsPerMillion, limit);
+    }
+    double failed = 1;
+    double scale = 1;
+    WeightRow best = applied(current, moves, scale);
+    for (int i = 0; !allows(past, best); ++i) {
+        if (i == MaxHalvings) {
+            return current;
+        }
+        failed = scale;
+        scale /= 2;
+        best = applied(current, moves, scale);
+    }
+    for (int i = 0; i < SearchRounds && failed > scale; ++i) {
+        const double middle = (scale + failed) / 2;
+        const WeightRow row = applied(current, moves, middle);
+        if (allows(past, row)) {
+            scale = middle;
+            best = row;
+        } else {
+            failed = middle;
+        }
+    }
+    return best;
+}
+
+} // namespace Tarragon
--- a/Tests/steering/LookupDeciderTest.cpp
+++ b/Tests/steering/LookupDeciderTest.cpp
@@ -12,18 +12,13 @@
 namespace Tarragon {
 namespace {
 
+using Testing::row;
+
 constexpr std::uint32_t CallerInA = 10U << 24U | 7;
 constexpr int CallerCount = 20'000;
 
 const ServiceId catalog("catalog");
 
-WeightRow row(std::int64_t a, std::int64_t b, std::int64_t c)
-{
-    return { { RegionId("a"), Share{ a } },
-             { RegionId("b"), Share{ b } },
-             { RegionId("c"), Share{ c } } };
-}
-
 struct LookupCase
 {
     explicit LookupCase(const WeightRow &weights = {})
--- a/Tests/steering/SteeringFixture.h
+++ b/Tests/steering/SteeringFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "document/Configuration.h"
+#include "steering/Weights.h"
 
 #include <string>
 #include <vector>
@@ -48,4 +49,31 @@
     return configuration;
 }
 
+/// A row for the regions "a", "b" and "c" in parts per million; shares of zero are left out.
+inline WeightRow row(std::int64_t a, std::int64_t b, std::int64_t c)
+{
+    WeightRow row = { { RegionId("a"), Share{ a } },
+                      { RegionId("b"), Share{ b } },
+                      { RegionId("c"), Share{ c } } };
+    std::erase_if(row, [](const auto &it) { return it.second.partsPerMillion == 0; });
+    return row;
+}
+
+/// A cap for each pair of different regions of the document and each of its services.
+inline std::vector<ShiftCap> capsBetweenAll(const Configuration &configuration, Share share,
+                                            seconds period)
+{
+    std::vector<ShiftCap> caps;
+    for (const auto &[service, settings] : configuration.services) {
+        for (const auto &[from, fromRegion] : configuration.topology.regions) {
+            for (const auto &[to, toRegion] : configuration.topology.regions) {
+                if (from != to) {
+                    caps.push_back({ service, from, to, share, period, {} });
+                }
+            }
+        }
+    }
+    return caps;
+}
+
 } // namespace Tarragon::Testing
