--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -71,6 +71,8 @@
   weightsVersionSeen @9 :UInt64;
   # Acknowledged steps of the plan, which a planner needs before the next step.
   planVersionApplied @10 :UInt64;
+  # Null between failure domains.
+  shareReport @11 :ShareReport;
 }
 
 struct Status {
@@ -83,118 +85,117 @@
   detail @5 :Text;
 }
 
-struct SlotRequest {
-  borrower @0 :InstanceRef;
-  service @1 :Text;
-  target @2 :Text;
-  count @3 :UInt32;
-  # Grant to renew, or 0 for a new one.
-  renewGrant @4 :UInt64;
-}
-
-struct SlotGrant {
-  # Number of the grant; 0 if nothing was granted.
-  grant @0 :UInt64;
-  lender @1 :InstanceRef;
-  count @2 :UInt32;
-  # The borrower measures it from before it sent the request, the lender from its answer.
-  durationMs @3 :UInt32;
-}
-
-struct SlotReturn {
-  borrower @0 :InstanceRef;
-  service @1 :Text;
-  target @2 :Text;
-  grant @3 :UInt64;
-  count @4 :UInt32;
-}
-
-struct StoredResponse {
-  # First response of a request that has run.
-  status @0 :UInt16;
-  # Header fields as they were sent, each "name: value" on a line of its own.
-  headers @1 :Text;
-  body @2 :Data;
-  # Whether the body was too long to keep; then only the verdict is known.
-  bodyDropped @3 :Bool;
-}
-
-struct ClaimRequest {
-  # Whole request id: the lookup's seed and the caller's own part.
-  requestId @0 :Text;
-  service @1 :Text;
-  claimant @2 :InstanceRef;
-  # Whether the caller says that this is its first attempt.
-  firstAttempt @3 :Bool;
-}
-
-enum ClaimDecision {
-  # The claimant may start the request within validMs.
-  start @0;
-  # The id is settled; verdict and response say how.
-  settled @1;
-  # The id is being run by another claimant.
-  inProgress @2;
-  # The id's incarnation or seed generation is no longer served.
-  rejected @3;
-  # The backup did not confirm in time; nothing was started.
-  unconfirmed @4;
+struct ShareReport {
+  # Which document the sender's use of slots fits; see SlotLedger. Only within a failure domain.
+  sender @0 :InstanceRef;
+  sequence @1 :UInt64;
+  adopted @2 :UInt64;
+  settled @3 :UInt64;
+  closed @4 :UInt64;
+  echoedIncarnation @5 :UInt64;
+  echoedSequence @6 :UInt64;
 }
 
-struct ClaimResult {
-  decision @0 :ClaimDecision;
-  verdict @1 :Verdict;
-  # Names the permission in recordOutcome.
-  claim @2 :UInt64;
-  # Measured by the claimant from before it sent the claim.
-  validMs @3 :UInt32;
-  response @4 :StoredResponse;
+struct GrantRequest {
+  # From a borrower of slots to a neighbour.
+  sender @0 :InstanceRef;
+  receiver @1 :InstanceRef;
+  sequence @2 :UInt64;
+  # One new slot is wanted for each target named.
+  wanted @3 :List(Text);
+  renewals @4 :List(UInt64);
+  returns @5 :List(UInt64);
 }
 
-struct ConfirmRequest {
-  # From the primary to the backup of the id.
-  requestId @0 :Text;
-  primary @1 :InstanceRef;
-  claimant @2 :InstanceRef;
-  claim @3 :UInt64;
+struct SlotGrant {
+  id @0 :UInt64;
+  target @1 :Text;
 }
 
-struct ConfirmResult {
-  confirmed @0 :Bool;
-  # Verdict if the id was settled without the primary.
-  verdict @1 :Verdict;
-  # Measured by the primary from before it asked.
-  validMs @2 :UInt32;
+struct GrantResponse {
+  sender @0 :InstanceRef;
+  receiver @1 :InstanceRef;
+  sequence @2 :UInt64;
+  # The borrower measures it from before it sent the request, the lender from its answer.
+  durationMicroseconds @3 :Int64;
+  granted @4 :List(SlotGrant);
+  renewed @5 :List(UInt64);
 }
 
-struct SettleRequest {
-  # To the backup, when the primary of the id cannot be reached.
-  requestId @0 :Text;
-  asker @1 :InstanceRef;
-  firstAttempt @2 :Bool;
+struct ClaimKey {
+  runner @0 :InstanceRef;
+  sequence @1 :UInt64;
 }
 
-struct SettleResult {
-  verdict @0 :Verdict;
-  # Whether the backup has taken the id over and its answer is final.
-  final @1 :Bool;
-  response @2 :StoredResponse;
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Text;
 }
 
-struct OutcomeRecord {
-  requestId @0 :Text;
-  claim @1 :UInt64;
-  recorder @2 :InstanceRef;
-  verdict @3 :Verdict;
-  response @4 :StoredResponse;
+struct FinishedResponse {
+  status @0 :Int32;
+  headers @1 :List(HeaderField);
+  body @2 :Data;
 }
 
-struct RecordLookup {
-  known @0 :Bool;
-  # Whether the request has ended.
-  settled @1 :Bool;
-  verdict @2 :Verdict;
-  response @3 :StoredResponse;
+struct RegistryMessage {
+  # A message between the records of non-idempotent requests; see AtMostOnceRegistry. Enumerations
+  # are numbered as in RegistryMessages.h.
+  union {
+    claim :group {
+      requestId @0 :Text;
+      key @1 :ClaimKey;
+      attempt @2 :Int32;
+      settle @3 :Bool;
+    }
+    claimAnswer :group {
+      requestId @4 :Text;
+      key @5 :ClaimKey;
+      outcome @6 :UInt8;
+      fromBackup @7 :Bool;
+      holder @8 :ClaimKey;
+      verdict @9 :Verdict;
+      # Null if there is none.
+      response @10 :FinishedResponse;
+    }
+    outcome :group {
+      requestId @11 :Text;
+      key @12 :ClaimKey;
+      verdict @13 :Verdict;
+      response @14 :FinishedResponse;
+    }
+    confirm :group {
+      requestId @15 :Text;
+      key @16 :ClaimKey;
+      attempt @17 :Int32;
+      sequence @18 :UInt64;
+      oldestServed @19 :UInt64;
+    }
+    confirmAnswer :group {
+      requestId @20 :Text;
+      sequence @21 :UInt64;
+      outcome @22 :UInt8;
+    }
+    outcomeCopy :group {
+      requestId @23 :Text;
+      sequence @24 :UInt64;
+      verdict @25 :Verdict;
+      response @26 :FinishedResponse;
+    }
+    registration :group {
+      primary @27 :InstanceRef;
+      backup @28 :InstanceRef;
+      from @29 :UInt64;
+      current @30 :UInt64;
+      oldestServed @31 :UInt64;
+    }
+    registrationAnswer :group {
+      primary @32 :InstanceRef;
+      backup @33 :InstanceRef;
+      from @34 :UInt64;
+      accepted @35 :Bool;
+    }
+  }
 }
 
 interface Peer {
@@ -215,16 +216,11 @@
   # passes it on within its failure domain if relay is set.
   offer @4 (sender :InstanceRef, generation :UInt64, planVersion :UInt64, relay :Bool) -> ();
 
-  # Borrows idle slots of a target from an entry of the same failure domain.
-  requestSlots @5 (request :SlotRequest) -> (grant :SlotGrant);
-  returnSlots @6 (returned :SlotReturn) -> ();
+  # Borrows, renews and returns slots of targets of the same failure domain.
+  exchangeSlots @5 (request :GrantRequest) -> (response :GrantResponse);
 
-  # At most once: see "At most once" in docs/design.md.
-  claim @7 (request :ClaimRequest) -> (result :ClaimResult);
-  confirm @8 (request :ConfirmRequest) -> (result :ConfirmResult);
-  settle @9 (request :SettleRequest) -> (result :SettleResult);
-  recordOutcome @10 (record :OutcomeRecord) -> (recorded :Bool);
-  lookupRecord @11 (requestId :Text) -> (record :RecordLookup);
+  # Hands over messages of the at-most-once records; answers come as messages of their own.
+  deliver @6 (messages :List(RegistryMessage)) -> ();
 
-  status @12 () -> (status :Status);
+  status @7 () -> (status :Status);
 }
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -40,27 +40,22 @@
 CAPNP_DECLARE_SCHEMA(814a94e55a601085);
 CAPNP_DECLARE_SCHEMA(fd94db23d61fef4d);
 CAPNP_DECLARE_SCHEMA(96922e03c225ba70);
-CAPNP_DECLARE_SCHEMA(ba0f3c29ba4166ad);
+CAPNP_DECLARE_SCHEMA(c8ec3e44fc06252b);
+CAPNP_DECLARE_SCHEMA(a7de5f62a37ac864);
 CAPNP_DECLARE_SCHEMA(adb1732469ac3ee2);
-CAPNP_DECLARE_SCHEMA(e7307942d6fb49be);
-CAPNP_DECLARE_SCHEMA(ee52a3acbda7c3c8);
-CAPNP_DECLARE_SCHEMA(8cca1f9111d1a9bf);
-CAPNP_DECLARE_SCHEMA(f3121f07ec0b221e);
-enum class ClaimDecision_f3121f07ec0b221e: uint16_t {
-  START,
-  SETTLED,
-  IN_PROGRESS,
-  REJECTED,
-  UNCONFIRMED,
-};
-CAPNP_DECLARE_ENUM(ClaimDecision, f3121f07ec0b221e);
-CAPNP_DECLARE_SCHEMA(d77d19b3e6702bca);
-CAPNP_DECLARE_SCHEMA(a4d9df168e9055a8);
-CAPNP_DECLARE_SCHEMA(ba1b2155366da815);
-CAPNP_DECLARE_SCHEMA(83dcc6846f6a50fb);
-CAPNP_DECLARE_SCHEMA(a45990087567654b);
-CAPNP_DECLARE_SCHEMA(efb2036a05d555c1);
-CAPNP_DECLARE_SCHEMA(9f47f1c6936eaec2);
+CAPNP_DECLARE_SCHEMA(c5042c300abad6f1);
+CAPNP_DECLARE_SCHEMA(da99205ab0f09d65);
+CAPNP_DECLARE_SCHEMA(e8670e1b2a3902db);
+CAPNP_DECLARE_SCHEMA(bc1e176da42fa610);
+CAPNP_DECLARE_SCHEMA(92c29e225453fa85);
+CAPNP_DECLARE_SCHEMA(bb29362dec921433);
+CAPNP_DECLARE_SCHEMA(a5ffd3949bffd996);
+CAPNP_DECLARE_SCHEMA(b138a493b719cf43);
+CAPNP_DECLARE_SCHEMA(e93ac5b6ec9c8087);
+CAPNP_DECLARE_SCHEMA(dea1fb71213bda25);
+CAPNP_DECLARE_SCHEMA(ca83d685ef35726f);
+CAPNP_DECLARE_SCHEMA(cbe0a94b793f3a87);
+CAPNP_DECLARE_SCHEMA(aade277074e75ce7);
 CAPNP_DECLARE_SCHEMA(d5f4e88c326a42cb);
 CAPNP_DECLARE_SCHEMA(fa6c2cbc6f290e47);
 CAPNP_DECLARE_SCHEMA(acc90a34937e4247);
@@ -78,16 +73,6 @@
 CAPNP_DECLARE_SCHEMA(c708f689cda8dd55);
 CAPNP_DECLARE_SCHEMA(9e5c1a283d449c1b);
 CAPNP_DECLARE_SCHEMA(d1451fd52f8e6ddc);
-CAPNP_DECLARE_SCHEMA(ae5f9f4a40887fcc);
-CAPNP_DECLARE_SCHEMA(c462606b5f68823e);
-CAPNP_DECLARE_SCHEMA(93e018ca66db20b5);
-CAPNP_DECLARE_SCHEMA(fe0dfac1989f30d4);
-CAPNP_DECLARE_SCHEMA(a27216799013bbb7);
-CAPNP_DECLARE_SCHEMA(c4c0e2c4fa642981);
-CAPNP_DECLARE_SCHEMA(9fdcd7a83c608d97);
-CAPNP_DECLARE_SCHEMA(bc4158ac0f0bbb6c);
-CAPNP_DECLARE_SCHEMA(eec1cacce371c761);
-CAPNP_DECLARE_SCHEMA(dd01809ac40b26e8);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -167,7 +152,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd94db23d61fef4d, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fd94db23d61fef4d, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -189,15 +174,30 @@
   };
 };
 
-struct SlotRequest {
-  SlotRequest() = delete;
+struct ShareReport {
+  ShareReport() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba0f3c29ba4166ad, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c8ec3e44fc06252b, 6, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GrantRequest {
+  GrantRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a7de5f62a37ac864, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -212,159 +212,220 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(adb1732469ac3ee2, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(adb1732469ac3ee2, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GrantResponse {
+  GrantResponse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c5042c300abad6f1, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ClaimKey {
+  ClaimKey() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(da99205ab0f09d65, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct SlotReturn {
-  SlotReturn() = delete;
+struct HeaderField {
+  HeaderField() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e7307942d6fb49be, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e8670e1b2a3902db, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct StoredResponse {
-  StoredResponse() = delete;
+struct FinishedResponse {
+  FinishedResponse() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee52a3acbda7c3c8, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bc1e176da42fa610, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct ClaimRequest {
-  ClaimRequest() = delete;
+struct RegistryMessage {
+  RegistryMessage() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
+  enum Which: uint16_t {
+    CLAIM,
+    CLAIM_ANSWER,
+    OUTCOME,
+    CONFIRM,
+    CONFIRM_ANSWER,
+    OUTCOME_COPY,
+    REGISTRATION,
+    REGISTRATION_ANSWER,
+  };
+  struct Claim;
+  struct ClaimAnswer;
+  struct Outcome;
+  struct Confirm;
+  struct ConfirmAnswer;
+  struct OutcomeCopy;
+  struct Registration;
+  struct RegistrationAnswer;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cca1f9111d1a9bf, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(92c29e225453fa85, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-typedef ::capnp::schemas::ClaimDecision_f3121f07ec0b221e ClaimDecision;
+struct RegistryMessage::Claim {
+  Claim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bb29362dec921433, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-struct ClaimResult {
-  ClaimResult() = delete;
+struct RegistryMessage::ClaimAnswer {
+  ClaimAnswer() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d77d19b3e6702bca, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a5ffd3949bffd996, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct ConfirmRequest {
-  ConfirmRequest() = delete;
+struct RegistryMessage::Outcome {
+  Outcome() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a4d9df168e9055a8, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b138a493b719cf43, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct ConfirmResult {
-  ConfirmResult() = delete;
+struct RegistryMessage::Confirm {
+  Confirm() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba1b2155366da815, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e93ac5b6ec9c8087, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct SettleRequest {
-  SettleRequest() = delete;
+struct RegistryMessage::ConfirmAnswer {
+  ConfirmAnswer() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83dcc6846f6a50fb, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(dea1fb71213bda25, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct SettleResult {
-  SettleResult() = delete;
+struct RegistryMessage::OutcomeCopy {
+  OutcomeCopy() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a45990087567654b, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ca83d685ef35726f, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct OutcomeRecord {
-  OutcomeRecord() = delete;
+struct RegistryMessage::Registration {
+  Registration() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(efb2036a05d555c1, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(cbe0a94b793f3a87, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RecordLookup {
-  RecordLookup() = delete;
+struct RegistryMessage::RegistrationAnswer {
+  RegistrationAnswer() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f47f1c6936eaec2, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(aade277074e75ce7, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -389,20 +450,10 @@
   struct FetchPlanResults;
   struct OfferParams;
   struct OfferResults;
-  struct RequestSlotsParams;
-  struct RequestSlotsResults;
-  struct ReturnSlotsParams;
-  struct ReturnSlotsResults;
-  struct ClaimParams;
-  struct ClaimResults;
-  struct ConfirmParams;
-  struct ConfirmResults;
-  struct SettleParams;
-  struct SettleResults;
-  struct RecordOutcomeParams;
-  struct RecordOutcomeResults;
-  struct LookupRecordParams;
-  struct LookupRecordResults;
+  struct ExchangeSlotsParams;
+  struct ExchangeSlotsResults;
+  struct DeliverParams;
+  struct DeliverResults;
   struct StatusParams;
   struct StatusResults;
 
@@ -564,8 +615,8 @@
   };
 };
 
-struct Peer::RequestSlotsParams {
-  RequestSlotsParams() = delete;
+struct Peer::ExchangeSlotsParams {
+  ExchangeSlotsParams() = delete;
 
   class Reader;
   class Builder;
@@ -579,8 +630,8 @@
   };
 };
 
-struct Peer::RequestSlotsResults {
-  RequestSlotsResults() = delete;
+struct Peer::ExchangeSlotsResults {
+  ExchangeSlotsResults() = delete;
 
   class Reader;
   class Builder;
@@ -594,8 +645,8 @@
   };
 };
 
-struct Peer::ReturnSlotsParams {
-  ReturnSlotsParams() = delete;
+struct Peer::DeliverParams {
+  DeliverParams() = delete;
 
   class Reader;
   class Builder;
@@ -609,8 +660,8 @@
   };
 };
 
-struct Peer::ReturnSlotsResults {
-  ReturnSlotsResults() = delete;
+struct Peer::DeliverResults {
+  DeliverResults() = delete;
 
   class Reader;
   class Builder;
@@ -624,156 +675,6 @@
   };
 };
 
-struct Peer::ClaimParams {
-  ClaimParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e5c1a283d449c1b, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::ClaimResults {
-  ClaimResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d1451fd52f8e6ddc, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::ConfirmParams {
-  ConfirmParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae5f9f4a40887fcc, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::ConfirmResults {
-  ConfirmResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c462606b5f68823e, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::SettleParams {
-  SettleParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93e018ca66db20b5, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::SettleResults {
-  SettleResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe0dfac1989f30d4, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::RecordOutcomeParams {
-  RecordOutcomeParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a27216799013bbb7, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::RecordOutcomeResults {
-  RecordOutcomeResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4c0e2c4fa642981, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::LookupRecordParams {
-  LookupRecordParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9fdcd7a83c608d97, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::LookupRecordResults {
-  LookupRecordResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc4158ac0f0bbb6c, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct Peer::StatusParams {
   StatusParams() = delete;
 
@@ -782,7 +683,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eec1cacce371c761, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9e5c1a283d449c1b, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -797,7 +698,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd01809ac40b26e8, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d1451fd52f8e6ddc, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1228,6 +1129,9 @@
 
   inline  ::uint64_t getPlanVersionApplied() const;
 
+  inline bool hasShareReport() const;
+  inline  ::Tarragon::PeerRpc::ShareReport::Reader getShareReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1305,6 +1209,13 @@
   inline  ::uint64_t getPlanVersionApplied();
   inline void setPlanVersionApplied( ::uint64_t value);
 
+  inline bool hasShareReport();
+  inline  ::Tarragon::PeerRpc::ShareReport::Builder getShareReport();
+  inline void setShareReport( ::Tarragon::PeerRpc::ShareReport::Reader value);
+  inline  ::Tarragon::PeerRpc::ShareReport::Builder initShareReport();
+  inline void adoptShareReport(::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> disownShareReport();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1324,6 +1235,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
+  inline  ::Tarragon::PeerRpc::ShareReport::Pipeline getShareReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1449,9 +1361,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SlotRequest::Reader {
+class ShareReport::Reader {
 public:
-  typedef SlotRequest Reads;
+  typedef ShareReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1466,18 +1378,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBorrower() const;
+  inline bool hasSender() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline  ::uint64_t getAdopted() const;
+
+  inline  ::uint64_t getSettled() const;
+
+  inline  ::uint64_t getClosed() const;
 
-  inline  ::uint32_t getCount() const;
+  inline  ::uint64_t getEchoedIncarnation() const;
 
-  inline  ::uint64_t getRenewGrant() const;
+  inline  ::uint64_t getEchoedSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1491,9 +1405,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SlotRequest::Builder {
+class ShareReport::Builder {
 public:
-  typedef SlotRequest Builds;
+  typedef ShareReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1507,32 +1421,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBorrower();
-  inline void setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBorrower();
-  inline void adoptBorrower(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBorrower();
+  inline bool hasSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
+  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline  ::uint64_t getAdopted();
+  inline void setAdopted( ::uint64_t value);
+
+  inline  ::uint64_t getSettled();
+  inline void setSettled( ::uint64_t value);
+
+  inline  ::uint64_t getClosed();
+  inline void setClosed( ::uint64_t value);
 
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline  ::uint64_t getEchoedIncarnation();
+  inline void setEchoedIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getRenewGrant();
-  inline void setRenewGrant( ::uint64_t value);
+  inline  ::uint64_t getEchoedSequence();
+  inline void setEchoedSequence( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1544,15 +1456,15 @@
 };
 
 #if !CAPNP_LITE
-class SlotRequest::Pipeline {
+class ShareReport::Pipeline {
 public:
-  typedef SlotRequest Pipelines;
+  typedef ShareReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBorrower();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1561,9 +1473,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SlotGrant::Reader {
+class GrantRequest::Reader {
 public:
-  typedef SlotGrant Reads;
+  typedef GrantRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1578,14 +1490,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGrant() const;
+  inline bool hasSender() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
+
+  inline bool hasReceiver() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getReceiver() const;
 
-  inline bool hasLender() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getLender() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::uint32_t getCount() const;
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWanted() const;
 
-  inline  ::uint32_t getDurationMs() const;
+  inline bool hasRenewals() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRenewals() const;
+
+  inline bool hasReturns() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReturns() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1599,9 +1519,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SlotGrant::Builder {
+class GrantRequest::Builder {
 public:
-  typedef SlotGrant Builds;
+  typedef GrantRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1615,21 +1535,46 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGrant();
-  inline void setGrant( ::uint64_t value);
-
-  inline bool hasLender();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getLender();
-  inline void setLender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initLender();
-  inline void adoptLender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownLender();
-
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline bool hasSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
+  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
 
-  inline  ::uint32_t getDurationMs();
-  inline void setDurationMs( ::uint32_t value);
+  inline bool hasReceiver();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getReceiver();
+  inline void setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initReceiver();
+  inline void adoptReceiver(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownReceiver();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWanted();
+
+  inline bool hasRenewals();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRenewals();
+  inline void setRenewals( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRenewals(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRenewals(unsigned int size);
+  inline void adoptRenewals(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRenewals();
+
+  inline bool hasReturns();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReturns();
+  inline void setReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReturns(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReturns(unsigned int size);
+  inline void adoptReturns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReturns();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1641,15 +1586,16 @@
 };
 
 #if !CAPNP_LITE
-class SlotGrant::Pipeline {
+class GrantRequest::Pipeline {
 public:
-  typedef SlotGrant Pipelines;
+  typedef GrantRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getLender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getReceiver();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1658,9 +1604,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SlotReturn::Reader {
+class SlotGrant::Reader {
 public:
-  typedef SlotReturn Reads;
+  typedef SlotGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1675,19 +1621,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBorrower() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline  ::uint64_t getId() const;
 
   inline bool hasTarget() const;
   inline  ::capnp::Text::Reader getTarget() const;
 
-  inline  ::uint64_t getGrant() const;
-
-  inline  ::uint32_t getCount() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1700,9 +1638,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SlotReturn::Builder {
+class SlotGrant::Builder {
 public:
-  typedef SlotReturn Builds;
+  typedef SlotGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1716,19 +1654,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBorrower();
-  inline void setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBorrower();
-  inline void adoptBorrower(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBorrower();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
   inline bool hasTarget();
   inline  ::capnp::Text::Builder getTarget();
@@ -1737,12 +1664,6 @@
   inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline  ::uint64_t getGrant();
-  inline void setGrant( ::uint64_t value);
-
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1753,15 +1674,14 @@
 };
 
 #if !CAPNP_LITE
-class SlotReturn::Pipeline {
+class SlotGrant::Pipeline {
 public:
-  typedef SlotReturn Pipelines;
+  typedef SlotGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBorrower();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1770,9 +1690,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StoredResponse::Reader {
+class GrantResponse::Reader {
 public:
-  typedef StoredResponse Reads;
+  typedef GrantResponse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1787,15 +1707,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
+  inline bool hasSender() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
 
-  inline bool hasHeaders() const;
-  inline  ::capnp::Text::Reader getHeaders() const;
+  inline bool hasReceiver() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getReceiver() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::int64_t getDurationMicroseconds() const;
 
-  inline bool getBodyDropped() const;
+  inline bool hasGranted() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader getGranted() const;
+
+  inline bool hasRenewed() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRenewed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1809,9 +1735,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoredResponse::Builder {
+class GrantResponse::Builder {
 public:
-  typedef StoredResponse Builds;
+  typedef GrantResponse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1825,25 +1751,40 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline bool hasSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
+  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
 
-  inline bool hasHeaders();
-  inline  ::capnp::Text::Builder getHeaders();
-  inline void setHeaders( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHeaders();
+  inline bool hasReceiver();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getReceiver();
+  inline void setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initReceiver();
+  inline void adoptReceiver(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownReceiver();
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool getBodyDropped();
-  inline void setBodyDropped(bool value);
+  inline  ::int64_t getDurationMicroseconds();
+  inline void setDurationMicroseconds( ::int64_t value);
+
+  inline bool hasGranted();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder getGranted();
+  inline void setGranted( ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder initGranted(unsigned int size);
+  inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>> disownGranted();
+
+  inline bool hasRenewed();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRenewed();
+  inline void setRenewed( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRenewed(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRenewed(unsigned int size);
+  inline void adoptRenewed(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRenewed();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1855,14 +1796,16 @@
 };
 
 #if !CAPNP_LITE
-class StoredResponse::Pipeline {
+class GrantResponse::Pipeline {
 public:
-  typedef StoredResponse Pipelines;
+  typedef GrantResponse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getReceiver();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1871,9 +1814,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ClaimRequest::Reader {
+class ClaimKey::Reader {
 public:
-  typedef ClaimRequest Reads;
+  typedef ClaimKey Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1888,16 +1831,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasClaimant() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getClaimant() const;
+  inline bool hasRunner() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getRunner() const;
 
-  inline bool getFirstAttempt() const;
+  inline  ::uint64_t getSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1911,9 +1848,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ClaimRequest::Builder {
+class ClaimKey::Builder {
 public:
-  typedef ClaimRequest Builds;
+  typedef ClaimKey Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1927,29 +1864,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasClaimant();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getClaimant();
-  inline void setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initClaimant();
-  inline void adoptClaimant(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownClaimant();
+  inline bool hasRunner();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getRunner();
+  inline void setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initRunner();
+  inline void adoptRunner(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownRunner();
 
-  inline bool getFirstAttempt();
-  inline void setFirstAttempt(bool value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1961,15 +1884,15 @@
 };
 
 #if !CAPNP_LITE
-class ClaimRequest::Pipeline {
+class ClaimKey::Pipeline {
 public:
-  typedef ClaimRequest Pipelines;
+  typedef ClaimKey Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getClaimant();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getRunner();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1978,9 +1901,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ClaimResult::Reader {
+class HeaderField::Reader {
 public:
-  typedef ClaimResult Reads;
+  typedef HeaderField Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1995,16 +1918,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::Tarragon::PeerRpc::ClaimDecision getDecision() const;
-
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
-
-  inline  ::uint64_t getClaim() const;
-
-  inline  ::uint32_t getValidMs() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2018,9 +1936,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ClaimResult::Builder {
+class HeaderField::Builder {
 public:
-  typedef ClaimResult Builds;
+  typedef HeaderField Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2034,24 +1952,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::Tarragon::PeerRpc::ClaimDecision getDecision();
-  inline void setDecision( ::Tarragon::PeerRpc::ClaimDecision value);
-
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
-  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
-
-  inline  ::uint64_t getClaim();
-  inline void setClaim( ::uint64_t value);
-
-  inline  ::uint32_t getValidMs();
-  inline void setValidMs( ::uint32_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2063,15 +1976,14 @@
 };
 
 #if !CAPNP_LITE
-class ClaimResult::Pipeline {
+class HeaderField::Pipeline {
 public:
-  typedef ClaimResult Pipelines;
+  typedef HeaderField Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2080,9 +1992,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfirmRequest::Reader {
+class FinishedResponse::Reader {
 public:
-  typedef ConfirmRequest Reads;
+  typedef FinishedResponse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2097,16 +2009,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline bool hasPrimary() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
+  inline  ::int32_t getStatus() const;
 
-  inline bool hasClaimant() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getClaimant() const;
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
-  inline  ::uint64_t getClaim() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2120,9 +2029,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfirmRequest::Builder {
+class FinishedResponse::Builder {
 public:
-  typedef ConfirmRequest Builds;
+  typedef FinishedResponse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2136,29 +2045,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline bool hasPrimary();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
-  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
-  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
+  inline  ::int32_t getStatus();
+  inline void setStatus( ::int32_t value);
 
-  inline bool hasClaimant();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getClaimant();
-  inline void setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initClaimant();
-  inline void adoptClaimant(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownClaimant();
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>> disownHeaders();
 
-  inline  ::uint64_t getClaim();
-  inline void setClaim( ::uint64_t value);
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2170,16 +2072,14 @@
 };
 
 #if !CAPNP_LITE
-class ConfirmRequest::Pipeline {
+class FinishedResponse::Pipeline {
 public:
-  typedef ConfirmRequest Pipelines;
+  typedef FinishedResponse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getClaimant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2188,9 +2088,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfirmResult::Reader {
+class RegistryMessage::Reader {
 public:
-  typedef ConfirmResult Reads;
+  typedef RegistryMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2205,11 +2105,30 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getConfirmed() const;
+  inline Which which() const;
+  inline bool isClaim() const;
+  inline typename Claim::Reader getClaim() const;
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+  inline bool isClaimAnswer() const;
+  inline typename ClaimAnswer::Reader getClaimAnswer() const;
+
+  inline bool isOutcome() const;
+  inline typename Outcome::Reader getOutcome() const;
+
+  inline bool isConfirm() const;
+  inline typename Confirm::Reader getConfirm() const;
+
+  inline bool isConfirmAnswer() const;
+  inline typename ConfirmAnswer::Reader getConfirmAnswer() const;
+
+  inline bool isOutcomeCopy() const;
+  inline typename OutcomeCopy::Reader getOutcomeCopy() const;
 
-  inline  ::uint32_t getValidMs() const;
+  inline bool isRegistration() const;
+  inline typename Registration::Reader getRegistration() const;
+
+  inline bool isRegistrationAnswer() const;
+  inline typename RegistrationAnswer::Reader getRegistrationAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2223,9 +2142,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfirmResult::Builder {
+class RegistryMessage::Builder {
 public:
-  typedef ConfirmResult Builds;
+  typedef RegistryMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2239,14 +2158,38 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getConfirmed();
-  inline void setConfirmed(bool value);
+  inline Which which();
+  inline bool isClaim();
+  inline typename Claim::Builder getClaim();
+  inline typename Claim::Builder initClaim();
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
-  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
+  inline bool isClaimAnswer();
+  inline typename ClaimAnswer::Builder getClaimAnswer();
+  inline typename ClaimAnswer::Builder initClaimAnswer();
+
+  inline bool isOutcome();
+  inline typename Outcome::Builder getOutcome();
+  inline typename Outcome::Builder initOutcome();
+
+  inline bool isConfirm();
+  inline typename Confirm::Builder getConfirm();
+  inline typename Confirm::Builder initConfirm();
+
+  inline bool isConfirmAnswer();
+  inline typename ConfirmAnswer::Builder getConfirmAnswer();
+  inline typename ConfirmAnswer::Builder initConfirmAnswer();
+
+  inline bool isOutcomeCopy();
+  inline typename OutcomeCopy::Builder getOutcomeCopy();
+  inline typename OutcomeCopy::Builder initOutcomeCopy();
+
+  inline bool isRegistration();
+  inline typename Registration::Builder getRegistration();
+  inline typename Registration::Builder initRegistration();
 
-  inline  ::uint32_t getValidMs();
-  inline void setValidMs( ::uint32_t value);
+  inline bool isRegistrationAnswer();
+  inline typename RegistrationAnswer::Builder getRegistrationAnswer();
+  inline typename RegistrationAnswer::Builder initRegistrationAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2258,9 +2201,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfirmResult::Pipeline {
+class RegistryMessage::Pipeline {
 public:
-  typedef ConfirmResult Pipelines;
+  typedef RegistryMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2274,9 +2217,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SettleRequest::Reader {
+class RegistryMessage::Claim::Reader {
 public:
-  typedef SettleRequest Reads;
+  typedef Claim Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2294,10 +2237,12 @@
   inline bool hasRequestId() const;
   inline  ::capnp::Text::Reader getRequestId() const;
 
-  inline bool hasAsker() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getAsker() const;
+  inline bool hasKey() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
 
-  inline bool getFirstAttempt() const;
+  inline  ::int32_t getAttempt() const;
+
+  inline bool getSettle() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2311,9 +2256,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SettleRequest::Builder {
+class RegistryMessage::Claim::Builder {
 public:
-  typedef SettleRequest Builds;
+  typedef Claim Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2334,15 +2279,18 @@
   inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
-  inline bool hasAsker();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getAsker();
-  inline void setAsker( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initAsker();
-  inline void adoptAsker(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownAsker();
+  inline bool hasKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
+  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
+
+  inline  ::int32_t getAttempt();
+  inline void setAttempt( ::int32_t value);
 
-  inline bool getFirstAttempt();
-  inline void setFirstAttempt(bool value);
+  inline bool getSettle();
+  inline void setSettle(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2354,15 +2302,15 @@
 };
 
 #if !CAPNP_LITE
-class SettleRequest::Pipeline {
+class RegistryMessage::Claim::Pipeline {
 public:
-  typedef SettleRequest Pipelines;
+  typedef Claim Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getAsker();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2371,9 +2319,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SettleResult::Reader {
+class RegistryMessage::ClaimAnswer::Reader {
 public:
-  typedef SettleResult Reads;
+  typedef ClaimAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2388,12 +2336,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline bool hasKey() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
+
+  inline  ::uint8_t getOutcome() const;
+
+  inline bool getFromBackup() const;
 
-  inline bool getFinal() const;
+  inline bool hasHolder() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getHolder() const;
+
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
 
   inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2407,9 +2366,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SettleResult::Builder {
+class RegistryMessage::ClaimAnswer::Builder {
 public:
-  typedef SettleResult Builds;
+  typedef ClaimAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2423,18 +2382,42 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline bool hasKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
+  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
+
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
+
+  inline bool getFromBackup();
+  inline void setFromBackup(bool value);
+
+  inline bool hasHolder();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getHolder();
+  inline void setHolder( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownHolder();
+
   inline  ::Tarragon::PeerRpc::Verdict getVerdict();
   inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
 
-  inline bool getFinal();
-  inline void setFinal(bool value);
-
   inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2446,15 +2429,17 @@
 };
 
 #if !CAPNP_LITE
-class SettleResult::Pipeline {
+class RegistryMessage::ClaimAnswer::Pipeline {
 public:
-  typedef SettleResult Pipelines;
+  typedef ClaimAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getHolder();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2463,9 +2448,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class OutcomeRecord::Reader {
+class RegistryMessage::Outcome::Reader {
 public:
-  typedef OutcomeRecord Reads;
+  typedef Outcome Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2483,15 +2468,13 @@
   inline bool hasRequestId() const;
   inline  ::capnp::Text::Reader getRequestId() const;
 
-  inline  ::uint64_t getClaim() const;
-
-  inline bool hasRecorder() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getRecorder() const;
+  inline bool hasKey() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
 
   inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
 
   inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2505,9 +2488,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class OutcomeRecord::Builder {
+class RegistryMessage::Outcome::Builder {
 public:
-  typedef OutcomeRecord Builds;
+  typedef Outcome Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2528,25 +2511,22 @@
   inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
-  inline  ::uint64_t getClaim();
-  inline void setClaim( ::uint64_t value);
-
-  inline bool hasRecorder();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getRecorder();
-  inline void setRecorder( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initRecorder();
-  inline void adoptRecorder(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownRecorder();
+  inline bool hasKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
+  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
 
   inline  ::Tarragon::PeerRpc::Verdict getVerdict();
   inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
 
   inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2558,16 +2538,16 @@
 };
 
 #if !CAPNP_LITE
-class OutcomeRecord::Pipeline {
+class RegistryMessage::Outcome::Pipeline {
 public:
-  typedef OutcomeRecord Pipelines;
+  typedef Outcome Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getRecorder();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2576,9 +2556,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RecordLookup::Reader {
+class RegistryMessage::Confirm::Reader {
 public:
-  typedef RecordLookup Reads;
+  typedef Confirm Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2593,14 +2573,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
 
-  inline bool getSettled() const;
+  inline bool hasKey() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+  inline  ::int32_t getAttempt() const;
 
-  inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getOldestServed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2614,9 +2597,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RecordLookup::Builder {
+class RegistryMessage::Confirm::Builder {
 public:
-  typedef RecordLookup Builds;
+  typedef Confirm Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2630,21 +2613,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline bool hasKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
+  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
 
-  inline bool getSettled();
-  inline void setSettled(bool value);
+  inline  ::int32_t getAttempt();
+  inline void setAttempt( ::int32_t value);
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
-  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline  ::uint64_t getOldestServed();
+  inline void setOldestServed( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2656,15 +2646,15 @@
 };
 
 #if !CAPNP_LITE
-class RecordLookup::Pipeline {
+class RegistryMessage::Confirm::Pipeline {
 public:
-  typedef RecordLookup Pipelines;
+  typedef Confirm Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2673,134 +2663,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::HeartbeatParams,  ::Tarragon::PeerRpc::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchHeadParams,  ::Tarragon::PeerRpc::Peer::FetchHeadResults> fetchHeadRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchSectionParams,  ::Tarragon::PeerRpc::Peer::FetchSectionResults> fetchSectionRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchPlanParams,  ::Tarragon::PeerRpc::Peer::FetchPlanResults> fetchPlanRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::OfferParams,  ::Tarragon::PeerRpc::Peer::OfferResults> offerRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RequestSlotsParams,  ::Tarragon::PeerRpc::Peer::RequestSlotsResults> requestSlotsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ReturnSlotsParams,  ::Tarragon::PeerRpc::Peer::ReturnSlotsResults> returnSlotsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ClaimParams,  ::Tarragon::PeerRpc::Peer::ClaimResults> claimRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ConfirmParams,  ::Tarragon::PeerRpc::Peer::ConfirmResults> confirmRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::SettleParams,  ::Tarragon::PeerRpc::Peer::SettleResults> settleRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RecordOutcomeParams,  ::Tarragon::PeerRpc::Peer::RecordOutcomeResults> recordOutcomeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::LookupRecordParams,  ::Tarragon::PeerRpc::Peer::LookupRecordResults> lookupRecordRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::StatusParams,  ::Tarragon::PeerRpc::Peer::StatusResults> statusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadParams FetchHeadParams;
-  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadResults FetchHeadResults;
-  typedef ::capnp::CallContext<FetchHeadParams, FetchHeadResults> FetchHeadContext;
-  virtual ::kj::Promise<void> fetchHead(FetchHeadContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionParams FetchSectionParams;
-  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionResults FetchSectionResults;
-  typedef ::capnp::CallContext<FetchSectionParams, FetchSectionResults> FetchSectionContext;
-  virtual ::kj::Promise<void> fetchSection(FetchSectionContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanParams FetchPlanParams;
-  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanResults FetchPlanResults;
-  typedef ::capnp::CallContext<FetchPlanParams, FetchPlanResults> FetchPlanContext;
-  virtual ::kj::Promise<void> fetchPlan(FetchPlanContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::OfferParams OfferParams;
-  typedef  ::Tarragon::PeerRpc::Peer::OfferResults OfferResults;
-  typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
-  virtual ::kj::Promise<void> offer(OfferContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsParams RequestSlotsParams;
-  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsResults RequestSlotsResults;
-  typedef ::capnp::CallContext<RequestSlotsParams, RequestSlotsResults> RequestSlotsContext;
-  virtual ::kj::Promise<void> requestSlots(RequestSlotsContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::ReturnSlotsParams ReturnSlotsParams;
-  typedef  ::Tarragon::PeerRpc::Peer::ReturnSlotsResults ReturnSlotsResults;
-  typedef ::capnp::CallContext<ReturnSlotsParams, ReturnSlotsResults> ReturnSlotsContext;
-  virtual ::kj::Promise<void> returnSlots(ReturnSlotsContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::ClaimParams ClaimParams;
-  typedef  ::Tarragon::PeerRpc::Peer::ClaimResults ClaimResults;
-  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
-  virtual ::kj::Promise<void> claim(ClaimContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::ConfirmParams ConfirmParams;
-  typedef  ::Tarragon::PeerRpc::Peer::ConfirmResults ConfirmResults;
-  typedef ::capnp::CallContext<ConfirmParams, ConfirmResults> ConfirmContext;
-  virtual ::kj::Promise<void> confirm(ConfirmContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::SettleParams SettleParams;
-  typedef  ::Tarragon::PeerRpc::Peer::SettleResults SettleResults;
-  typedef ::capnp::CallContext<SettleParams, SettleResults> SettleContext;
-  virtual ::kj::Promise<void> settle(SettleContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::RecordOutcomeParams RecordOutcomeParams;
-  typedef  ::Tarragon::PeerRpc::Peer::RecordOutcomeResults RecordOutcomeResults;
-  typedef ::capnp::CallContext<RecordOutcomeParams, RecordOutcomeResults> RecordOutcomeContext;
-  virtual ::kj::Promise<void> recordOutcome(RecordOutcomeContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::LookupRecordParams LookupRecordParams;
-  typedef  ::Tarragon::PeerRpc::Peer::LookupRecordResults LookupRecordResults;
-  typedef ::capnp::CallContext<LookupRecordParams, LookupRecordResults> LookupRecordContext;
-  virtual ::kj::Promise<void> lookupRecord(LookupRecordContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::StatusParams StatusParams;
-  typedef  ::Tarragon::PeerRpc::Peer::StatusResults StatusResults;
-  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
-  virtual ::kj::Promise<void> status(StatusContext context);
-
-  inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Tarragon::PeerRpc::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HeartbeatParams::Reader {
+class RegistryMessage::ConfirmAnswer::Reader {
 public:
-  typedef HeartbeatParams Reads;
+  typedef ConfirmAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2815,8 +2680,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMine() const;
-  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getMine() const;
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint8_t getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2830,9 +2699,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder {
+class RegistryMessage::ConfirmAnswer::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef ConfirmAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2846,12 +2715,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMine();
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getMine();
-  inline void setMine( ::Tarragon::PeerRpc::Heartbeat::Reader value);
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initMine();
-  inline void adoptMine(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownMine();
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2863,15 +2738,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline {
+class RegistryMessage::ConfirmAnswer::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef ConfirmAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getMine();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2880,9 +2754,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader {
+class RegistryMessage::OutcomeCopy::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef OutcomeCopy Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2897,8 +2771,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTheirs() const;
-  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getTheirs() const;
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+
+  inline bool hasResponse() const;
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2912,9 +2793,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class RegistryMessage::OutcomeCopy::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef OutcomeCopy Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2928,12 +2809,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTheirs();
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getTheirs();
-  inline void setTheirs( ::Tarragon::PeerRpc::Heartbeat::Reader value);
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initTheirs();
-  inline void adoptTheirs(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownTheirs();
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
+  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
+
+  inline bool hasResponse();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2945,15 +2839,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class RegistryMessage::OutcomeCopy::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef OutcomeCopy Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getTheirs();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2962,9 +2856,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchHeadParams::Reader {
+class RegistryMessage::Registration::Reader {
 public:
-  typedef FetchHeadParams Reads;
+  typedef Registration Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2979,7 +2873,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNewerThan() const;
+  inline bool hasPrimary() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
+
+  inline bool hasBackup() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBackup() const;
+
+  inline  ::uint64_t getFrom() const;
+
+  inline  ::uint64_t getCurrent() const;
+
+  inline  ::uint64_t getOldestServed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2993,9 +2897,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchHeadParams::Builder {
+class RegistryMessage::Registration::Builder {
 public:
-  typedef FetchHeadParams Builds;
+  typedef Registration Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3009,8 +2913,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNewerThan();
-  inline void setNewerThan( ::uint64_t value);
+  inline bool hasPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
+  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
+  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
+
+  inline bool hasBackup();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBackup();
+  inline void setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBackup();
+  inline void adoptBackup(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBackup();
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline  ::uint64_t getCurrent();
+  inline void setCurrent( ::uint64_t value);
+
+  inline  ::uint64_t getOldestServed();
+  inline void setOldestServed( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3022,14 +2946,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchHeadParams::Pipeline {
+class RegistryMessage::Registration::Pipeline {
 public:
-  typedef FetchHeadParams Pipelines;
+  typedef Registration Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBackup();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3038,9 +2964,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchHeadResults::Reader {
+class RegistryMessage::RegistrationAnswer::Reader {
 public:
-  typedef FetchHeadResults Reads;
+  typedef RegistrationAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3055,10 +2981,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration() const;
+  inline bool hasPrimary() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
 
-  inline bool hasHead() const;
-  inline  ::capnp::Text::Reader getHead() const;
+  inline bool hasBackup() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBackup() const;
+
+  inline  ::uint64_t getFrom() const;
+
+  inline bool getAccepted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3072,9 +3003,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchHeadResults::Builder {
+class RegistryMessage::RegistrationAnswer::Builder {
 public:
-  typedef FetchHeadResults Builds;
+  typedef RegistrationAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3088,15 +3019,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
+  inline bool hasPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
+  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
+  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
 
-  inline bool hasHead();
-  inline  ::capnp::Text::Builder getHead();
-  inline void setHead( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHead(unsigned int size);
-  inline void adoptHead(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHead();
+  inline bool hasBackup();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBackup();
+  inline void setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBackup();
+  inline void adoptBackup(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBackup();
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3108,14 +3049,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchHeadResults::Pipeline {
+class RegistryMessage::RegistrationAnswer::Pipeline {
 public:
-  typedef FetchHeadResults Pipelines;
+  typedef RegistrationAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBackup();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3124,9 +3067,104 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchSectionParams::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchSectionParams Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::HeartbeatParams,  ::Tarragon::PeerRpc::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchHeadParams,  ::Tarragon::PeerRpc::Peer::FetchHeadResults> fetchHeadRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchSectionParams,  ::Tarragon::PeerRpc::Peer::FetchSectionResults> fetchSectionRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchPlanParams,  ::Tarragon::PeerRpc::Peer::FetchPlanResults> fetchPlanRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::OfferParams,  ::Tarragon::PeerRpc::Peer::OfferResults> offerRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ExchangeSlotsParams,  ::Tarragon::PeerRpc::Peer::ExchangeSlotsResults> exchangeSlotsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::DeliverParams,  ::Tarragon::PeerRpc::Peer::DeliverResults> deliverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::StatusParams,  ::Tarragon::PeerRpc::Peer::StatusResults> statusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadParams FetchHeadParams;
+  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadResults FetchHeadResults;
+  typedef ::capnp::CallContext<FetchHeadParams, FetchHeadResults> FetchHeadContext;
+  virtual ::kj::Promise<void> fetchHead(FetchHeadContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionParams FetchSectionParams;
+  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionResults FetchSectionResults;
+  typedef ::capnp::CallContext<FetchSectionParams, FetchSectionResults> FetchSectionContext;
+  virtual ::kj::Promise<void> fetchSection(FetchSectionContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanParams FetchPlanParams;
+  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanResults FetchPlanResults;
+  typedef ::capnp::CallContext<FetchPlanParams, FetchPlanResults> FetchPlanContext;
+  virtual ::kj::Promise<void> fetchPlan(FetchPlanContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::OfferParams OfferParams;
+  typedef  ::Tarragon::PeerRpc::Peer::OfferResults OfferResults;
+  typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
+  virtual ::kj::Promise<void> offer(OfferContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::ExchangeSlotsParams ExchangeSlotsParams;
+  typedef  ::Tarragon::PeerRpc::Peer::ExchangeSlotsResults ExchangeSlotsResults;
+  typedef ::capnp::CallContext<ExchangeSlotsParams, ExchangeSlotsResults> ExchangeSlotsContext;
+  virtual ::kj::Promise<void> exchangeSlots(ExchangeSlotsContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::DeliverParams DeliverParams;
+  typedef  ::Tarragon::PeerRpc::Peer::DeliverResults DeliverResults;
+  typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
+  virtual ::kj::Promise<void> deliver(DeliverContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::StatusParams StatusParams;
+  typedef  ::Tarragon::PeerRpc::Peer::StatusResults StatusResults;
+  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
+  virtual ::kj::Promise<void> status(StatusContext context);
+
+  inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Tarragon::PeerRpc::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HeartbeatParams::Reader {
+public:
+  typedef HeartbeatParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3141,11 +3179,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline bool hasDigest() const;
-  inline  ::capnp::Text::Reader getDigest() const;
+  inline bool hasMine() const;
+  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getMine() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3159,9 +3194,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchSectionParams::Builder {
+class Peer::HeartbeatParams::Builder {
 public:
-  typedef FetchSectionParams Builds;
+  typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3175,19 +3210,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasDigest();
-  inline  ::capnp::Text::Builder getDigest();
-  inline void setDigest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDigest(unsigned int size);
-  inline void adoptDigest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDigest();
+  inline bool hasMine();
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getMine();
+  inline void setMine( ::Tarragon::PeerRpc::Heartbeat::Reader value);
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initMine();
+  inline void adoptMine(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownMine();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3199,14 +3227,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchSectionParams::Pipeline {
+class Peer::HeartbeatParams::Pipeline {
 public:
-  typedef FetchSectionParams Pipelines;
+  typedef HeartbeatParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getMine();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3215,9 +3244,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchSectionResults::Reader {
+class Peer::HeartbeatResults::Reader {
 public:
-  typedef FetchSectionResults Reads;
+  typedef HeartbeatResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3232,10 +3261,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound() const;
-
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
+  inline bool hasTheirs() const;
+  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getTheirs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3249,9 +3276,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchSectionResults::Builder {
+class Peer::HeartbeatResults::Builder {
 public:
-  typedef FetchSectionResults Builds;
+  typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3265,15 +3292,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound();
-  inline void setFound(bool value);
-
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
+  inline bool hasTheirs();
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getTheirs();
+  inline void setTheirs( ::Tarragon::PeerRpc::Heartbeat::Reader value);
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initTheirs();
+  inline void adoptTheirs(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownTheirs();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3285,14 +3309,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchSectionResults::Pipeline {
+class Peer::HeartbeatResults::Pipeline {
 public:
-  typedef FetchSectionResults Pipelines;
+  typedef HeartbeatResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getTheirs();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3301,9 +3326,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchPlanParams::Reader {
+class Peer::FetchHeadParams::Reader {
 public:
-  typedef FetchPlanParams Reads;
+  typedef FetchHeadParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3332,9 +3357,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchPlanParams::Builder {
+class Peer::FetchHeadParams::Builder {
 public:
-  typedef FetchPlanParams Builds;
+  typedef FetchHeadParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3361,9 +3386,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchPlanParams::Pipeline {
+class Peer::FetchHeadParams::Pipeline {
 public:
-  typedef FetchPlanParams Pipelines;
+  typedef FetchHeadParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3377,9 +3402,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchPlanResults::Reader {
+class Peer::FetchHeadResults::Reader {
 public:
-  typedef FetchPlanResults Reads;
+  typedef FetchHeadResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3394,10 +3419,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPlanVersion() const;
+  inline  ::uint64_t getGeneration() const;
 
-  inline bool hasPlan() const;
-  inline  ::capnp::Text::Reader getPlan() const;
+  inline bool hasHead() const;
+  inline  ::capnp::Text::Reader getHead() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3411,9 +3436,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchPlanResults::Builder {
+class Peer::FetchHeadResults::Builder {
 public:
-  typedef FetchPlanResults Builds;
+  typedef FetchHeadResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3427,15 +3452,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPlanVersion();
-  inline void setPlanVersion( ::uint64_t value);
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
-  inline bool hasPlan();
-  inline  ::capnp::Text::Builder getPlan();
-  inline void setPlan( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPlan(unsigned int size);
-  inline void adoptPlan(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPlan();
+  inline bool hasHead();
+  inline  ::capnp::Text::Builder getHead();
+  inline void setHead( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHead(unsigned int size);
+  inline void adoptHead(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHead();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3447,9 +3472,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchPlanResults::Pipeline {
+class Peer::FetchHeadResults::Pipeline {
 public:
-  typedef FetchPlanResults Pipelines;
+  typedef FetchHeadResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3463,9 +3488,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferParams::Reader {
+class Peer::FetchSectionParams::Reader {
 public:
-  typedef OfferParams Reads;
+  typedef FetchSectionParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3480,14 +3505,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
-
-  inline  ::uint64_t getGeneration() const;
-
-  inline  ::uint64_t getPlanVersion() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool getRelay() const;
+  inline bool hasDigest() const;
+  inline  ::capnp::Text::Reader getDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3501,9 +3523,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferParams::Builder {
+class Peer::FetchSectionParams::Builder {
 public:
-  typedef OfferParams Builds;
+  typedef FetchSectionParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3517,21 +3539,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
-  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
-
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
-
-  inline  ::uint64_t getPlanVersion();
-  inline void setPlanVersion( ::uint64_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool getRelay();
-  inline void setRelay(bool value);
+  inline bool hasDigest();
+  inline  ::capnp::Text::Builder getDigest();
+  inline void setDigest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDigest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3543,15 +3563,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferParams::Pipeline {
+class Peer::FetchSectionParams::Pipeline {
 public:
-  typedef OfferParams Pipelines;
+  typedef FetchSectionParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3560,9 +3579,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferResults::Reader {
+class Peer::FetchSectionResults::Reader {
 public:
-  typedef OfferResults Reads;
+  typedef FetchSectionResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3577,6 +3596,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getFound() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3589,9 +3613,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferResults::Builder {
+class Peer::FetchSectionResults::Builder {
 public:
-  typedef OfferResults Builds;
+  typedef FetchSectionResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3605,6 +3629,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getFound();
+  inline void setFound(bool value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3615,9 +3649,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferResults::Pipeline {
+class Peer::FetchSectionResults::Pipeline {
 public:
-  typedef OfferResults Pipelines;
+  typedef FetchSectionResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3631,9 +3665,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RequestSlotsParams::Reader {
+class Peer::FetchPlanParams::Reader {
 public:
-  typedef RequestSlotsParams Reads;
+  typedef FetchPlanParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3648,8 +3682,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::SlotRequest::Reader getRequest() const;
+  inline  ::uint64_t getNewerThan() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3663,9 +3696,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RequestSlotsParams::Builder {
+class Peer::FetchPlanParams::Builder {
 public:
-  typedef RequestSlotsParams Builds;
+  typedef FetchPlanParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3679,12 +3712,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::SlotRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::SlotRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::SlotRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest> disownRequest();
+  inline  ::uint64_t getNewerThan();
+  inline void setNewerThan( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3696,15 +3725,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RequestSlotsParams::Pipeline {
+class Peer::FetchPlanParams::Pipeline {
 public:
-  typedef RequestSlotsParams Pipelines;
+  typedef FetchPlanParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SlotRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3713,9 +3741,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RequestSlotsResults::Reader {
+class Peer::FetchPlanResults::Reader {
 public:
-  typedef RequestSlotsResults Reads;
+  typedef FetchPlanResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3730,8 +3758,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant() const;
-  inline  ::Tarragon::PeerRpc::SlotGrant::Reader getGrant() const;
+  inline  ::uint64_t getPlanVersion() const;
+
+  inline bool hasPlan() const;
+  inline  ::capnp::Text::Reader getPlan() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3745,9 +3775,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RequestSlotsResults::Builder {
+class Peer::FetchPlanResults::Builder {
 public:
-  typedef RequestSlotsResults Builds;
+  typedef FetchPlanResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3761,12 +3791,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant();
-  inline  ::Tarragon::PeerRpc::SlotGrant::Builder getGrant();
-  inline void setGrant( ::Tarragon::PeerRpc::SlotGrant::Reader value);
-  inline  ::Tarragon::PeerRpc::SlotGrant::Builder initGrant();
-  inline void adoptGrant(::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant> disownGrant();
+  inline  ::uint64_t getPlanVersion();
+  inline void setPlanVersion( ::uint64_t value);
+
+  inline bool hasPlan();
+  inline  ::capnp::Text::Builder getPlan();
+  inline void setPlan( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPlan(unsigned int size);
+  inline void adoptPlan(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPlan();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3778,15 +3811,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RequestSlotsResults::Pipeline {
+class Peer::FetchPlanResults::Pipeline {
 public:
-  typedef RequestSlotsResults Pipelines;
+  typedef FetchPlanResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SlotGrant::Pipeline getGrant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3795,9 +3827,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReturnSlotsParams::Reader {
+class Peer::OfferParams::Reader {
 public:
-  typedef ReturnSlotsParams Reads;
+  typedef OfferParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3812,8 +3844,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReturned() const;
-  inline  ::Tarragon::PeerRpc::SlotReturn::Reader getReturned() const;
+  inline bool hasSender() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline  ::uint64_t getPlanVersion() const;
+
+  inline bool getRelay() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3827,9 +3865,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReturnSlotsParams::Builder {
+class Peer::OfferParams::Builder {
 public:
-  typedef ReturnSlotsParams Builds;
+  typedef OfferParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3843,12 +3881,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReturned();
-  inline  ::Tarragon::PeerRpc::SlotReturn::Builder getReturned();
-  inline void setReturned( ::Tarragon::PeerRpc::SlotReturn::Reader value);
-  inline  ::Tarragon::PeerRpc::SlotReturn::Builder initReturned();
-  inline void adoptReturned(::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn> disownReturned();
+  inline bool hasSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
+  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline  ::uint64_t getPlanVersion();
+  inline void setPlanVersion( ::uint64_t value);
+
+  inline bool getRelay();
+  inline void setRelay(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3860,15 +3907,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReturnSlotsParams::Pipeline {
+class Peer::OfferParams::Pipeline {
 public:
-  typedef ReturnSlotsParams Pipelines;
+  typedef OfferParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SlotReturn::Pipeline getReturned();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3877,9 +3924,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReturnSlotsResults::Reader {
+class Peer::OfferResults::Reader {
 public:
-  typedef ReturnSlotsResults Reads;
+  typedef OfferResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3906,9 +3953,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReturnSlotsResults::Builder {
+class Peer::OfferResults::Builder {
 public:
-  typedef ReturnSlotsResults Builds;
+  typedef OfferResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3932,9 +3979,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReturnSlotsResults::Pipeline {
+class Peer::OfferResults::Pipeline {
 public:
-  typedef ReturnSlotsResults Pipelines;
+  typedef OfferResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3948,9 +3995,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ClaimParams::Reader {
+class Peer::ExchangeSlotsParams::Reader {
 public:
-  typedef ClaimParams Reads;
+  typedef ExchangeSlotsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3966,7 +4013,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Reader getRequest() const;
+  inline  ::Tarragon::PeerRpc::GrantRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3980,9 +4027,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ClaimParams::Builder {
+class Peer::ExchangeSlotsParams::Builder {
 public:
-  typedef ClaimParams Builds;
+  typedef ExchangeSlotsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3997,11 +4044,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::ClaimRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> disownRequest();
+  inline  ::Tarragon::PeerRpc::GrantRequest::Builder getRequest();
+  inline void setRequest( ::Tarragon::PeerRpc::GrantRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::GrantRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4013,15 +4060,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimParams::Pipeline {
+class Peer::ExchangeSlotsParams::Pipeline {
 public:
-  typedef ClaimParams Pipelines;
+  typedef ExchangeSlotsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Pipeline getRequest();
+  inline  ::Tarragon::PeerRpc::GrantRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4030,9 +4077,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ClaimResults::Reader {
+class Peer::ExchangeSlotsResults::Reader {
 public:
-  typedef ClaimResults Reads;
+  typedef ExchangeSlotsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4047,8 +4094,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::Tarragon::PeerRpc::ClaimResult::Reader getResult() const;
+  inline bool hasResponse() const;
+  inline  ::Tarragon::PeerRpc::GrantResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4062,9 +4109,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ClaimResults::Builder {
+class Peer::ExchangeSlotsResults::Builder {
 public:
-  typedef ClaimResults Builds;
+  typedef ExchangeSlotsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4078,12 +4125,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::Tarragon::PeerRpc::ClaimResult::Builder getResult();
-  inline void setResult( ::Tarragon::PeerRpc::ClaimResult::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult> disownResult();
+  inline bool hasResponse();
+  inline  ::Tarragon::PeerRpc::GrantResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::GrantResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::GrantResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4095,15 +4142,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimResults::Pipeline {
+class Peer::ExchangeSlotsResults::Pipeline {
 public:
-  typedef ClaimResults Pipelines;
+  typedef ExchangeSlotsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimResult::Pipeline getResult();
+  inline  ::Tarragon::PeerRpc::GrantResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4112,9 +4159,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfirmParams::Reader {
+class Peer::DeliverParams::Reader {
 public:
-  typedef ConfirmParams Reads;
+  typedef DeliverParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4129,8 +4176,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader getRequest() const;
+  inline bool hasMessages() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader getMessages() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4144,9 +4191,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfirmParams::Builder {
+class Peer::DeliverParams::Builder {
 public:
-  typedef ConfirmParams Builds;
+  typedef DeliverParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4160,12 +4207,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::ConfirmRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> disownRequest();
+  inline bool hasMessages();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder getMessages();
+  inline void setMessages( ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder initMessages(unsigned int size);
+  inline void adoptMessages(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>> disownMessages();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4177,15 +4224,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfirmParams::Pipeline {
+class Peer::DeliverParams::Pipeline {
 public:
-  typedef ConfirmParams Pipelines;
+  typedef DeliverParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4194,9 +4240,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfirmResults::Reader {
+class Peer::DeliverResults::Reader {
 public:
-  typedef ConfirmResults Reads;
+  typedef DeliverResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4211,9 +4257,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Reader getResult() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4226,9 +4269,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfirmResults::Builder {
+class Peer::DeliverResults::Builder {
 public:
-  typedef ConfirmResults Builds;
+  typedef DeliverResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4242,13 +4285,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Builder getResult();
-  inline void setResult( ::Tarragon::PeerRpc::ConfirmResult::Reader value);
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult> disownResult();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4259,15 +4295,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfirmResults::Pipeline {
+class Peer::DeliverResults::Pipeline {
 public:
-  typedef ConfirmResults Pipelines;
+  typedef DeliverResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Pipeline getResult();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4276,9 +4311,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SettleParams::Reader {
+class Peer::StatusParams::Reader {
 public:
-  typedef SettleParams Reads;
+  typedef StatusParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4293,9 +4328,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::SettleRequest::Reader getRequest() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4308,9 +4340,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SettleParams::Builder {
+class Peer::StatusParams::Builder {
 public:
-  typedef SettleParams Builds;
+  typedef StatusParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4324,13 +4356,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::SettleRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::SettleRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::SettleRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest> disownRequest();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4341,15 +4366,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SettleParams::Pipeline {
+class Peer::StatusParams::Pipeline {
 public:
-  typedef SettleParams Pipelines;
+  typedef StatusParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SettleRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4358,9 +4382,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SettleResults::Reader {
+class Peer::StatusResults::Reader {
 public:
-  typedef SettleResults Reads;
+  typedef StatusResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4375,8 +4399,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::Tarragon::PeerRpc::SettleResult::Reader getResult() const;
+  inline bool hasStatus() const;
+  inline  ::Tarragon::PeerRpc::Status::Reader getStatus() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4390,9 +4414,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SettleResults::Builder {
+class Peer::StatusResults::Builder {
 public:
-  typedef SettleResults Builds;
+  typedef StatusResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4406,12 +4430,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::Tarragon::PeerRpc::SettleResult::Builder getResult();
-  inline void setResult( ::Tarragon::PeerRpc::SettleResult::Reader value);
-  inline  ::Tarragon::PeerRpc::SettleResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult> disownResult();
+  inline bool hasStatus();
+  inline  ::Tarragon::PeerRpc::Status::Builder getStatus();
+  inline void setStatus( ::Tarragon::PeerRpc::Status::Reader value);
+  inline  ::Tarragon::PeerRpc::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::Tarragon::PeerRpc::Status>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Status> disownStatus();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4423,15 +4447,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SettleResults::Pipeline {
+class Peer::StatusResults::Pipeline {
 public:
-  typedef SettleResults Pipelines;
+  typedef StatusResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SettleResult::Pipeline getResult();
+  inline  ::Tarragon::PeerRpc::Status::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
