@@ -4440,2376 +4464,2630 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RecordOutcomeParams::Reader {
-public:
-  typedef RecordOutcomeParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+// =======================================================================================
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+inline bool InstanceRef::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRef::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRef::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline bool hasRecord() const;
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Reader getRecord() const;
+inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::RecordOutcomeParams::Builder {
-public:
-  typedef RecordOutcomeParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRecord();
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder getRecord();
-  inline void setRecord( ::Tarragon::PeerRpc::OutcomeRecord::Reader value);
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder initRecord();
-  inline void adoptRecord(::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord> disownRecord();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::RecordOutcomeParams::Pipeline {
-public:
-  typedef RecordOutcomeParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Pipeline getRecord();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::RecordOutcomeResults::Reader {
-public:
-  typedef RecordOutcomeResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool getRecorded() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::RecordOutcomeResults::Builder {
-public:
-  typedef RecordOutcomeResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool getRecorded();
-  inline void setRecorded(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::RecordOutcomeResults::Pipeline {
-public:
-  typedef RecordOutcomeResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::LookupRecordParams::Reader {
-public:
-  typedef LookupRecordParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::LookupRecordParams::Builder {
-public:
-  typedef LookupRecordParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::LookupRecordParams::Pipeline {
-public:
-  typedef LookupRecordParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::LookupRecordResults::Reader {
-public:
-  typedef LookupRecordResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRecord() const;
-  inline  ::Tarragon::PeerRpc::RecordLookup::Reader getRecord() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::LookupRecordResults::Builder {
-public:
-  typedef LookupRecordResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRecord();
-  inline  ::Tarragon::PeerRpc::RecordLookup::Builder getRecord();
-  inline void setRecord( ::Tarragon::PeerRpc::RecordLookup::Reader value);
-  inline  ::Tarragon::PeerRpc::RecordLookup::Builder initRecord();
-  inline void adoptRecord(::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup> disownRecord();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::LookupRecordResults::Pipeline {
-public:
-  typedef LookupRecordResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::Tarragon::PeerRpc::RecordLookup::Pipeline getRecord();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::StatusParams::Reader {
-public:
-  typedef StatusParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::StatusParams::Builder {
-public:
-  typedef StatusParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::StatusParams::Pipeline {
-public:
-  typedef StatusParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::StatusResults::Reader {
-public:
-  typedef StatusResults Reads;
+inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+inline bool ServiceLoad::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceLoad::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceLoad::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceLoad::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceLoad::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+inline  ::uint32_t ServiceLoad::Reader::getRequestsInProgress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+inline  ::uint32_t ServiceLoad::Builder::getRequestsInProgress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setRequestsInProgress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-  inline bool hasStatus() const;
-  inline  ::Tarragon::PeerRpc::Status::Reader getStatus() const;
+inline  ::uint32_t ServiceLoad::Reader::getRequestsQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
+inline  ::uint32_t ServiceLoad::Builder::getRequestsQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setRequestsQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
 
-class Peer::StatusResults::Builder {
-public:
-  typedef StatusResults Builds;
+inline  ::uint32_t ServiceLoad::Reader::getMilliRequestsPerSecond() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+inline  ::uint32_t ServiceLoad::Builder::getMilliRequestsPerSecond() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setMilliRequestsPerSecond( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+inline  ::uint32_t ServiceLoad::Reader::getSlotsInUse() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
 
-  inline bool hasStatus();
-  inline  ::Tarragon::PeerRpc::Status::Builder getStatus();
-  inline void setStatus( ::Tarragon::PeerRpc::Status::Reader value);
-  inline  ::Tarragon::PeerRpc::Status::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::Tarragon::PeerRpc::Status>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Status> disownStatus();
+inline  ::uint32_t ServiceLoad::Builder::getSlotsInUse() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setSlotsInUse( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+inline  ::uint32_t ServiceLoad::Reader::getSlotsTotal() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
 
-#if !CAPNP_LITE
-class Peer::StatusResults::Pipeline {
-public:
-  typedef StatusResults Pipelines;
+inline  ::uint32_t ServiceLoad::Builder::getSlotsTotal() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setSlotsTotal( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+inline bool RegionWeight::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegionWeight::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RegionWeight::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RegionWeight::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegionWeight::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RegionWeight::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RegionWeight::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RegionWeight::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline  ::Tarragon::PeerRpc::Status::Pipeline getStatus();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+inline  ::uint32_t RegionWeight::Reader::getPartsPerMillion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-// =======================================================================================
+inline  ::uint32_t RegionWeight::Builder::getPartsPerMillion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegionWeight::Builder::setPartsPerMillion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-inline bool InstanceRef::Reader::hasInstance() const {
+inline bool AppliedWeights::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool InstanceRef::Builder::hasInstance() {
+inline bool AppliedWeights::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
+inline  ::capnp::Text::Reader AppliedWeights::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
+inline  ::capnp::Text::Builder AppliedWeights::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AppliedWeights::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AppliedWeights::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AppliedWeights::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AppliedWeights::Reader::hasCallerRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AppliedWeights::Builder::hasCallerRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AppliedWeights::Reader::getCallerRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AppliedWeights::Builder::getCallerRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AppliedWeights::Builder::setCallerRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AppliedWeights::Builder::initCallerRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AppliedWeights::Builder::adoptCallerRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownCallerRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AppliedWeights::Reader::hasWeights() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AppliedWeights::Builder::hasWeights() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader AppliedWeights::Reader::getWeights() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::getWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AppliedWeights::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::initWeights(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AppliedWeights::Builder::adoptWeights(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>> AppliedWeights::Builder::disownWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader Heartbeat::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Heartbeat::Pipeline::getSender() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceRef::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptSender(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Heartbeat::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ServiceLoad::Reader::hasService() const {
+inline bool Heartbeat::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceLoad::Builder::hasService() {
+inline bool Heartbeat::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServiceLoad::Reader::getService() const {
+inline  ::capnp::Text::Reader Heartbeat::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServiceLoad::Builder::getService() {
+inline  ::capnp::Text::Builder Heartbeat::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServiceLoad::Builder::setService( ::capnp::Text::Reader value) {
+inline void Heartbeat::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServiceLoad::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder Heartbeat::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ServiceLoad::Builder::adoptService(
+inline void Heartbeat::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getRequestsInProgress() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Reader::getState() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getRequestsInProgress() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Builder::getState() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setRequestsInProgress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Heartbeat::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getRequestsQueued() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getRequestsQueued() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setRequestsQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Heartbeat::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getMilliRequestsPerSecond() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Reader::getPlanVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getMilliRequestsPerSecond() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Builder::getPlanVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setMilliRequestsPerSecond( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Heartbeat::Builder::setPlanVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getSlotsInUse() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t ServiceLoad::Builder::getSlotsInUse() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void ServiceLoad::Builder::setSlotsInUse( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t ServiceLoad::Reader::getSlotsTotal() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool Heartbeat::Reader::getStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getSlotsTotal() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool Heartbeat::Builder::getStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setSlotsTotal( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Heartbeat::Builder::setStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegionWeight::Reader::hasRegion() const {
+inline bool Heartbeat::Reader::hasLoad() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegionWeight::Builder::hasRegion() {
+inline bool Heartbeat::Builder::hasLoad() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegionWeight::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegionWeight::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RegionWeight::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Heartbeat::Builder::setLoad( ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegionWeight::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLoad(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RegionWeight::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Heartbeat::Builder::adoptLoad(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegionWeight::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RegionWeight::Reader::getPartsPerMillion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Heartbeat::Reader::getWeightsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RegionWeight::Builder::getPartsPerMillion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Heartbeat::Builder::getWeightsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RegionWeight::Builder::setPartsPerMillion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Heartbeat::Builder::setWeightsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AppliedWeights::Reader::hasService() const {
+inline bool Heartbeat::Reader::hasWeights() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool AppliedWeights::Builder::hasService() {
+inline bool Heartbeat::Builder::hasWeights() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AppliedWeights::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AppliedWeights::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void AppliedWeights::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getWeights() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AppliedWeights::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void AppliedWeights::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Heartbeat::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initWeights(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline bool AppliedWeights::Reader::hasCallerRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void Heartbeat::Builder::adoptWeights(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool AppliedWeights::Builder::hasCallerRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Reader AppliedWeights::Reader::getCallerRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Heartbeat::Reader::getWeightsVersionSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder AppliedWeights::Builder::getCallerRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Heartbeat::Builder::getWeightsVersionSeen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void AppliedWeights::Builder::setCallerRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Heartbeat::Builder::setWeightsVersionSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder AppliedWeights::Builder::initCallerRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t Heartbeat::Reader::getPlanVersionApplied() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void AppliedWeights::Builder::adoptCallerRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Heartbeat::Builder::getPlanVersionApplied() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownCallerRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Heartbeat::Builder::setPlanVersionApplied( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AppliedWeights::Reader::hasWeights() const {
+inline bool Heartbeat::Reader::hasShareReport() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool AppliedWeights::Builder::hasWeights() {
+inline bool Heartbeat::Builder::hasShareReport() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader AppliedWeights::Reader::getWeights() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::ShareReport::Reader Heartbeat::Reader::getShareReport() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::getWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::getShareReport() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void AppliedWeights::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ShareReport::Pipeline Heartbeat::Pipeline::getShareReport() {
+  return  ::Tarragon::PeerRpc::ShareReport::Pipeline(_typeless.getPointerField(4));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::initWeights(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setShareReport( ::Tarragon::PeerRpc::ShareReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void AppliedWeights::Builder::adoptWeights(
-    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::initShareReport() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>> AppliedWeights::Builder::disownWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Heartbeat::Builder::adoptShareReport(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> Heartbeat::Builder::disownShareReport() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasSender() const {
+inline bool Status::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasSender() {
+inline bool Status::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader Heartbeat::Reader::getSender() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader Status::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Heartbeat::Pipeline::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Status::Pipeline::getSender() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void Status::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::initSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::adoptSender(
+inline void Status::Builder::adoptSender(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Heartbeat::Builder::disownSender() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Status::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasFailureDomain() const {
+inline bool Status::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasFailureDomain() {
+inline bool Status::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader Status::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder Status::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void Status::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder Status::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptFailureDomain(
+inline void Status::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Reader::getState() const {
+inline  ::Tarragon::PeerRpc::InstanceState Status::Reader::getState() const {
   return _reader.getDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Builder::getState() {
+inline  ::Tarragon::PeerRpc::InstanceState Status::Builder::getState() {
   return _builder.getDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
+inline void Status::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
   _builder.setDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getGeneration() const {
+inline  ::uint64_t Status::Reader::getGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getGeneration() {
+inline  ::uint64_t Status::Builder::getGeneration() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setGeneration( ::uint64_t value) {
+inline void Status::Builder::setGeneration( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getPlanVersion() const {
+inline  ::uint64_t Status::Reader::getPlanVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getPlanVersion() {
+inline  ::uint64_t Status::Builder::getPlanVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setPlanVersion( ::uint64_t value) {
+inline void Status::Builder::setPlanVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::getStoreReachable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-
-inline bool Heartbeat::Builder::getStoreReachable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setStoreReachable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Heartbeat::Reader::hasLoad() const {
+inline bool Status::Reader::hasDetail() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasLoad() {
+inline bool Status::Builder::hasDetail() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Status::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Status::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setLoad( ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Status::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLoad(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Status::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptLoad(
-    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Status::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getWeightsVersion() const {
+inline bool ShareReport::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ShareReport::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader ShareReport::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ShareReport::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ShareReport::Pipeline::getSender() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ShareReport::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ShareReport::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ShareReport::Builder::adoptSender(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ShareReport::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ShareReport::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getWeightsVersion() {
+inline  ::uint64_t ShareReport::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setWeightsVersion( ::uint64_t value) {
+inline void ShareReport::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasWeights() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t ShareReport::Reader::getAdopted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool Heartbeat::Builder::hasWeights() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t ShareReport::Builder::getAdopted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getWeights() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void ShareReport::Builder::setAdopted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ShareReport::Reader::getSettled() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t ShareReport::Builder::getSettled() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initWeights(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline void ShareReport::Builder::setSettled( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void Heartbeat::Builder::adoptWeights(
-    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t ShareReport::Reader::getClosed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ShareReport::Builder::getClosed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ShareReport::Builder::setClosed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getWeightsVersionSeen() const {
+inline  ::uint64_t ShareReport::Reader::getEchoedIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getWeightsVersionSeen() {
+inline  ::uint64_t ShareReport::Builder::getEchoedIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setWeightsVersionSeen( ::uint64_t value) {
+inline void ShareReport::Builder::setEchoedIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getPlanVersionApplied() const {
+inline  ::uint64_t ShareReport::Reader::getEchoedSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getPlanVersionApplied() {
+inline  ::uint64_t ShareReport::Builder::getEchoedSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setPlanVersionApplied( ::uint64_t value) {
+inline void ShareReport::Builder::setEchoedSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Status::Reader::hasSender() const {
+inline bool GrantRequest::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasSender() {
+inline bool GrantRequest::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader Status::Reader::getSender() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantRequest::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Status::Pipeline::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantRequest::Pipeline::getSender() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Status::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void GrantRequest::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::initSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::adoptSender(
+inline void GrantRequest::Builder::adoptSender(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Status::Builder::disownSender() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantRequest::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Status::Reader::hasFailureDomain() const {
+inline bool GrantRequest::Reader::hasReceiver() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasFailureDomain() {
+inline bool GrantRequest::Builder::hasReceiver() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Status::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantRequest::Reader::getReceiver() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Status::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::getReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantRequest::Pipeline::getReceiver() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void GrantRequest::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Status::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::initReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void GrantRequest::Builder::adoptReceiver(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantRequest::Builder::disownReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::InstanceState Status::Reader::getState() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::InstanceState>(
+inline  ::uint64_t GrantRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::InstanceState Status::Builder::getState() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::InstanceState>(
+inline  ::uint64_t GrantRequest::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::InstanceState>(
+inline void GrantRequest::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Status::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool GrantRequest::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantRequest::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GrantRequest::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantRequest::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GrantRequest::Builder::setWanted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void GrantRequest::Builder::setWanted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantRequest::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GrantRequest::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GrantRequest::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Status::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool GrantRequest::Reader::hasRenewals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Status::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool GrantRequest::Builder::hasRenewals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantRequest::Reader::getRenewals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::getRenewals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GrantRequest::Builder::setRenewals( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void GrantRequest::Builder::setRenewals(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::initRenewals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void GrantRequest::Builder::adoptRenewals(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantRequest::Builder::disownRenewals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Status::Reader::getPlanVersion() const {
+inline bool GrantRequest::Reader::hasReturns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantRequest::Builder::hasReturns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantRequest::Reader::getReturns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::getReturns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GrantRequest::Builder::setReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void GrantRequest::Builder::setReturns(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::initReturns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void GrantRequest::Builder::adoptReturns(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantRequest::Builder::disownReturns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SlotGrant::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Status::Builder::getPlanVersion() {
+inline  ::uint64_t SlotGrant::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setPlanVersion( ::uint64_t value) {
+inline void SlotGrant::Builder::setId( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Status::Reader::hasDetail() const {
+inline bool SlotGrant::Reader::hasTarget() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasDetail() {
+inline bool SlotGrant::Builder::hasTarget() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Status::Reader::getDetail() const {
+inline  ::capnp::Text::Reader SlotGrant::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Status::Builder::getDetail() {
+inline  ::capnp::Text::Builder SlotGrant::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::setDetail( ::capnp::Text::Reader value) {
+inline void SlotGrant::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Status::Builder::initDetail(unsigned int size) {
+inline  ::capnp::Text::Builder SlotGrant::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Status::Builder::adoptDetail(
+inline void SlotGrant::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownDetail() {
+inline ::capnp::Orphan< ::capnp::Text> SlotGrant::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SlotRequest::Reader::hasBorrower() const {
+inline bool GrantResponse::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotRequest::Builder::hasBorrower() {
+inline bool GrantResponse::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotRequest::Reader::getBorrower() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantResponse::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::getBorrower() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotRequest::Pipeline::getBorrower() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantResponse::Pipeline::getSender() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void SlotRequest::Builder::setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void GrantResponse::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::initBorrower() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SlotRequest::Builder::adoptBorrower(
+inline void GrantResponse::Builder::adoptSender(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotRequest::Builder::disownBorrower() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantResponse::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SlotRequest::Reader::hasService() const {
+inline bool GrantResponse::Reader::hasReceiver() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotRequest::Builder::hasService() {
+inline bool GrantResponse::Builder::hasReceiver() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantResponse::Reader::getReceiver() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::getReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SlotRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantResponse::Pipeline::getReceiver() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void GrantResponse::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::initReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SlotRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void GrantResponse::Builder::adoptReceiver(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantResponse::Builder::disownReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SlotRequest::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool SlotRequest::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotRequest::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SlotRequest::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void SlotRequest::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotRequest::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void SlotRequest::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t SlotRequest::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t GrantResponse::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SlotRequest::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t GrantResponse::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotRequest::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void GrantResponse::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SlotRequest::Reader::getRenewGrant() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t GrantResponse::Reader::getDurationMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotRequest::Builder::getRenewGrant() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t GrantResponse::Builder::getDurationMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SlotRequest::Builder::setRenewGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void GrantResponse::Builder::setDurationMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SlotGrant::Reader::getGrant() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SlotGrant::Builder::getGrant() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SlotGrant::Builder::setGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SlotGrant::Reader::hasLender() const {
+inline bool GrantResponse::Reader::hasGranted() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotGrant::Builder::hasLender() {
+inline bool GrantResponse::Builder::hasGranted() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotGrant::Reader::getLender() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotGrant::Builder::getLender() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader GrantResponse::Reader::getGranted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotGrant::Pipeline::getLender() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder GrantResponse::Builder::getGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void SlotGrant::Builder::setLender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GrantResponse::Builder::setGranted( ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotGrant::Builder::initLender() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder GrantResponse::Builder::initGranted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SlotGrant::Builder::adoptLender(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void GrantResponse::Builder::adoptGranted(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotGrant::Builder::disownLender() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>> GrantResponse::Builder::disownGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SlotGrant::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool GrantResponse::Reader::hasRenewed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t SlotGrant::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool GrantResponse::Builder::hasRenewed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void SlotGrant::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantResponse::Reader::getRenewed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t SlotGrant::Reader::getDurationMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantResponse::Builder::getRenewed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GrantResponse::Builder::setRenewed( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void GrantResponse::Builder::setRenewed(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantResponse::Builder::initRenewed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t SlotGrant::Builder::getDurationMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void GrantResponse::Builder::adoptRenewed(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void SlotGrant::Builder::setDurationMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantResponse::Builder::disownRenewed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool SlotReturn::Reader::hasBorrower() const {
+inline bool ClaimKey::Reader::hasRunner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotReturn::Builder::hasBorrower() {
+inline bool ClaimKey::Builder::hasRunner() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotReturn::Reader::getBorrower() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader ClaimKey::Reader::getRunner() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotReturn::Builder::getBorrower() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::getRunner() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotReturn::Pipeline::getBorrower() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ClaimKey::Pipeline::getRunner() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void SlotReturn::Builder::setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void ClaimKey::Builder::setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotReturn::Builder::initBorrower() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::initRunner() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SlotReturn::Builder::adoptBorrower(
+inline void ClaimKey::Builder::adoptRunner(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotReturn::Builder::disownBorrower() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ClaimKey::Builder::disownRunner() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SlotReturn::Reader::hasService() const {
+inline  ::uint64_t ClaimKey::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimKey::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ClaimKey::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeaderField::Reader::hasName() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotReturn::Builder::hasService() {
+inline bool HeaderField::Builder::hasName() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotReturn::Reader::getService() const {
+inline  ::capnp::Text::Reader HeaderField::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotReturn::Builder::getService() {
+inline  ::capnp::Text::Builder HeaderField::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SlotReturn::Builder::setService( ::capnp::Text::Reader value) {
+inline void HeaderField::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SlotReturn::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder HeaderField::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SlotReturn::Builder::adoptService(
+inline void HeaderField::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotReturn::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> HeaderField::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SlotReturn::Reader::hasTarget() const {
+inline bool HeaderField::Reader::hasValue() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotReturn::Builder::hasTarget() {
+inline bool HeaderField::Builder::hasValue() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotReturn::Reader::getTarget() const {
+inline  ::capnp::Text::Reader HeaderField::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotReturn::Builder::getTarget() {
+inline  ::capnp::Text::Builder HeaderField::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SlotReturn::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void HeaderField::Builder::setValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SlotReturn::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder HeaderField::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SlotReturn::Builder::adoptTarget(
+inline void HeaderField::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotReturn::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> HeaderField::Builder::disownValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SlotReturn::Reader::getGrant() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int32_t FinishedResponse::Reader::getStatus() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotReturn::Builder::getGrant() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int32_t FinishedResponse::Builder::getStatus() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotReturn::Builder::setGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void FinishedResponse::Builder::setStatus( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SlotReturn::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool FinishedResponse::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t SlotReturn::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool FinishedResponse::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void SlotReturn::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader FinishedResponse::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder FinishedResponse::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FinishedResponse::Builder::setHeaders( ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder FinishedResponse::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FinishedResponse::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>> FinishedResponse::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t StoredResponse::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool FinishedResponse::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishedResponse::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader FinishedResponse::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder FinishedResponse::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FinishedResponse::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder FinishedResponse::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FinishedResponse::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FinishedResponse::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t StoredResponse::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void StoredResponse::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool StoredResponse::Reader::hasHeaders() const {
+inline bool RegistryMessage::Reader::isClaim() const {
+  return which() == RegistryMessage::CLAIM;
+}
+inline bool RegistryMessage::Builder::isClaim() {
+  return which() == RegistryMessage::CLAIM;
+}
+inline typename RegistryMessage::Claim::Reader RegistryMessage::Reader::getClaim() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Claim::Reader(_reader);
+}
+inline typename RegistryMessage::Claim::Builder RegistryMessage::Builder::getClaim() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Claim::Builder(_builder);
+}
+inline typename RegistryMessage::Claim::Builder RegistryMessage::Builder::initClaim() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::Claim::Builder(_builder);
+}
+inline bool RegistryMessage::Reader::isClaimAnswer() const {
+  return which() == RegistryMessage::CLAIM_ANSWER;
+}
+inline bool RegistryMessage::Builder::isClaimAnswer() {
+  return which() == RegistryMessage::CLAIM_ANSWER;
+}
+inline typename RegistryMessage::ClaimAnswer::Reader RegistryMessage::Reader::getClaimAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::ClaimAnswer::Reader(_reader);
+}
+inline typename RegistryMessage::ClaimAnswer::Builder RegistryMessage::Builder::getClaimAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::ClaimAnswer::Builder(_builder);
+}
+inline typename RegistryMessage::ClaimAnswer::Builder RegistryMessage::Builder::initClaimAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::ClaimAnswer::Builder(_builder);
+}
+inline bool RegistryMessage::Reader::isOutcome() const {
+  return which() == RegistryMessage::OUTCOME;
+}
+inline bool RegistryMessage::Builder::isOutcome() {
+  return which() == RegistryMessage::OUTCOME;
+}
+inline typename RegistryMessage::Outcome::Reader RegistryMessage::Reader::getOutcome() const {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Outcome::Reader(_reader);
+}
+inline typename RegistryMessage::Outcome::Builder RegistryMessage::Builder::getOutcome() {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Outcome::Builder(_builder);
+}
+inline typename RegistryMessage::Outcome::Builder RegistryMessage::Builder::initOutcome() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::Outcome::Builder(_builder);
+}
+inline bool RegistryMessage::Reader::isConfirm() const {
+  return which() == RegistryMessage::CONFIRM;
+}
+inline bool RegistryMessage::Builder::isConfirm() {
+  return which() == RegistryMessage::CONFIRM;
+}
+inline typename RegistryMessage::Confirm::Reader RegistryMessage::Reader::getConfirm() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Confirm::Reader(_reader);
+}
+inline typename RegistryMessage::Confirm::Builder RegistryMessage::Builder::getConfirm() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Confirm::Builder(_builder);
+}
+inline typename RegistryMessage::Confirm::Builder RegistryMessage::Builder::initConfirm() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::Confirm::Builder(_builder);
+}
+inline bool RegistryMessage::Reader::isConfirmAnswer() const {
+  return which() == RegistryMessage::CONFIRM_ANSWER;
+}
+inline bool RegistryMessage::Builder::isConfirmAnswer() {
+  return which() == RegistryMessage::CONFIRM_ANSWER;
+}
+inline typename RegistryMessage::ConfirmAnswer::Reader RegistryMessage::Reader::getConfirmAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::ConfirmAnswer::Reader(_reader);
+}
+inline typename RegistryMessage::ConfirmAnswer::Builder RegistryMessage::Builder::getConfirmAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::ConfirmAnswer::Builder(_builder);
+}
+inline typename RegistryMessage::ConfirmAnswer::Builder RegistryMessage::Builder::initConfirmAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::ConfirmAnswer::Builder(_builder);
+}
+inline bool RegistryMessage::Reader::isOutcomeCopy() const {
+  return which() == RegistryMessage::OUTCOME_COPY;
+}
+inline bool RegistryMessage::Builder::isOutcomeCopy() {
+  return which() == RegistryMessage::OUTCOME_COPY;
+}
+inline typename RegistryMessage::OutcomeCopy::Reader RegistryMessage::Reader::getOutcomeCopy() const {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::OutcomeCopy::Reader(_reader);
+}
+inline typename RegistryMessage::OutcomeCopy::Builder RegistryMessage::Builder::getOutcomeCopy() {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::OutcomeCopy::Builder(_builder);
+}
+inline typename RegistryMessage::OutcomeCopy::Builder RegistryMessage::Builder::initOutcomeCopy() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::OutcomeCopy::Builder(_builder);
+}
+inline bool RegistryMessage::Reader::isRegistration() const {
+  return which() == RegistryMessage::REGISTRATION;
+}
+inline bool RegistryMessage::Builder::isRegistration() {
+  return which() == RegistryMessage::REGISTRATION;
+}
+inline typename RegistryMessage::Registration::Reader RegistryMessage::Reader::getRegistration() const {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Registration::Reader(_reader);
+}
+inline typename RegistryMessage::Registration::Builder RegistryMessage::Builder::getRegistration() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::Registration::Builder(_builder);
+}
+inline typename RegistryMessage::Registration::Builder RegistryMessage::Builder::initRegistration() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::Registration::Builder(_builder);
+}
+inline bool RegistryMessage::Reader::isRegistrationAnswer() const {
+  return which() == RegistryMessage::REGISTRATION_ANSWER;
+}
+inline bool RegistryMessage::Builder::isRegistrationAnswer() {
+  return which() == RegistryMessage::REGISTRATION_ANSWER;
+}
+inline typename RegistryMessage::RegistrationAnswer::Reader RegistryMessage::Reader::getRegistrationAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::RegistrationAnswer::Reader(_reader);
+}
+inline typename RegistryMessage::RegistrationAnswer::Builder RegistryMessage::Builder::getRegistrationAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return typename RegistryMessage::RegistrationAnswer::Builder(_builder);
+}
+inline typename RegistryMessage::RegistrationAnswer::Builder RegistryMessage::Builder::initRegistrationAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename RegistryMessage::RegistrationAnswer::Builder(_builder);
+}
+inline bool RegistryMessage::Claim::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredResponse::Builder::hasHeaders() {
+inline bool RegistryMessage::Claim::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredResponse::Reader::getHeaders() const {
+inline  ::capnp::Text::Reader RegistryMessage::Claim::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredResponse::Builder::getHeaders() {
+inline  ::capnp::Text::Builder RegistryMessage::Claim::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredResponse::Builder::setHeaders( ::capnp::Text::Reader value) {
+inline void RegistryMessage::Claim::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredResponse::Builder::initHeaders(unsigned int size) {
+inline  ::capnp::Text::Builder RegistryMessage::Claim::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoredResponse::Builder::adoptHeaders(
+inline void RegistryMessage::Claim::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredResponse::Builder::disownHeaders() {
+inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::Claim::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredResponse::Reader::hasBody() const {
+inline bool RegistryMessage::Claim::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredResponse::Builder::hasBody() {
+inline bool RegistryMessage::Claim::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader StoredResponse::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::Claim::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder StoredResponse::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Claim::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StoredResponse::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::Claim::Pipeline::getKey() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void RegistryMessage::Claim::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder StoredResponse::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Claim::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StoredResponse::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Claim::Builder::adoptKey(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> StoredResponse::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::Claim::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StoredResponse::Reader::getBodyDropped() const {
+inline  ::int32_t RegistryMessage::Claim::Reader::getAttempt() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t RegistryMessage::Claim::Builder::getAttempt() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegistryMessage::Claim::Builder::setAttempt( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistryMessage::Claim::Reader::getSettle() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool StoredResponse::Builder::getBodyDropped() {
+inline bool RegistryMessage::Claim::Builder::getSettle() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void StoredResponse::Builder::setBodyDropped(bool value) {
+inline void RegistryMessage::Claim::Builder::setSettle(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimRequest::Reader::hasRequestId() const {
+inline bool RegistryMessage::ClaimAnswer::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasRequestId() {
+inline bool RegistryMessage::ClaimAnswer::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader RegistryMessage::ClaimAnswer::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getRequestId() {
+inline  ::capnp::Text::Builder RegistryMessage::ClaimAnswer::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void RegistryMessage::ClaimAnswer::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder RegistryMessage::ClaimAnswer::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptRequestId(
+inline void RegistryMessage::ClaimAnswer::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::ClaimAnswer::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::hasService() const {
+inline bool RegistryMessage::ClaimAnswer::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasService() {
+inline bool RegistryMessage::ClaimAnswer::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::ClaimAnswer::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::ClaimAnswer::Pipeline::getKey() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void RegistryMessage::ClaimAnswer::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RegistryMessage::ClaimAnswer::Builder::adoptKey(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::ClaimAnswer::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::hasClaimant() const {
+inline  ::uint8_t RegistryMessage::ClaimAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RegistryMessage::ClaimAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegistryMessage::ClaimAnswer::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistryMessage::ClaimAnswer::Reader::getFromBackup() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool RegistryMessage::ClaimAnswer::Builder::getFromBackup() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RegistryMessage::ClaimAnswer::Builder::setFromBackup(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistryMessage::ClaimAnswer::Reader::hasHolder() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasClaimant() {
+inline bool RegistryMessage::ClaimAnswer::Builder::hasHolder() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ClaimRequest::Reader::getClaimant() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::ClaimAnswer::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimRequest::Builder::getClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ClaimRequest::Pipeline::getClaimant() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(2));
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::ClaimAnswer::Pipeline::getHolder() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void ClaimRequest::Builder::setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void RegistryMessage::ClaimAnswer::Builder::setHolder( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimRequest::Builder::initClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::adoptClaimant(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void RegistryMessage::ClaimAnswer::Builder::adoptHolder(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ClaimRequest::Builder::disownClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::ClaimAnswer::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::getFirstAttempt() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool ClaimRequest::Builder::getFirstAttempt() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ClaimRequest::Builder::setFirstAttempt(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::Tarragon::PeerRpc::ClaimDecision ClaimResult::Reader::getDecision() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::ClaimDecision>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::Tarragon::PeerRpc::ClaimDecision ClaimResult::Builder::getDecision() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::ClaimDecision>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ClaimResult::Builder::setDecision( ::Tarragon::PeerRpc::ClaimDecision value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::ClaimDecision>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::Tarragon::PeerRpc::Verdict ClaimResult::Reader::getVerdict() const {
+inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::ClaimAnswer::Reader::getVerdict() const {
   return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict ClaimResult::Builder::getVerdict() {
+inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::ClaimAnswer::Builder::getVerdict() {
   return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ClaimResult::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+inline void RegistryMessage::ClaimAnswer::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
   _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ClaimResult::Reader::getClaim() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ClaimResult::Builder::getClaim() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void ClaimResult::Builder::setClaim( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t ClaimResult::Reader::getValidMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t ClaimResult::Builder::getValidMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void ClaimResult::Builder::setValidMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ClaimResult::Reader::hasResponse() const {
+inline bool RegistryMessage::ClaimAnswer::Reader::hasResponse() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimResult::Builder::hasResponse() {
+inline bool RegistryMessage::ClaimAnswer::Builder::hasResponse() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader ClaimResult::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader RegistryMessage::ClaimAnswer::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder ClaimResult::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::ClaimAnswer::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline ClaimResult::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(0));
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline RegistryMessage::ClaimAnswer::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
-inline void ClaimResult::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void RegistryMessage::ClaimAnswer::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder ClaimResult::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::ClaimAnswer::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ClaimResult::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void RegistryMessage::ClaimAnswer::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> ClaimResult::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> RegistryMessage::ClaimAnswer::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ConfirmRequest::Reader::hasRequestId() const {
+inline bool RegistryMessage::Outcome::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfirmRequest::Builder::hasRequestId() {
+inline bool RegistryMessage::Outcome::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfirmRequest::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader RegistryMessage::Outcome::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfirmRequest::Builder::getRequestId() {
+inline  ::capnp::Text::Builder RegistryMessage::Outcome::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfirmRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void RegistryMessage::Outcome::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfirmRequest::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder RegistryMessage::Outcome::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfirmRequest::Builder::adoptRequestId(
+inline void RegistryMessage::Outcome::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfirmRequest::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::Outcome::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConfirmRequest::Reader::hasPrimary() const {
+inline bool RegistryMessage::Outcome::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfirmRequest::Builder::hasPrimary() {
+inline bool RegistryMessage::Outcome::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ConfirmRequest::Reader::getPrimary() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::Outcome::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::getPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Outcome::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ConfirmRequest::Pipeline::getPrimary() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::Outcome::Pipeline::getKey() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void ConfirmRequest::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void RegistryMessage::Outcome::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::initPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Outcome::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfirmRequest::Builder::adoptPrimary(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Outcome::Builder::adoptKey(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ConfirmRequest::Builder::disownPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::Outcome::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ConfirmRequest::Reader::hasClaimant() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool ConfirmRequest::Builder::hasClaimant() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ConfirmRequest::Reader::getClaimant() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::getClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ConfirmRequest::Pipeline::getClaimant() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void ConfirmRequest::Builder::setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::initClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void ConfirmRequest::Builder::adoptClaimant(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ConfirmRequest::Builder::disownClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t ConfirmRequest::Reader::getClaim() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::Outcome::Reader::getVerdict() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfirmRequest::Builder::getClaim() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::Outcome::Builder::getVerdict() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfirmRequest::Builder::setClaim( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RegistryMessage::Outcome::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfirmResult::Reader::getConfirmed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Outcome::Reader::hasResponse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool ConfirmResult::Builder::getConfirmed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Outcome::Builder::hasResponse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void ConfirmResult::Builder::setConfirmed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader RegistryMessage::Outcome::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::Tarragon::PeerRpc::Verdict ConfirmResult::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::Outcome::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::Tarragon::PeerRpc::Verdict ConfirmResult::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline RegistryMessage::Outcome::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(2));
 }
-inline void ConfirmResult::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void RegistryMessage::Outcome::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t ConfirmResult::Reader::getValidMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::Outcome::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ConfirmResult::Builder::getValidMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void RegistryMessage::Outcome::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ConfirmResult::Builder::setValidMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> RegistryMessage::Outcome::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SettleRequest::Reader::hasRequestId() const {
+inline bool RegistryMessage::Confirm::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleRequest::Builder::hasRequestId() {
+inline bool RegistryMessage::Confirm::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettleRequest::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader RegistryMessage::Confirm::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettleRequest::Builder::getRequestId() {
+inline  ::capnp::Text::Builder RegistryMessage::Confirm::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettleRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void RegistryMessage::Confirm::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettleRequest::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder RegistryMessage::Confirm::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SettleRequest::Builder::adoptRequestId(
+inline void RegistryMessage::Confirm::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettleRequest::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::Confirm::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SettleRequest::Reader::hasAsker() const {
+inline bool RegistryMessage::Confirm::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleRequest::Builder::hasAsker() {
+inline bool RegistryMessage::Confirm::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SettleRequest::Reader::getAsker() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::Confirm::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SettleRequest::Builder::getAsker() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Confirm::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SettleRequest::Pipeline::getAsker() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::Confirm::Pipeline::getKey() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void SettleRequest::Builder::setAsker( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void RegistryMessage::Confirm::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SettleRequest::Builder::initAsker() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Confirm::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SettleRequest::Builder::adoptAsker(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Confirm::Builder::adoptKey(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SettleRequest::Builder::disownAsker() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::Confirm::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SettleRequest::Reader::getFirstAttempt() const {
-  return _reader.getDataField<bool>(
+inline  ::int32_t RegistryMessage::Confirm::Reader::getAttempt() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool SettleRequest::Builder::getFirstAttempt() {
-  return _builder.getDataField<bool>(
+inline  ::int32_t RegistryMessage::Confirm::Builder::getAttempt() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SettleRequest::Builder::setFirstAttempt(bool value) {
-  _builder.setDataField<bool>(
+inline void RegistryMessage::Confirm::Builder::setAttempt( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict SettleResult::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Confirm::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict SettleResult::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Confirm::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SettleResult::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RegistryMessage::Confirm::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SettleResult::Reader::getFinal() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Confirm::Reader::getOldestServed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool SettleResult::Builder::getFinal() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Confirm::Builder::getOldestServed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void SettleResult::Builder::setFinal(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void RegistryMessage::Confirm::Builder::setOldestServed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SettleResult::Reader::hasResponse() const {
+inline bool RegistryMessage::ConfirmAnswer::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleResult::Builder::hasResponse() {
+inline bool RegistryMessage::ConfirmAnswer::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader SettleResult::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader RegistryMessage::ConfirmAnswer::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder SettleResult::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RegistryMessage::ConfirmAnswer::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline SettleResult::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void SettleResult::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
+inline void RegistryMessage::ConfirmAnswer::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder SettleResult::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RegistryMessage::ConfirmAnswer::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SettleResult::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
+inline void RegistryMessage::ConfirmAnswer::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> SettleResult::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::ConfirmAnswer::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OutcomeRecord::Reader::hasRequestId() const {
+inline  ::uint64_t RegistryMessage::ConfirmAnswer::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RegistryMessage::ConfirmAnswer::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegistryMessage::ConfirmAnswer::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t RegistryMessage::ConfirmAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RegistryMessage::ConfirmAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void RegistryMessage::ConfirmAnswer::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistryMessage::OutcomeCopy::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OutcomeRecord::Builder::hasRequestId() {
+inline bool RegistryMessage::OutcomeCopy::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader OutcomeRecord::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader RegistryMessage::OutcomeCopy::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder OutcomeRecord::Builder::getRequestId() {
+inline  ::capnp::Text::Builder RegistryMessage::OutcomeCopy::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OutcomeRecord::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void RegistryMessage::OutcomeCopy::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder OutcomeRecord::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder RegistryMessage::OutcomeCopy::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void OutcomeRecord::Builder::adoptRequestId(
+inline void RegistryMessage::OutcomeCopy::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> OutcomeRecord::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::OutcomeCopy::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t OutcomeRecord::Reader::getClaim() const {
+inline  ::uint64_t RegistryMessage::OutcomeCopy::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t OutcomeRecord::Builder::getClaim() {
+inline  ::uint64_t RegistryMessage::OutcomeCopy::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void OutcomeRecord::Builder::setClaim( ::uint64_t value) {
+inline void RegistryMessage::OutcomeCopy::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool OutcomeRecord::Reader::hasRecorder() const {
+inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::OutcomeCopy::Reader::getVerdict() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::OutcomeCopy::Builder::getVerdict() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RegistryMessage::OutcomeCopy::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistryMessage::OutcomeCopy::Reader::hasResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool OutcomeRecord::Builder::hasRecorder() {
+inline bool RegistryMessage::OutcomeCopy::Builder::hasResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader OutcomeRecord::Reader::getRecorder() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader RegistryMessage::OutcomeCopy::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder OutcomeRecord::Builder::getRecorder() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::OutcomeCopy::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline OutcomeRecord::Pipeline::getRecorder() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline RegistryMessage::OutcomeCopy::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void OutcomeRecord::Builder::setRecorder( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void RegistryMessage::OutcomeCopy::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder OutcomeRecord::Builder::initRecorder() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::OutcomeCopy::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void OutcomeRecord::Builder::adoptRecorder(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void RegistryMessage::OutcomeCopy::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> OutcomeRecord::Builder::disownRecorder() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> RegistryMessage::OutcomeCopy::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::Verdict OutcomeRecord::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Registration::Reader::hasPrimary() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::Tarragon::PeerRpc::Verdict OutcomeRecord::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Registration::Builder::hasPrimary() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void OutcomeRecord::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::Registration::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::Registration::Pipeline::getPrimary() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RegistryMessage::Registration::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::initPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Registration::Builder::adoptPrimary(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::Registration::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OutcomeRecord::Reader::hasResponse() const {
+inline bool RegistryMessage::Registration::Reader::hasBackup() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool OutcomeRecord::Builder::hasResponse() {
+inline bool RegistryMessage::Registration::Builder::hasBackup() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader OutcomeRecord::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::Registration::Reader::getBackup() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder OutcomeRecord::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::getBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
