-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline OutcomeRecord::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(2));
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::Registration::Pipeline::getBackup() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void OutcomeRecord::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void RegistryMessage::Registration::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder OutcomeRecord::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::initBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void OutcomeRecord::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void RegistryMessage::Registration::Builder::adoptBackup(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> OutcomeRecord::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::Registration::Builder::disownBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RecordLookup::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t RegistryMessage::Registration::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool RecordLookup::Builder::getKnown() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t RegistryMessage::Registration::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RecordLookup::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
+inline void RegistryMessage::Registration::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RecordLookup::Reader::getSettled() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Registration::Reader::getCurrent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool RecordLookup::Builder::getSettled() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Registration::Builder::getCurrent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RecordLookup::Builder::setSettled(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RegistryMessage::Registration::Builder::setCurrent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RecordLookup::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Registration::Reader::getOldestServed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RecordLookup::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RegistryMessage::Registration::Builder::getOldestServed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RecordLookup::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RegistryMessage::Registration::Builder::setOldestServed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistryMessage::RegistrationAnswer::Reader::hasPrimary() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::RegistrationAnswer::Builder::hasPrimary() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::RegistrationAnswer::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::RegistrationAnswer::Pipeline::getPrimary() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RegistryMessage::RegistrationAnswer::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::initPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::RegistrationAnswer::Builder::adoptPrimary(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::RegistrationAnswer::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RegistryMessage::RegistrationAnswer::Reader::hasBackup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::RegistrationAnswer::Builder::hasBackup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::RegistrationAnswer::Reader::getBackup() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::getBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::RegistrationAnswer::Pipeline::getBackup() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
 }
-
-inline bool RecordLookup::Reader::hasResponse() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#endif  // !CAPNP_LITE
+inline void RegistryMessage::RegistrationAnswer::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline bool RecordLookup::Builder::hasResponse() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::initBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader RecordLookup::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void RegistryMessage::RegistrationAnswer::Builder::adoptBackup(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder RecordLookup::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::RegistrationAnswer::Builder::disownBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline RecordLookup::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(0));
+
+inline  ::uint64_t RegistryMessage::RegistrationAnswer::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void RecordLookup::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t RegistryMessage::RegistrationAnswer::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder RecordLookup::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void RegistryMessage::RegistrationAnswer::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline void RecordLookup::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool RegistryMessage::RegistrationAnswer::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> RecordLookup::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool RegistryMessage::RegistrationAnswer::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void RegistryMessage::RegistrationAnswer::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
@@ -7235,480 +7513,115 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::RequestSlotsParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RequestSlotsParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SlotRequest::Reader Peer::RequestSlotsParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SlotRequest::Builder Peer::RequestSlotsParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SlotRequest::Pipeline Peer::RequestSlotsParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::SlotRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::RequestSlotsParams::Builder::setRequest( ::Tarragon::PeerRpc::SlotRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SlotRequest::Builder Peer::RequestSlotsParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RequestSlotsParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest> Peer::RequestSlotsParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RequestSlotsResults::Reader::hasGrant() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RequestSlotsResults::Builder::hasGrant() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SlotGrant::Reader Peer::RequestSlotsResults::Reader::getGrant() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SlotGrant::Builder Peer::RequestSlotsResults::Builder::getGrant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SlotGrant::Pipeline Peer::RequestSlotsResults::Pipeline::getGrant() {
-  return  ::Tarragon::PeerRpc::SlotGrant::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::RequestSlotsResults::Builder::setGrant( ::Tarragon::PeerRpc::SlotGrant::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SlotGrant::Builder Peer::RequestSlotsResults::Builder::initGrant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RequestSlotsResults::Builder::adoptGrant(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant> Peer::RequestSlotsResults::Builder::disownGrant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ReturnSlotsParams::Reader::hasReturned() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ReturnSlotsParams::Builder::hasReturned() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SlotReturn::Reader Peer::ReturnSlotsParams::Reader::getReturned() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SlotReturn::Builder Peer::ReturnSlotsParams::Builder::getReturned() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SlotReturn::Pipeline Peer::ReturnSlotsParams::Pipeline::getReturned() {
-  return  ::Tarragon::PeerRpc::SlotReturn::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ReturnSlotsParams::Builder::setReturned( ::Tarragon::PeerRpc::SlotReturn::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SlotReturn::Builder Peer::ReturnSlotsParams::Builder::initReturned() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ReturnSlotsParams::Builder::adoptReturned(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn> Peer::ReturnSlotsParams::Builder::disownReturned() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ClaimParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ClaimParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::ClaimRequest::Reader Peer::ClaimParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::ClaimRequest::Builder Peer::ClaimParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimRequest::Pipeline Peer::ClaimParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::ClaimRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ClaimParams::Builder::setRequest( ::Tarragon::PeerRpc::ClaimRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::ClaimRequest::Builder Peer::ClaimParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ClaimParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> Peer::ClaimParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ClaimResults::Reader::hasResult() const {
+inline bool Peer::ExchangeSlotsParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ClaimResults::Builder::hasResult() {
+inline bool Peer::ExchangeSlotsParams::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ClaimResult::Reader Peer::ClaimResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::GrantRequest::Reader Peer::ExchangeSlotsParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ClaimResult::Builder Peer::ClaimResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::GrantRequest::Builder Peer::ExchangeSlotsParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimResult::Pipeline Peer::ClaimResults::Pipeline::getResult() {
-  return  ::Tarragon::PeerRpc::ClaimResult::Pipeline(_typeless.getPointerField(0));
+inline  ::Tarragon::PeerRpc::GrantRequest::Pipeline Peer::ExchangeSlotsParams::Pipeline::getRequest() {
+  return  ::Tarragon::PeerRpc::GrantRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ClaimResults::Builder::setResult( ::Tarragon::PeerRpc::ClaimResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::set(_builder.getPointerField(
+inline void Peer::ExchangeSlotsParams::Builder::setRequest( ::Tarragon::PeerRpc::GrantRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ClaimResult::Builder Peer::ClaimResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::GrantRequest::Builder Peer::ExchangeSlotsParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ClaimResults::Builder::adoptResult(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::adopt(_builder.getPointerField(
+inline void Peer::ExchangeSlotsParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult> Peer::ClaimResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest> Peer::ExchangeSlotsParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ConfirmParams::Reader::hasRequest() const {
+inline bool Peer::ExchangeSlotsResults::Reader::hasResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ConfirmParams::Builder::hasRequest() {
+inline bool Peer::ExchangeSlotsResults::Builder::hasResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader Peer::ConfirmParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::GrantResponse::Reader Peer::ExchangeSlotsResults::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder Peer::ConfirmParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::GrantResponse::Builder Peer::ExchangeSlotsResults::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Pipeline Peer::ConfirmParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::ConfirmRequest::Pipeline(_typeless.getPointerField(0));
+inline  ::Tarragon::PeerRpc::GrantResponse::Pipeline Peer::ExchangeSlotsResults::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::GrantResponse::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ConfirmParams::Builder::setRequest( ::Tarragon::PeerRpc::ConfirmRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::set(_builder.getPointerField(
+inline void Peer::ExchangeSlotsResults::Builder::setResponse( ::Tarragon::PeerRpc::GrantResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder Peer::ConfirmParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::GrantResponse::Builder Peer::ExchangeSlotsResults::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ConfirmParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::adopt(_builder.getPointerField(
+inline void Peer::ExchangeSlotsResults::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> Peer::ConfirmParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse> Peer::ExchangeSlotsResults::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ConfirmResults::Reader::hasResult() const {
+inline bool Peer::DeliverParams::Reader::hasMessages() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ConfirmResults::Builder::hasResult() {
+inline bool Peer::DeliverParams::Builder::hasMessages() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ConfirmResult::Reader Peer::ConfirmResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader Peer::DeliverParams::Reader::getMessages() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ConfirmResult::Builder Peer::ConfirmResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::DeliverParams::Builder::getMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ConfirmResult::Pipeline Peer::ConfirmResults::Pipeline::getResult() {
-  return  ::Tarragon::PeerRpc::ConfirmResult::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ConfirmResults::Builder::setResult( ::Tarragon::PeerRpc::ConfirmResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::ConfirmResult::Builder Peer::ConfirmResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ConfirmResults::Builder::adoptResult(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult> Peer::ConfirmResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::SettleParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SettleParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SettleRequest::Reader Peer::SettleParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SettleRequest::Builder Peer::SettleParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SettleRequest::Pipeline Peer::SettleParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::SettleRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::SettleParams::Builder::setRequest( ::Tarragon::PeerRpc::SettleRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SettleRequest::Builder Peer::SettleParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::SettleParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest> Peer::SettleParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::SettleResults::Reader::hasResult() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SettleResults::Builder::hasResult() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SettleResult::Reader Peer::SettleResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SettleResult::Builder Peer::SettleResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SettleResult::Pipeline Peer::SettleResults::Pipeline::getResult() {
-  return  ::Tarragon::PeerRpc::SettleResult::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::SettleResults::Builder::setResult( ::Tarragon::PeerRpc::SettleResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SettleResult::Builder Peer::SettleResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::SettleResults::Builder::adoptResult(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult> Peer::SettleResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RecordOutcomeParams::Reader::hasRecord() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RecordOutcomeParams::Builder::hasRecord() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Reader Peer::RecordOutcomeParams::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder Peer::RecordOutcomeParams::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Pipeline Peer::RecordOutcomeParams::Pipeline::getRecord() {
-  return  ::Tarragon::PeerRpc::OutcomeRecord::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::RecordOutcomeParams::Builder::setRecord( ::Tarragon::PeerRpc::OutcomeRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder Peer::RecordOutcomeParams::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RecordOutcomeParams::Builder::adoptRecord(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord> Peer::RecordOutcomeParams::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RecordOutcomeResults::Reader::getRecorded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Peer::RecordOutcomeResults::Builder::getRecorded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::RecordOutcomeResults::Builder::setRecorded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::LookupRecordParams::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::LookupRecordParams::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::LookupRecordParams::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::LookupRecordParams::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::LookupRecordParams::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Peer::DeliverParams::Builder::setMessages( ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::LookupRecordParams::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::DeliverParams::Builder::initMessages(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::LookupRecordParams::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::LookupRecordParams::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::LookupRecordResults::Reader::hasRecord() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::LookupRecordResults::Builder::hasRecord() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::RecordLookup::Reader Peer::LookupRecordResults::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::RecordLookup::Builder Peer::LookupRecordResults::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::RecordLookup::Pipeline Peer::LookupRecordResults::Pipeline::getRecord() {
-  return  ::Tarragon::PeerRpc::RecordLookup::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::LookupRecordResults::Builder::setRecord( ::Tarragon::PeerRpc::RecordLookup::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::RecordLookup::Builder Peer::LookupRecordResults::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::LookupRecordResults::Builder::adoptRecord(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::adopt(_builder.getPointerField(
+inline void Peer::DeliverParams::Builder::adoptMessages(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup> Peer::LookupRecordResults::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>> Peer::DeliverParams::Builder::disownMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/Source/platform/ObjectStoreClient.h
+++ b/Source/platform/ObjectStoreClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/ListedInstance.h"
 #include "base/Units.h"
 #include "base/Versions.h"
 #include "net/HttpClient.h"
@@ -56,15 +57,6 @@
     std::vector<ListedObject> objects;
 };
 
-/// An instance of the platform's list.
-struct ListedInstance
-{
-    std::string id;
-    bool leaving = false;
-    /// Whether it is a target; otherwise an entry.
-    bool isTarget = false;
-};
-
 /// Result of reading the platform's list of instances.
 struct InstanceListing
 {
--- a/Source/steering/Membership.h
+++ b/Source/steering/Membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/ListedInstance.h"
 #include "base/Units.h"
 #include "base/Versions.h"
 #include "document/Configuration.h"
@@ -24,13 +25,6 @@
     Gone,
 };
 
-/// An instance as the platform's list names it.
-struct ListedInstance
-{
-    std::string id;
-    bool leaving = false;
-};
-
 struct MembershipOptions
 {
     /// An entry without a heartbeat, or a target without a response, for this long counts as not
