--- a/Source/ctl/AdminClient.cpp
+++ b/Source/ctl/AdminClient.cpp
@@ -30,26 +30,6 @@
     bool mayBeAccepted = false;
 };
 
-std::string describe(const HttpFailure &failure)
-{
-    const char *stage = "";
-    switch (failure.stage) {
-    case HttpStage::Connect:
-        stage = "cannot connect";
-        break;
-    case HttpStage::Send:
-        stage = "connection broke while sending";
-        break;
-    case HttpStage::AwaitHeaders:
-        stage = "no answer";
-        break;
-    case HttpStage::Body:
-        stage = "answer cut short";
-        break;
-    }
-    return std::string(stage) + (failure.reason.empty() ? "" : ": " + failure.reason);
-}
-
 Attempt callServer(const HttpRequest &request)
 {
     EventLoop loop;
@@ -62,7 +42,7 @@
                 loop.stop();
             },
             [&](const HttpFailure &failure) {
-                attempt.failure = describe(failure);
+                attempt.failure = failure.reason;
                 attempt.mayBeAccepted =
                         request.method != "GET" && failure.stage != HttpStage::Connect;
                 loop.stop();
@@ -166,8 +146,8 @@
             return *attempt.reply;
         }
         mayBeAccepted = mayBeAccepted || attempt.mayBeAccepted;
-        failures += (failures.empty() ? "" : "; ") + it.address + ":" + std::to_string(it.port)
-                    + " " + attempt.failure;
+        failures += (failures.empty() ? "server " : "; server ") + it.address + ":"
+                    + std::to_string(it.port) + ": " + attempt.failure;
     }
     throw UnreachableError(failures
                            + (mayBeAccepted ? ". The change may have been accepted; run the same "
--- a/Source/ctl/DrainCommand.cpp
+++ b/Source/ctl/DrainCommand.cpp
@@ -66,10 +66,10 @@
 {
     PlannedStop stop = readStop(arguments);
     const SecondsFormat format{ seconds(0), MaxDeadline };
-    const std::optional<seconds> deadline = format(textOption(arguments, "deadline"));
+    const std::string text = arguments["deadline"].as<std::string>();
+    const std::optional<seconds> deadline = format(text);
     if (!deadline) {
-        throw UsageError("found deadline \"" + textOption(arguments, "deadline") + "\", expected "
-                         + format.expected());
+        throw UsageError("found deadline \"" + text + "\", expected " + format.expected());
     }
     stop.deadline = *deadline;
     stop.reason = textOption(arguments, "reason");
--- a/Source/ctl/HistoryCommand.cpp
+++ b/Source/ctl/HistoryCommand.cpp
@@ -16,7 +16,7 @@
 
 std::string formatTime(std::int64_t unixSeconds)
 {
-    return date::format("%F %TZ", date::sys_seconds(seconds(unixSeconds)));
+    return date::format("%FT%TZ", date::sys_seconds(seconds(unixSeconds)));
 }
 
 ExitCode run(const cxxopts::ParseResult &arguments)
--- a/Source/ctl/WhyCommand.cpp
+++ b/Source/ctl/WhyCommand.cpp
@@ -22,36 +22,38 @@
 std::string formatShare(const json &partsPerMillion)
 {
     static constexpr double PartsPerPercent = 10'000;
-    json percent = partsPerMillion.get<double>() / PartsPerPercent;
-    return percent.dump() + "%";
+    return json(partsPerMillion.get<double>() / PartsPerPercent).dump() + "%";
 }
 
 void printWhy(const json &why)
 {
+    const std::string block = jsonTextOrEmpty(why, "block");
     std::cout << "Caller " << jsonText(why, "caller") << " is in region "
-              << jsonText(why, "callerRegion") << " by "
-              << (jsonTextOrEmpty(why, "block").empty() ? "default"
-                                                        : "block " + jsonText(why, "block"))
-              << ". Generation " << jsonNumber(why, "generation") << ", plan "
-              << jsonNumber(why, "planVersion") << ".\n\n";
+              << jsonText(why, "callerRegion") << (block.empty() ? " by default" : " by block ")
+              << block << ".\nGeneration " << jsonNumber(why, "generation") << ", plan "
+              << jsonNumber(why, "planVersion") << ": "
+              << (jsonBool(why, "fromPlan") ? "the plan's weights decide"
+                                            : "the plan has no weights for the region")
+              << ".\nOutcome: " << jsonText(why, "outcome") << ", region "
+              << jsonTextOrEmpty(why, "servingRegion") << ".\n";
     std::vector<std::vector<std::string>> rows;
-    for (const auto &[region, share] : jsonObject(why, "weights").items()) {
-        rows.push_back({ region, share.is_number() ? formatShare(share) : "-" });
+    for (const json &it : jsonArray(why, "candidates")) {
+        rows.push_back({ jsonText(it, "region"), formatShare(jsonMember(it, "weightPpm")),
+                         jsonMember(it, "score").dump() });
+    }
+    if (!rows.empty()) {
+        std::cout << "\n";
+        printTable({ "REGION", "WEIGHT", "SCORE, LOWEST WINS" }, rows);
     }
-    printTable({ "REGION", "WEIGHT" }, rows);
-    std::cout << "\n";
     rows.clear();
     for (const json &it : jsonArray(why, "entries")) {
-        rows.push_back({ jsonText(it, "id"), jsonText(it, "address"), jsonText(it, "failureDomain"),
-                         jsonText(it, "region") });
-    }
-    printTable({ "ENTRY", "ADDRESS", "DOMAIN", "REGION" }, rows);
-    for (const json &it : jsonArray(why, "excluded")) {
-        std::cout << "Not " << jsonText(it, "id") << ": " << jsonText(it, "reason") << "\n";
-    }
-    for (const json &it : jsonArray(why, "steps")) {
-        std::cout << "- " << (it.is_string() ? it.get<std::string>() : dumpJson(it)) << "\n";
+        const std::uint64_t position = jsonNumber(it, "position");
+        rows.push_back({ position == 0 ? "-" : std::to_string(position), jsonText(it, "id"),
+                         jsonText(it, "failureDomain"), jsonText(it, "region"),
+                         jsonText(it, "state") });
     }
+    std::cout << "\n";
+    printTable({ "POSITION", "ENTRY", "DOMAIN", "REGION", "STATE" }, rows);
 }
 
 ExitCode run(const cxxopts::ParseResult &arguments)
