--- a/Tests/StandIns/caller/LoadRun.cpp
+++ b/Tests/StandIns/caller/LoadRun.cpp
@@ -1,4 +1,4 @@
-#include "LoadRun.h"
+#include "StandIns/caller/LoadRun.h"
 
 #include "base/Error.h"
 
--- a/Tests/StandIns/caller/main.cpp
+++ b/Tests/StandIns/caller/main.cpp
@@ -1,6 +1,6 @@
-#include "CallerOptions.h"
-#include "JournalAudit.h"
-#include "LoadRun.h"
+#include "StandIns/caller/CallerOptions.h"
+#include "StandIns/caller/JournalAudit.h"
+#include "StandIns/caller/LoadRun.h"
 
 #include "net/EventLoop.h"
 #include "net/HttpClient.h"
--- a/Tests/StandIns/target/Journal.cpp
+++ b/Tests/StandIns/target/Journal.cpp
@@ -1,4 +1,4 @@
-#include "Journal.h"
+#include "StandIns/target/Journal.h"
 
 #include "base/Error.h"
 
--- a/Tests/StandIns/target/TargetServer.cpp
+++ b/Tests/StandIns/target/TargetServer.cpp
@@ -1,4 +1,4 @@
-#include "TargetServer.h"
+#include "StandIns/target/TargetServer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Tests/StandIns/target/main.cpp
+++ b/Tests/StandIns/target/main.cpp
@@ -1,5 +1,5 @@
-#include "Journal.h"
-#include "TargetServer.h"
+#include "StandIns/target/Journal.h"
+#include "StandIns/target/TargetServer.h"
 
 #include "base/Error.h"
 #include "document/DocumentParser.h"
