--- a/Source/steering/SlotLedger.cpp
+++ b/Source/steering/SlotLedger.cpp
@@ -52,9 +52,15 @@
     if (m_fresh) {
         // What others may act on is unknown anyway, so that older documents tell nothing.
         m_history.clear();
-        m_others.clear();
+        for (auto &[id, other] : m_others) {
+            other.since = Generation();
+        }
+        // Others need time to adopt this document, too.
+        m_freshSince = now;
+    } else if (shares.previous > current()) {
+        m_history.emplace(shares.previous, Document{ {}, {}, true });
     }
-    Document document{ shares.seats, {} };
+    Document document{ shares.seats, {}, false };
     const auto seat = std::find(shares.seats.begin(), shares.seats.end(), m_self);
     const int own = seat == shares.seats.end() ? -1 : static_cast<int>(seat - shares.seats.begin());
     const int seats = static_cast<int>(shares.seats.size());
@@ -70,9 +76,10 @@
 
 void SlotLedger::setLeaving(const TargetId &target, bool leaving)
 {
-    const auto found = m_targets.find(target);
-    if (found != m_targets.end()) {
-        found->second.leaving = leaving;
+    if (leaving) {
+        m_leaving.insert(target);
+    } else {
+        m_leaving.erase(target);
     }
 }
 
@@ -90,7 +97,7 @@
 {
     observe(now);
     const auto found = m_targets.find(target);
-    if (found == m_targets.end() || found->second.leaving || found->second.weight <= 0) {
+    if (found == m_targets.end() || m_leaving.contains(target) || found->second.weight <= 0) {
         return SlotRefusal::NoTarget;
     }
     return take(target, found->second, now, deadline, needed);
@@ -105,7 +112,7 @@
         const TargetState &state = it.second;
         const bool known =
                 !m_history.empty() && m_history.rbegin()->second.shares.contains(it.first);
-        if (known && state.service == service && !state.leaving && state.weight > 0
+        if (known && state.service == service && !m_leaving.contains(it.first) && state.weight > 0
             && !excluded.contains(it.first)) {
             candidates.push_back(&it);
         }
@@ -165,7 +172,7 @@
         permit.runUntil = std::min(deadline, best->expiry);
         best->permit = permit.id;
     }
-    m_permits.emplace(permit.id, Permit{ target, m_epoch });
+    m_permits.emplace(permit.id, Permit{ target, m_epoch, std::nullopt });
     ++m_nextPermit;
     return permit;
 }
@@ -178,16 +185,22 @@
 bool SlotLedger::mayStart(const SlotPermit &permit, MonotonicTime now) const
 {
     const auto found = m_permits.find(permit.id);
-    if (found == m_permits.end() || found->second.epoch != m_epoch || isFenced(now)) {
+    if (found == m_permits.end() || found->second.releaseAt || found->second.epoch != m_epoch
+        || isFenced(now)) {
         return false;
     }
     const auto state = m_targets.find(permit.target);
-    return state != m_targets.end() && !state->second.leaving && now < permit.runUntil;
+    return state != m_targets.end() && !m_leaving.contains(permit.target) && now < permit.runUntil;
 }
 
 void SlotLedger::release(std::uint64_t permitId, MonotonicTime now)
 {
     observe(now);
+    giveBack(permitId, now);
+}
+
+void SlotLedger::giveBack(std::uint64_t permitId, MonotonicTime now)
+{
     const auto found = m_permits.find(permitId);
     if (found == m_permits.end()) {
         return;
@@ -207,6 +220,15 @@
     updateSettled(now);
 }
 
+void SlotLedger::abort(std::uint64_t permitId, MonotonicTime now)
+{
+    observe(now);
+    const auto found = m_permits.find(permitId);
+    if (found != m_permits.end() && !found->second.releaseAt) {
+        found->second.releaseAt = now + m_options.transitMargin;
+    }
+}
+
 std::vector<GrantRequest> SlotLedger::requestsToSend(MonotonicTime now)
 {
     observe(now);
@@ -220,14 +242,14 @@
     for (auto &[target, state] : m_targets) {
         for (auto it = state.borrowed.begin(); it != state.borrowed.end();) {
             const bool idle = it->permit == 0 && now - it->idleSince > m_options.returnIdleAfter;
-            if (it->permit == 0 && (idle || state.leaving)) {
+            if (it->permit == 0 && (idle || m_leaving.contains(target))) {
                 requestTo(it->lender, it->lenderIncarnation).returns.push_back(it->id);
                 it = state.borrowed.erase(it);
                 continue;
             }
             const bool due =
                     it->expiry > now && it->expiry - now < m_options.grantDuration / 2
-                    && !state.leaving
+                    && !m_leaving.contains(target)
                     && (!it->renewalSentAt || now - *it->renewalSentAt > m_options.requestTimeout);
             if (due) {
                 requestTo(it->lender, it->lenderIncarnation).renewals.push_back(it->id);
@@ -246,7 +268,7 @@
         ++m_nextNeighbour;
         for (auto &[target, state] : m_targets) {
             const bool wanted =
-                    !state.leaving && state.weight > 0 && state.lastShortage
+                    !m_leaving.contains(target) && state.weight > 0 && state.lastShortage
                     && now - *state.lastShortage < ShortageLife
                     && (!state.lastWanted || now - *state.lastWanted > m_options.requestTimeout);
             if (wanted) {
@@ -294,7 +316,7 @@
                         && std::find(request.renewals.begin(), request.renewals.end(), it.id)
                                    != request.renewals.end();
                 // A lent slot beyond the allowance has to come back for the document to settle.
-                if (asked && it.heldUntil > now && mayLend(state, now)
+                if (asked && it.heldUntil > now && mayLend(target, state, now)
                     && ownUse(state, now) <= usable(target, state, now)) {
                     it.heldUntil = now + m_options.lenderHold();
                     response.renewed.push_back(it.id);
@@ -304,7 +326,7 @@
     }
     for (const TargetId &it : request.wanted) {
         const auto found = m_targets.find(it);
-        if (found == m_targets.end() || !mayLend(found->second, now)
+        if (found == m_targets.end() || !mayLend(it, found->second, now)
             || lendable(it, found->second, now) <= 0) {
             continue;
         }
@@ -351,6 +373,16 @@
     }
 }
 
+std::vector<InstanceId> SlotLedger::others() const
+{
+    std::vector<InstanceId> ids;
+    ids.reserve(m_others.size());
+    for (const auto &it : m_others) {
+        ids.push_back(it.first);
+    }
+    return ids;
+}
+
 ShareReport SlotLedger::reportFor(const InstanceId &to, MonotonicTime now)
 {
     observe(now);
@@ -374,9 +406,14 @@
 void SlotLedger::onShareReport(const ShareReport &report, MonotonicTime now)
 {
     observe(now);
-    const auto found = m_others.find(report.from);
+    auto found = m_others.find(report.from);
     if (found == m_others.end()) {
-        return;
+        // An entry that this entry's documents do not name may act on one that names it, or wait
+        // for a report from here.
+        if (report.from == m_self) {
+            return;
+        }
+        found = m_others.emplace(report.from, OtherState()).first;
     }
     OtherState &other = found->second;
     if (other.report && other.report->fromIncarnation != report.fromIncarnation) {
@@ -441,7 +478,7 @@
 {
     int sum = 0;
     for (const auto &[target, state] : m_targets) {
-        if (state.service == service && !state.leaving && state.weight > 0) {
+        if (state.service == service && !m_leaving.contains(target) && state.weight > 0) {
             sum += std::max(0, usable(target, state, now) - ownUse(state, now));
         }
     }
@@ -459,6 +496,15 @@
         becomeFresh(now);
     }
     endFreshIfKnown(now);
+    std::vector<std::uint64_t> aborted;
+    for (const auto &[id, permit] : m_permits) {
+        if (permit.releaseAt && *permit.releaseAt <= now) {
+            aborted.push_back(id);
+        }
+    }
+    for (const std::uint64_t it : aborted) {
+        giveBack(it, now);
+    }
     for (auto &[target, state] : m_targets) {
         std::erase_if(state.lent, [now](const Lent &it) { return it.heldUntil <= now; });
         std::erase_if(state.borrowed,
@@ -513,7 +559,7 @@
     // the time in which it adopts that document.
     const bool cold =
             (anyHeard || m_others.empty())
-            && now - m_freshSince > std::max(m_options.lenderHold(), m_options.fenceAfter);
+            && now - m_freshSince > std::max(m_options.lenderHold(), m_options.coldStartHold);
     if (historyKnown || cold || everythingOver) {
         m_fresh = false;
     }
@@ -544,10 +590,11 @@
         m_history.erase(m_history.begin());
     }
     std::erase_if(m_others, [&](const auto &other) {
-        return std::none_of(m_history.begin(), m_history.end(), [&](const auto &it) {
-            const std::vector<InstanceId> &seats = it.second.seats;
-            return std::find(seats.begin(), seats.end(), other.first) != seats.end();
-        });
+        return isSilent(other.second, now)
+               && std::none_of(m_history.begin(), m_history.end(), [&](const auto &it) {
+                      const std::vector<InstanceId> &seats = it.second.seats;
+                      return std::find(seats.begin(), seats.end(), other.first) != seats.end();
+                  });
     });
     std::erase_if(m_targets, [&](const auto &target) {
         const TargetState &state = target.second;
@@ -600,6 +647,9 @@
             continue;
         }
         // A target that an older document does not name was used by nobody under it.
+        if (it->second.missed) {
+            return 0;
+        }
         const auto share = it->second.shares.find(target);
         if (share != it->second.shares.end()) {
             least = std::min(least.value_or(share->second), share->second);
@@ -643,11 +693,11 @@
             }));
 }
 
-bool SlotLedger::mayLend(const TargetState &state, MonotonicTime now) const
+bool SlotLedger::mayLend(const TargetId &target, const TargetState &state, MonotonicTime now) const
 {
     const bool shortNow =
             state.lastShortage && now - *state.lastShortage < m_options.lendAfterShortage;
-    return !m_fresh && !state.leaving && !shortNow;
+    return !m_fresh && !m_leaving.contains(target) && !shortNow;
 }
 
 Generation SlotLedger::settled(MonotonicTime now) const
--- a/Source/steering/SlotLedger.h
+++ b/Source/steering/SlotLedger.h
@@ -37,6 +37,11 @@
     /// Longest time that a request may run at a target; at least the largest requestTimeout of the
     /// document.
     microseconds longestRequest{ 10'000'000 };
+    /// After a start or a long pause, with all neighbours in the same state, the time that an
+    /// instance which the document names no more is given to adopt that document. A request that
+    /// such an instance still runs may then exceed a target's slots; with silentOwnerTime() it
+    /// cannot, but a domain whose entries have all restarted does not serve for so long.
+    microseconds coldStartHold{ 3'000'000 };
     /// An entry that has sent no report for this long stops starting requests, because others may
     /// take over what a newer document gives them. See silentOwnerTime().
     microseconds fenceAfter{ 3'000'000 };
@@ -88,9 +93,12 @@
                MonotonicTime now);
 
     /// Adopts the shares of a newer document; an older one is ignored. Smaller shares apply to new
-    /// permits at once, larger ones when all others have given up the difference.
+    /// permits at once, larger ones when all others have given up the difference. If a document
+    /// between was missed it could have given this entry nothing, so that the entry gives up all
+    /// its slots until the others have settled on the new one. So every document should be adopted.
     void adopt(const SlotShares &shares, MonotonicTime now);
-    /// Marks a target as leaving or not. A leaving target gets no permits and no grants.
+    /// Marks a target as leaving or not, also one that no document names yet. A leaving target gets
+    /// no permits and no grants.
     void setLeaving(const TargetId &target, bool leaving);
     /// Sets the weight of a target for the choice, and the part of its slots that may be used
     /// during a cold start. Both are 1 at first; a weight of 0 excludes the target.
@@ -111,6 +119,10 @@
     /// Gives a slot back after the request has ended at the target or was never sent. A second
     /// release of the same permit is ignored.
     void release(std::uint64_t permitId, MonotonicTime now);
+    /// Gives a slot back after the request was broken off by closing its connection or because its
+    /// deadline has passed. The slot stays taken for the transit margin, as the target may not know
+    /// yet.
+    void abort(std::uint64_t permitId, MonotonicTime now);
 
     /// Requests to neighbours that are due: new slots where there was a shortage, renewals and
     /// returns. To be called every 50 to 100 ms and after a refusal.
@@ -120,7 +132,10 @@
     /// Takes a neighbour's answer as borrower. Answers that were not waited for are ignored.
     void onGrantResponse(const GrantResponse &response, MonotonicTime now);
 
-    /// The report for a neighbour, to be sent at least every second.
+    /// The entries that reports have to be sent to: those that a document in use names, and those
+    /// that have sent one. An entry that does not report counts as silent.
+    std::vector<InstanceId> others() const;
+    /// The report for one of others(), to be sent at least every second.
     ShareReport reportFor(const InstanceId &to, MonotonicTime now);
     void onShareReport(const ShareReport &report, MonotonicTime now);
 
@@ -145,12 +160,16 @@
         std::vector<InstanceId> seats;
         /// This entry's own share of each target named.
         std::map<TargetId, int> shares;
+        /// A document that this entry has missed; it counts as one without a share.
+        bool missed = false;
     };
     struct Permit
     {
         TargetId target;
         /// Value of m_epoch at acquire(); a permit from before a pause does not start a request.
         std::uint64_t epoch = 0;
+        /// Set by abort().
+        std::optional<MonotonicTime> releaseAt;
     };
     struct Lent
     {
@@ -173,7 +192,6 @@
     struct TargetState
     {
         ServiceId service;
-        bool leaving = false;
         double weight = 1;
         double ramp = 1;
         /// Permits on own slots.
@@ -203,6 +221,7 @@
     };
 
     void observe(MonotonicTime now);
+    void giveBack(std::uint64_t permitId, MonotonicTime now);
     void becomeFresh(MonotonicTime now);
     void endFreshIfKnown(MonotonicTime now);
     void trackOthers(MonotonicTime now);
@@ -218,7 +237,7 @@
     int usable(const TargetId &target, const TargetState &state, MonotonicTime now) const;
     int lendable(const TargetId &target, const TargetState &state, MonotonicTime now) const;
     int freeBorrowed(const TargetState &state, MonotonicTime now, microseconds needed) const;
-    bool mayLend(const TargetState &state, MonotonicTime now) const;
+    bool mayLend(const TargetId &target, const TargetState &state, MonotonicTime now) const;
     void updateSettled(MonotonicTime now);
     SlotResult take(const TargetId &target, TargetState &state, MonotonicTime now,
                     MonotonicTime deadline, microseconds needed);
@@ -230,6 +249,8 @@
     /// Documents from the oldest that others may act on to the newest adopted.
     std::map<Generation, Document> m_history;
     std::map<TargetId, TargetState> m_targets;
+    /// Kept apart from the states, which come and go with the documents.
+    std::set<TargetId> m_leaving;
     std::map<InstanceId, OtherState> m_others;
     std::map<std::uint64_t, Permit> m_permits;
     /// When each request for grants was sent, by its sequence.
--- a/Source/steering/SlotShares.cpp
+++ b/Source/steering/SlotShares.cpp
@@ -8,7 +8,10 @@
 
 SlotShares slotSharesOf(const Configuration &configuration, const FailureDomainId &domain)
 {
-    SlotShares shares{ configuration.generation, {}, {} };
+    const std::uint64_t generation = configuration.generation.value();
+    SlotShares shares{
+        configuration.generation, Generation(generation - (generation > 0 ? 1 : 0)), {}, {}
+    };
     const auto found = configuration.topology.domains.find(domain);
     if (found == configuration.topology.domains.end()) {
         return shares;
--- /dev/null
+++ b/Tests/steering/SlotLedgerTest.cpp
@@ -0,0 +1,326 @@
+#include "steering/SlotLedger.h"
+
+#include <gtest/gtest.h>
+
+namespace Tarragon {
+namespace {
+
+MonotonicTime at(std::int64_t ms)
+{
+    return MonotonicTime(milliseconds(ms));
+}
+
+const ServiceId &catalog()
+{
+    static const ServiceId id("catalog");
+    return id;
+}
+
+// Slots that no seat owns are lost; slots that two own are used twice.
+TEST(StaticShare, SumsToTheSlotsAndIsFair)
+{
+    std::map<int, int> remainders;
+    for (int slots = 0; slots <= 7; ++slots) {
+        for (int seats = 1; seats <= 4; ++seats) {
+            for (int i = 0; i < 50; ++i) {
+                const TargetId target("t-" + std::to_string(i));
+                int sum = 0;
+                for (int seat = 0; seat < seats; ++seat) {
+                    const int share = staticShare(target, SlotCount{ slots }, seat, seats).value;
+                    EXPECT_GE(share, slots / seats);
+                    EXPECT_LE(share, (slots + seats - 1) / seats);
+                    sum += share;
+                    if (slots == 3 && seats == 2) {
+                        remainders[seat] += share - 1;
+                    }
+                }
+                EXPECT_EQ(sum, slots);
+            }
+        }
+    }
+    // Neither of two seats has the odd slot of most targets.
+    EXPECT_GE(remainders[0], 15);
+    EXPECT_GE(remainders[1], 15);
+    EXPECT_EQ(staticShare(TargetId("t"), SlotCount{ 3 }, 2, 2).value, 0);
+    EXPECT_EQ(staticShare(TargetId("t"), SlotCount{ 3 }, -1, 2).value, 0);
+}
+
+/// Two entries of a domain with targets t-0 and t-1 of 6 slots, long started and known to each
+/// other.
+class SlotLedgerTest : public testing::Test
+{
+protected:
+    SlotLedgerTest()
+        : m_a(InstanceId("a"), Incarnation(11), SlotLedgerOptions(), at(0))
+        , m_b(InstanceId("b"), Incarnation(22), SlotLedgerOptions(), at(0))
+    {
+        m_shares.generation = Generation(1);
+        m_shares.seats = { InstanceId("a"), InstanceId("b") };
+        m_shares.targets = { SlotTarget{ TargetId("t-0"), catalog(), SlotCount{ 6 } },
+                             SlotTarget{ TargetId("t-1"), catalog(), SlotCount{ 6 } } };
+        m_a.adopt(m_shares, at(0));
+        m_b.adopt(m_shares, at(0));
+        for (m_now = 0; m_now < 4'000; m_now += 500) {
+            exchange();
+        }
+    }
+    void exchange()
+    {
+        m_b.onShareReport(m_a.reportFor(InstanceId("b"), now()), now());
+        m_a.onShareReport(m_b.reportFor(InstanceId("a"), now()), now());
+    }
+    MonotonicTime now() const { return at(m_now); }
+    std::optional<SlotPermit> take(SlotLedger &ledger, const std::string &target = "t-0")
+    {
+        const SlotResult result =
+                ledger.acquire(TargetId(target), now(), now() + milliseconds(5'000));
+        const SlotPermit *permit = std::get_if<SlotPermit>(&result);
+        return permit ? std::make_optional(*permit) : std::nullopt;
+    }
+    /// Lets b borrow what a grants; returns the number of slots.
+    std::size_t borrow()
+    {
+        std::size_t granted = 0;
+        for (const GrantRequest &request : m_b.requestsToSend(now())) {
+            const GrantResponse response = m_a.onGrantRequest(request, now());
+            granted += response.granted.size();
+            m_b.onGrantResponse(response, now());
+        }
+        return granted;
+    }
+
+    SlotShares m_shares;
+    SlotLedger m_a;
+    SlotLedger m_b;
+    std::int64_t m_now = 0;
+};
+
+TEST_F(SlotLedgerTest, EntriesTakeTheirSharesOnly)
+{
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_TRUE(take(m_a));
+        EXPECT_TRUE(take(m_b));
+    }
+    EXPECT_FALSE(take(m_a));
+    EXPECT_FALSE(take(m_b));
+}
+
+TEST_F(SlotLedgerTest, ReleaseIsCountedOnce)
+{
+    const std::optional<SlotPermit> first = take(m_a);
+    ASSERT_TRUE(first && take(m_a) && take(m_a));
+    m_a.release(first->id, now());
+    m_a.release(first->id, now());
+    EXPECT_TRUE(take(m_a));
+    EXPECT_FALSE(take(m_a));
+}
+
+// The target learns of a broken connection later than this entry, so the slot must not be used at
+// once.
+TEST_F(SlotLedgerTest, AnAbortedRequestKeepsItsSlotForTheTransit)
+{
+    const std::optional<SlotPermit> first = take(m_a);
+    ASSERT_TRUE(first && take(m_a) && take(m_a));
+    m_a.abort(first->id, now());
+    EXPECT_FALSE(m_a.mayStart(*first, now()));
+    EXPECT_FALSE(take(m_a));
+    m_now += 250;
+    EXPECT_TRUE(take(m_a));
+}
+
+TEST_F(SlotLedgerTest, ChoosesTheTargetWithTheLargestWeightedFreeShare)
+{
+    const auto choose = [&](const std::set<TargetId> &excluded) {
+        const SlotResult result =
+                m_a.acquireAny(catalog(), excluded, now(), now() + milliseconds(500));
+        return std::get<SlotPermit>(result).target.value();
+    };
+    ASSERT_TRUE(take(m_a, "t-0"));
+    EXPECT_EQ(choose({}), "t-1");
+    EXPECT_EQ(choose({ TargetId("t-1") }), "t-0");
+    m_a.setCondition(TargetId("t-1"), 0.2, 1);
+    EXPECT_EQ(choose({}), "t-0");
+    m_a.setLeaving(TargetId("t-0"), true);
+    EXPECT_EQ(choose({}), "t-1");
+    const SlotResult none =
+            m_a.acquireAny(catalog(), { TargetId("t-1") }, now(), now() + milliseconds(500));
+    EXPECT_EQ(std::get<SlotRefusal>(none), SlotRefusal::NoTarget);
+}
+
+// A target with cold caches that gets all its requests at once fails again.
+TEST_F(SlotLedgerTest, AColdTargetGetsPartOfItsSlots)
+{
+    m_a.setCondition(TargetId("t-0"), 1, 0.34);
+    EXPECT_TRUE(take(m_a));
+    EXPECT_FALSE(take(m_a));
+}
+
+TEST_F(SlotLedgerTest, LendsIdleSlotsButKeepsOne)
+{
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_TRUE(take(m_b));
+    }
+    std::size_t borrowed = 0;
+    // Every refusal makes it ask for one slot.
+    for (int i = 0; i < 6; ++i) {
+        const std::optional<SlotPermit> extra = take(m_b);
+        EXPECT_EQ(extra.has_value(), i == 1 || i == 3) << i;
+        borrowed += borrow();
+        m_now += 300;
+    }
+    EXPECT_EQ(borrowed, 2U);
+    EXPECT_TRUE(take(m_a));
+    EXPECT_FALSE(take(m_a));
+}
+
+// The target may work on the request until its deadline, and must have stopped before the lender
+// uses the slot again.
+TEST_F(SlotLedgerTest, ABorrowedSlotEndsBeforeTheLenderHasItBack)
+{
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_TRUE(take(m_b));
+    }
+    ASSERT_FALSE(take(m_b));
+    const MonotonicTime asked = now();
+    ASSERT_EQ(borrow(), 1U);
+    const std::optional<SlotPermit> permit = take(m_b);
+    ASSERT_TRUE(permit && permit->borrowed);
+    EXPECT_EQ(permit->runUntil, asked + milliseconds(2'000));
+    EXPECT_TRUE(m_b.mayStart(*permit, permit->runUntil - milliseconds(1)));
+    EXPECT_FALSE(m_b.mayStart(*permit, permit->runUntil));
+    EXPECT_EQ(m_a.lent(TargetId("t-0"), asked + milliseconds(2'200)), 1);
+    EXPECT_EQ(m_a.lent(TargetId("t-0"), asked + milliseconds(2'290)), 0);
+}
+
+// A doubled request must not take a second slot from the lender.
+TEST_F(SlotLedgerTest, ADoubledRequestIsGrantedOnce)
+{
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_TRUE(take(m_b));
+    }
+    ASSERT_FALSE(take(m_b));
+    const std::vector<GrantRequest> requests = m_b.requestsToSend(now());
+    ASSERT_EQ(requests.size(), 1U);
+    const GrantResponse first = m_a.onGrantRequest(requests[0], now());
+    const GrantResponse second = m_a.onGrantRequest(requests[0], now());
+    EXPECT_EQ(m_a.lent(TargetId("t-0"), now()), 1);
+    m_b.onGrantResponse(first, now());
+    m_b.onGrantResponse(second, now());
+    EXPECT_EQ(m_b.borrowed(TargetId("t-0"), now()), 1);
+}
+
+TEST_F(SlotLedgerTest, RenewsWhatIsUsedAndReturnsWhatIsIdle)
+{
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_TRUE(take(m_b));
+    }
+    ASSERT_FALSE(take(m_b));
+    ASSERT_EQ(borrow(), 1U);
+    const std::optional<SlotPermit> permit = take(m_b);
+    ASSERT_TRUE(permit);
+    for (int i = 0; i < 6; ++i) {
+        m_now += 500;
+        exchange();
+        borrow();
+    }
+    EXPECT_EQ(m_b.borrowed(TargetId("t-0"), now()), 1);
+    m_b.release(permit->id, now());
+    m_now += 600;
+    borrow();
+    EXPECT_EQ(m_b.borrowed(TargetId("t-0"), now()), 0);
+    EXPECT_EQ(m_a.lent(TargetId("t-0"), now()), 0);
+}
+
+// The lender needs its slots itself under load, so it lets grants run out.
+TEST_F(SlotLedgerTest, DoesNotRenewWhenShortItself)
+{
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_TRUE(take(m_b));
+    }
+    ASSERT_FALSE(take(m_b));
+    ASSERT_EQ(borrow(), 1U);
+    ASSERT_TRUE(take(m_b));
+    ASSERT_TRUE(take(m_a) && take(m_a));
+    for (int i = 0; i < 6; ++i) {
+        m_now += 400;
+        exchange();
+        take(m_a);
+        borrow();
+    }
+    EXPECT_EQ(m_b.borrowed(TargetId("t-0"), now()), 0);
+    EXPECT_EQ(m_a.running(TargetId("t-0")), 3);
+}
+
+// Both would use the slots that move from one to the other.
+TEST_F(SlotLedgerTest, ALargerShareWaitsForThePreviousOwner)
+{
+    const std::optional<SlotPermit> running = take(m_b);
+    ASSERT_TRUE(running);
+    SlotShares next = m_shares;
+    next.generation = Generation(2);
+    next.previous = Generation(1);
+    next.seats = { InstanceId("a") };
+    m_a.adopt(next, now());
+    exchange();
+    EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 3);
+    m_b.adopt(next, now());
+    EXPECT_FALSE(take(m_b));
+    exchange();
+    EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 3);
+    m_b.release(running->id, now());
+    exchange();
+    EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 6);
+}
+
+TEST_F(SlotLedgerTest, ALargerShareIsFreeWhenThePreviousOwnerIsLongSilent)
+{
+    SlotShares next = m_shares;
+    next.generation = Generation(2);
+    next.previous = Generation(1);
+    next.seats = { InstanceId("a") };
+    m_a.adopt(next, now());
+    const std::int64_t silent = SlotLedgerOptions().silentOwnerTime().count() / 1'000;
+    for (std::int64_t waited = 0; waited < silent - 1'000; waited += 500) {
+        m_now += 500;
+        m_a.reportFor(InstanceId("b"), now());
+        EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 3);
+    }
+    m_now += 1'100;
+    m_a.reportFor(InstanceId("b"), now());
+    EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 6);
+}
+
+// A paused entry does not know what others have taken over in the meantime.
+TEST_F(SlotLedgerTest, APausedEntryWaitsForACurrentReport)
+{
+    const std::optional<SlotPermit> taken = take(m_a);
+    ASSERT_TRUE(taken);
+    const ShareReport old = m_b.reportFor(InstanceId("a"), now());
+    for (int i = 0; i < 10; ++i) {
+        m_now += 500;
+        m_b.reportFor(InstanceId("a"), now());
+    }
+    EXPECT_FALSE(m_a.mayStart(*taken, now()));
+    m_a.onShareReport(old, now());
+    const SlotResult result = m_a.acquire(TargetId("t-0"), now(), now() + milliseconds(100));
+    EXPECT_EQ(std::get<SlotRefusal>(result), SlotRefusal::NotYetOwned);
+    exchange();
+    EXPECT_TRUE(take(m_a));
+    EXPECT_FALSE(m_a.mayStart(*taken, now()));
+}
+
+// An entry that restarts with a document of its own cannot know what the one it missed gave away.
+TEST_F(SlotLedgerTest, AMissedDocumentGivesNothingUntilOthersHaveSettled)
+{
+    SlotShares next = m_shares;
+    next.generation = Generation(3);
+    next.previous = Generation(2);
+    m_a.adopt(next, now());
+    EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 0);
+    m_b.adopt(next, now());
+    exchange();
+    EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 3);
+}
+
+} // namespace
+} // namespace Tarragon
