--- a/Source/entry/LookupApi.cpp
+++ b/Source/entry/LookupApi.cpp
@@ -103,16 +103,16 @@
     json["caller"] = callerAddress;
     json["generation"] = why.generation.value();
     json["planVersion"] = why.plan.value();
-    json["outcome"] = toString(why.outcome);
+    json["outcome"] = why.outcome == LookupOutcome::Decided ? "found" : toString(why.outcome);
     json["block"] = why.block;
     json["callerRegion"] = why.callerRegion.value();
     json["servingRegion"] = why.servingRegion.value();
     json["fromPlan"] = why.fromPlan;
-    json["regions"] = nlohmann::json::array();
+    json["candidates"] = nlohmann::json::array();
     for (const LookupExplanation::Candidate &it : why.candidates) {
-        json["regions"].push_back({ { "region", it.region.value() },
-                                    { "weight", it.weight.ratio() },
-                                    { "score", it.score } });
+        json["candidates"].push_back({ { "region", it.region.value() },
+                                       { "weightPpm", it.weight.partsPerMillion },
+                                       { "score", it.score } });
     }
     json["entries"] = nlohmann::json::array();
     for (const LookupExplanation::EntryInput &it : why.entries) {
--- a/Source/entry/ProxiedRequest.cpp
+++ b/Source/entry/ProxiedRequest.cpp
@@ -1,6 +1,7 @@
 #include "entry/ProxiedRequest.h"
 
 #include "base/Digest.h"
+#include "steering/AtMostOnceRunner.h"
 
 #include <nlohmann/json.hpp>
 
@@ -164,40 +165,38 @@
 
 void ProxiedRequest::claimThenSend()
 {
-    if (m_rule.idempotent) {
+    if (m_rule.idempotent || m_claim.has_value()) {
         sendToTarget();
         return;
     }
     const std::weak_ptr<ProxiedRequest> weak = weak_from_this();
-    m_context.claims.claim(m_head.requestId, m_head.isFirstAttempt,
-                           [weak](const ClaimAnswer &answer) {
-                               if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
-                                   it->onClaimAnswer(answer);
-                               }
-                           });
+    m_claim = m_context.claims.begin(
+            m_head.requestId, m_head.attempt, m_deadline, [weak](const ClaimResult &answer) {
+                if (const std::shared_ptr<ProxiedRequest> it = weak.lock()) {
+                    it->onClaimResult(answer);
+                }
+            });
 }
 
-void ProxiedRequest::onClaimAnswer(const ClaimAnswer &answer)
+void ProxiedRequest::onClaimResult(const ClaimResult &answer)
 {
     if (m_ended) {
-        if (const ClaimGranted *granted = std::get_if<ClaimGranted>(&answer)) {
-            // The caller has gone or the deadline has passed; nothing was sent under this claim.
-            m_context.claims.recordOutcome(m_head.requestId, granted->claim, Verdict::NotRun, {});
-        }
         return;
     }
-    if (const Failure *failure = std::get_if<Failure>(&answer)) {
-        endAttempt();
-        fail(*failure);
+    if (std::holds_alternative<ClaimGranted>(answer)) {
+        sendToTarget();
         return;
     }
+    endAttempt();
     if (const ClaimReplay *kept = std::get_if<ClaimReplay>(&answer)) {
-        endAttempt();
+        static_cast<void>(finishClaim(Verdict::Ran));
         replay(kept->response);
         return;
     }
-    m_claim = std::get<ClaimGranted>(answer);
-    sendToTarget();
+    const Failure &failure = std::get<Failure>(answer);
+    // The records have settled the verdict; nothing was sent here.
+    static_cast<void>(finishClaim(failure.verdict));
+    fail(failure);
 }
 
 void ProxiedRequest::sendToTarget()
@@ -207,9 +206,8 @@
     // Permissions are checked at the moment of use, since the process may have been paused after
     // it got them.
     const bool mayStart = target != nullptr && m_context.state.ledger().mayStart(*m_permit, now)
-                          && (!m_claim.has_value() || now < m_claim->startBefore);
+                          && (!m_claim.has_value() || m_context.claims.start(*m_claim));
     if (!mayStart) {
-        recordOutcome(Verdict::NotRun);
         endAttempt();
         fail(Failure{ 503, "no-capacity", m_verdict, "the permission to start has expired",
                       RetryAfterNoCapacity });
@@ -395,6 +393,7 @@
         const Verdict verdict = parseVerdict(refusal.headers.find(VerdictHeader).value_or(""))
                                         .value_or(Verdict::MayHaveRun);
         m_verdict = combined(m_verdict, verdict);
+        m_isVerdictSettled = true;
         endAttempt();
         retryOrFail(Failure{ refusal.status, *refusal.headers.find(ErrorHeader), m_verdict,
                              detailOf(body), retryAfterOf(refusal.headers) });
@@ -405,7 +404,7 @@
         m_context.state.health().onSuccess(m_permit->target, now);
         m_context.state.admission(m_head.service).onServed(now - m_attemptStarted);
     }
-    recordOutcome(Verdict::Ran);
+    static_cast<void>(finishClaim(Verdict::Ran));
     endAttempt();
     m_exchange->finish();
     end(m_status, Verdict::Ran);
@@ -429,13 +428,16 @@
                                    const std::string &detail)
 {
     m_verdict = combined(m_verdict, verdict);
-    recordOutcome(verdict);
     endAttempt();
     if (m_responseStarted) {
+        static_cast<void>(finishClaim(Verdict::Ran));
         m_exchange->abort();
-        end(status, Verdict::MayHaveRun);
+        end(status, Verdict::Ran);
         return;
     }
+    if (m_claim.has_value() && verdict == Verdict::NotRun) {
+        m_context.claims.notStarted(*m_claim);
+    }
     const bool mayComeBack = m_verdict == Verdict::NotRun || m_rule.idempotent;
     retryOrFail(Failure{ status, error, m_verdict, detail,
                          mayComeBack ? RetryAfterNoCapacity : milliseconds(0) });
@@ -474,11 +476,11 @@
             m_context.state.health().onFailure(m_permit->target, m_context.loop.now());
         }
     }
-    recordOutcome(m_isSent ? Verdict::MayHaveRun : Verdict::NotRun);
     endAttempt();
     if (m_responseStarted) {
+        static_cast<void>(finishClaim(Verdict::Ran));
         m_exchange->abort();
-        end(504, Verdict::MayHaveRun);
+        end(504, Verdict::Ran);
         return;
     }
     fail(Failure{ 504, "deadline", m_verdict, "the deadline has passed", milliseconds(0) });
@@ -489,18 +491,23 @@
     if (m_ended) {
         return;
     }
-    recordOutcome(m_isSent ? Verdict::MayHaveRun : Verdict::NotRun);
+    if (m_isSent) {
+        m_verdict = combined(m_verdict, Verdict::MayHaveRun);
+    }
+    const Verdict verdict = finishClaim(m_verdict);
     endAttempt();
-    end(CallerGoneStatus, combined(m_verdict, Verdict::MayHaveRun));
+    end(CallerGoneStatus, verdict);
 }
 
-void ProxiedRequest::recordOutcome(Verdict verdict)
+Verdict ProxiedRequest::finishClaim(Verdict verdict)
 {
     if (!m_claim.has_value()) {
-        return;
+        return verdict;
     }
-    m_context.claims.recordOutcome(m_head.requestId, m_claim->claim, verdict, m_kept);
+    const Verdict told = m_context.claims.finish(*m_claim, verdict, m_kept);
     m_claim.reset();
+    m_isVerdictSettled = true;
+    return told;
 }
 
 void ProxiedRequest::replay(const KeptResponse &response)
@@ -520,7 +527,11 @@
         return;
     }
     Failure final = failure;
-    final.verdict = combined(m_verdict, failure.verdict);
+    final.verdict = finishClaim(combined(m_verdict, failure.verdict));
+    if (!m_rule.idempotent && !m_isVerdictSettled) {
+        // Nothing was asked about earlier attempts under this id, which may have run elsewhere.
+        final.verdict = combined(final.verdict, AtMostOnceRunner::verdictOfRefusal(m_head.attempt));
+    }
     replyWithFailure(*m_exchange, final, m_head.requestId.value());
     end(final.status, final.verdict);
 }
--- a/Source/entry/ProxiedRequest.h
+++ b/Source/entry/ProxiedRequest.h
@@ -58,7 +58,7 @@
     void place();
     bool takeTarget(SlotRefusal &refusal);
     void claimThenSend();
-    void onClaimAnswer(const ClaimAnswer &answer);
+    void onClaimResult(const ClaimResult &answer);
     void sendToTarget();
     HttpRequest outgoingRequest(const Endpoint &endpoint, MonotonicTime until) const;
     void sendCall(const HttpRequest &request);
@@ -78,7 +78,7 @@
     void startResponse(const HttpResponseHead &head, Verdict verdict);
     void keepBody(std::string_view data);
     void endAttempt();
-    void recordOutcome(Verdict verdict);
+    Verdict finishClaim(Verdict verdict);
     void replay(const KeptResponse &response);
     void end(int status, Verdict verdict);
 
@@ -98,7 +98,11 @@
     std::set<TargetId> m_tried;
     std::set<InstanceId> m_triedEntries;
     std::optional<SlotPermit> m_permit;
-    std::optional<ClaimGranted> m_claim;
+    /// Number of the claim of a request that is not idempotent, until it is finished.
+    std::optional<std::uint64_t> m_claim;
+    /// Whether m_verdict rests on the records of all attempts under the id, here or at another
+    /// entry.
+    bool m_isVerdictSettled = false;
     bool m_isWaiting = false;
     /// The attempt in progress goes to another entry.
     bool m_isForwarding = false;
--- a/Source/entry/ProxyContext.h
+++ b/Source/entry/ProxyContext.h
@@ -13,18 +13,22 @@
 
 namespace Tarragon {
 
-/// How requests get permission to start and record their outcome. Filled by the daemon.
+/// How requests that are not idempotent get permission to run and record their outcome. Filled by
+/// the daemon; see AtMostOnceRunner.
 struct ClaimFunctions
 {
-    /// Asks for permission to start a non-idempotent request; answers exactly once, perhaps before
-    /// it returns.
-    std::function<void(const RequestId &id, bool isFirstAttempt,
-                       sigc::slot<void(const ClaimAnswer &)> callback)>
-            claim;
-    /// Records how a claimed request ended. NotRun gives the id free again.
-    std::function<void(const RequestId &id, std::uint64_t claim, Verdict verdict,
-                       const KeptResponse &response)>
-            recordOutcome;
+    /// Begins to ask for permission and returns the number of the claim. The callback is called
+    /// once, from the loop, unless finish() is called before.
+    std::function<std::uint64_t(const RequestId &id, int attempt, MonotonicTime deadline,
+                                std::function<void(const ClaimResult &)> callback)>
+            begin;
+    /// Checks the permission; to be called right before the request is sent.
+    std::function<bool(std::uint64_t claim)> start;
+    /// A target has refused the request; it may be started at another one.
+    std::function<void(std::uint64_t claim)> notStarted;
+    /// Records the end of the request and returns the verdict that its caller is to be told.
+    std::function<Verdict(std::uint64_t claim, Verdict verdict, const KeptResponse &response)>
+            finish;
 };
 
 /// What all carried requests of a process use.
--- a/Source/entry/RequestClaims.h
+++ b/Source/entry/RequestClaims.h
@@ -24,14 +24,9 @@
     bool isBodyDropped = false;
 };
 
-/// Permission to start a non-idempotent request.
+/// The request may be started; the permission is checked again when it is.
 struct ClaimGranted
-{
-    /// Names the claim when the outcome is recorded.
-    std::uint64_t claim = 0;
-    /// The request must be handed to the target's connection before this time.
-    MonotonicTime startBefore;
-};
+{};
 
 /// The request has run; a later attempt gets the first response.
 struct ClaimReplay
@@ -39,7 +34,7 @@
     KeptResponse response;
 };
 
-/// Answer to a claim: permission, the first response, or the failure to answer with.
-using ClaimAnswer = std::variant<ClaimGranted, ClaimReplay, Failure>;
+/// Result of a claim: permission, the first response, or the failure to answer with.
+using ClaimResult = std::variant<ClaimGranted, ClaimReplay, Failure>;
 
 } // namespace Tarragon
--- a/Source/entry/RequestHead.cpp
+++ b/Source/entry/RequestHead.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::string_view ServicePrefix = "/s/";
 
+constexpr std::int64_t MaxAttempt = 1'000'000;
+
 Failure badRequest(const std::string &detail)
 {
     return Failure{ 400, "bad-request", Verdict::NotRun, detail, milliseconds(0) };
@@ -40,20 +42,45 @@
     return std::nullopt;
 }
 
-std::optional<Failure> readDeadline(const HttpExchange &exchange, RequestHead &head)
+/// Reads a header field that is a whole number; nothing if it is absent.
+std::variant<std::optional<std::int64_t>, Failure>
+readNumber(const HttpExchange &exchange, const char *name, std::int64_t highest)
 {
-    const std::optional<std::string> text = exchange.headers().find(DeadlineHeader);
+    const std::optional<std::string> text = exchange.headers().find(name);
     if (!text.has_value()) {
         return std::nullopt;
     }
     std::int64_t n = 0;
     const char *end = text->data() + text->size();
     const std::from_chars_result result = std::from_chars(text->data(), end, n);
-    if (result.ec != std::errc() || result.ptr != end || n < 1 || n > MaxDeadline.count()) {
-        return badRequest(std::string(DeadlineHeader) + ": found \"" + text->substr(0, 40)
-                          + "\", expected 1 to " + std::to_string(MaxDeadline.count()));
+    if (result.ec != std::errc() || result.ptr != end || n < 1 || n > highest) {
+        return badRequest(std::string(name) + ": found \"" + text->substr(0, 40)
+                          + "\", expected 1 to " + std::to_string(highest));
+    }
+    return n;
+}
+
+std::optional<Failure> readDeadline(const HttpExchange &exchange, RequestHead &head)
+{
+    const std::variant<std::optional<std::int64_t>, Failure> number =
+            readNumber(exchange, DeadlineHeader, MaxDeadline.count());
+    if (const Failure *failure = std::get_if<Failure>(&number)) {
+        return *failure;
+    }
+    if (const std::optional<std::int64_t> &n = std::get<0>(number)) {
+        head.timeLeft = milliseconds(*n);
     }
-    head.timeLeft = milliseconds(n);
+    return std::nullopt;
+}
+
+std::optional<Failure> readAttempt(const HttpExchange &exchange, RequestHead &head)
+{
+    const std::variant<std::optional<std::int64_t>, Failure> number =
+            readNumber(exchange, AttemptHeader, MaxAttempt);
+    if (const Failure *failure = std::get_if<Failure>(&number)) {
+        return *failure;
+    }
+    head.attempt = static_cast<int>(std::get<0>(number).value_or(0));
     return std::nullopt;
 }
 
@@ -79,7 +106,9 @@
     if (std::optional<Failure> failure = readDeadline(exchange, head)) {
         return *failure;
     }
-    head.isFirstAttempt = exchange.headers().find(AttemptHeader) == "1";
+    if (std::optional<Failure> failure = readAttempt(exchange, head)) {
+        return *failure;
+    }
     head.isForwarded = exchange.headers().find(ForwardedByHeader).has_value();
     head.callerAddress = exchange.headers().find(CallerHeader).value_or(exchange.remoteAddress());
     if (!parseIpv4(head.callerAddress).has_value()) {
--- a/Source/entry/RequestHead.h
+++ b/Source/entry/RequestHead.h
@@ -19,8 +19,8 @@
     /// Path and query that the target sees.
     std::string targetUri;
     RequestId requestId;
-    /// Whether the caller says that it has sent no request under this id before.
-    bool isFirstAttempt = false;
+    /// The caller's number of this attempt under the id, from 1; 0 if the caller does not tell.
+    int attempt = 0;
     /// Whether another entry has forwarded the request.
     bool isForwarded = false;
     /// Address of the caller, for the choice of its region.
