Document: Stop the parser from running out of memory at a stray comma

YAML::LoadAll() does not return for a text that starts with a comma: it adds empty documents until memory is used up, so one apply could have ended an entry. A second document is now looked for with one call of the parser. A test damages the document at random, which is how the fault was found.

--- a/Source/ctl/AdminClient.cpp
+++ b/Source/ctl/AdminClient.cpp
@@ -1,6 +1,5 @@
 #include "ctl/AdminClient.h"
 
-#include "ctl/Command.h"
 #include "ctl/UnreachableError.h"
 #include "ctl/UsageError.h"
 #include "document/AdminMessages.h"
@@ -38,7 +37,7 @@
     const HttpCallPtr call = client.fetch(
             request, MaxBody,
             [&](const HttpResponse &response) {
-                attempt.reply = AdminReply{ response.head.status, response.body };
+                attempt.reply = AdminReply{ response.head.status, response.body, false };
                 loop.stop();
             },
             [&](const HttpFailure &failure) {
@@ -143,6 +142,7 @@
         Attempt attempt = callServer(request);
         passOverUnavailable(attempt);
         if (attempt.reply) {
+            attempt.reply->isRepeated = mayBeAccepted;
             return *attempt.reply;
         }
         mayBeAccepted = mayBeAccepted || attempt.mayBeAccepted;
--- a/Source/ctl/AdminClient.h
+++ b/Source/ctl/AdminClient.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "base/Units.h"
+#include "ctl/Command.h"
 #include "document/Topology.h"
 
-#include <cxxopts.hpp>
-
 #include <string>
 #include <vector>
 
@@ -15,6 +14,9 @@
 {
     int status = 0;
     std::string body;
+    /// Whether the answer of a server that was tried before was lost, so that the request may have
+    /// taken effect already.
+    bool isRepeated = false;
 };
 
 /// Calls the administration API of the first server that answers.
--- a/Source/ctl/Command.h
+++ b/Source/ctl/Command.h
@@ -2,6 +2,8 @@
 
 #include "ctl/ExitCode.h"
 
+// cxxopts cuts the values of lists at this character; file names may contain its default, a comma.
+#define CXXOPTS_VECTOR_DELIMITER '\n'
 #include <cxxopts.hpp>
 
 #include <string>
--- a/Source/ctl/DrainCommand.cpp
+++ b/Source/ctl/DrainCommand.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr seconds MaxDeadline{ 24 * 3600 };
+constexpr int NotFound = 404;
 
 void addArguments(cxxopts::OptionAdder &options)
 {
@@ -84,7 +85,13 @@
     const AdminReply reply =
             makeAdminClient(arguments, true)
                     .call("DELETE", "/admin/v1/stops/" + toString(stop.kind) + "/" + stop.id);
-    return report(arguments, reply, "No stop of " + toString(stop.kind) + " " + stop.id);
+    const std::string what = "No stop of " + toString(stop.kind) + " " + stop.id;
+    if (reply.status == NotFound && reply.isRepeated) {
+        // The stop is gone because the request that lost its answer took effect.
+        std::cout << (arguments.count("json") > 0 ? "{\"changed\":true}" : what + ".") << "\n";
+        return ExitCode::Done;
+    }
+    return report(arguments, reply, what);
 }
 
 } // namespace
--- a/Source/document/SectionTexts.cpp
+++ b/Source/document/SectionTexts.cpp
@@ -65,6 +65,9 @@
         KeyBlock block;
         block.key = it.first.IsScalar() ? it.first.Scalar() : "";
         block.keyLine = std::size_t(it.first.Mark().line);
+        if (block.keyLine >= lines.size()) {
+            continue;
+        }
         const std::size_t column = std::size_t(it.first.Mark().column);
         block.valueColumn = std::min(lines[block.keyLine].find(':', column + block.key.size()),
                                      lines[block.keyLine].size() - 1)
--- a/Source/document/TextFile.cpp
+++ b/Source/document/TextFile.cpp
@@ -12,11 +12,13 @@
 std::string readTextFile(const std::string &path)
 {
     errno = 0;
-    const std::ifstream in(path, std::ios::binary);
+    std::ifstream in(path, std::ios::binary);
     std::ostringstream out;
-    if (!in || !(out << in.rdbuf())) {
-        throw Error("cannot read file " + path + ": "
-                    + (errno != 0 ? std::strerror(errno) : "no content"));
+    // An empty file ends at once without an error; copying nothing would count as one.
+    const bool isEmpty =
+            in.peek() == std::ifstream::traits_type::eof() && in.is_open() && !in.bad();
+    if (!isEmpty && (!in || !(out << in.rdbuf()))) {
+        throw Error("cannot read file " + path + ": " + std::strerror(errno));
     }
     return out.str();
 }
--- a/Source/document/YamlValue.cpp
+++ b/Source/document/YamlValue.cpp
@@ -1,5 +1,7 @@
 #include "document/YamlValue.h"
 
+#include "document/TrailingTextFinder.h"
+
 #include <nlohmann/json.hpp>
 
 #include <sstream>
@@ -115,13 +117,12 @@
     }
     try {
         // The library starts another document, without a marker, at a line with less indentation.
-        const std::vector<YAML::Node> nodes = YAML::LoadAll(text);
-        if (nodes.size() > 1) {
-            context.report(nodes[1].Mark().line + 1, "", "a key outside of the mapping above it",
+        if (const std::optional<int> line = TrailingTextFinder::find(text)) {
+            context.report(*line, "", "text behind the end of the mapping or list above it",
                            "one YAML document with even indentation");
             return std::nullopt;
         }
-        const YAML::Node node = nodes.empty() ? YAML::Node() : nodes.front();
+        const YAML::Node node = YAML::Load(text);
         const int line = node.IsNull() ? 1 : node.Mark().line + 1;
         return YamlValue(node, line, "", context);
     } catch (const YAML::Exception &e) {
--- a/Tests/ctl/CommandsTest.cpp
+++ b/Tests/ctl/CommandsTest.cpp
@@ -232,6 +232,17 @@
     EXPECT_EQ(m_admin.document.head.generation, Generation(2));
 }
 
+// The repeated request finds no stop, which is what the operator wanted.
+TEST_F(CommandsTest, LostAnswerOfAnUndrainIsSettledByTheNextServer)
+{
+    EXPECT_EQ(runOnline("drain", "--token-file p.token region north").exitCode, 0);
+    m_admin.loseNextAnswer();
+    const Output undrained = run("undrain --server " + m_admin.address() + " --server "
+                                 + m_admin.address() + " --token-file p.token region north");
+    EXPECT_EQ(undrained.exitCode, 0) << undrained.text;
+    EXPECT_EQ(undrained.text, "No stop of region north.\n");
+}
+
 TEST_F(CommandsTest, StatusAndWhyPrintTables)
 {
     EXPECT_EQ(runOnline("status", "").text,
--- a/Tests/document/SectionTextsTest.cpp
+++ b/Tests/document/SectionTextsTest.cpp
@@ -4,6 +4,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <random>
+#include <string_view>
+
 namespace Tarragon {
 namespace {
 
@@ -60,6 +63,37 @@
                                      "services.<name>, shifts or stops"));
 }
 
+// Whatever an operator's editor or a broken transfer makes of a document, it is either reported or
+// split into sections that mean the same once joined.
+TEST(SectionTexts, DamagedDocumentIsReportedOrSplitsStably)
+{
+    const std::string whole = readTextFile(TARRAGON_TEST_DATA "/base.yaml");
+    std::mt19937 random(11);
+    for (int round = 0; round < 1'000; ++round) {
+        std::string text = whole;
+        for (std::size_t n = 1 + random() % 3; n > 0; --n) {
+            static constexpr std::string_view Marks = ":{}[]#-&*!|>'\"%@`,? \n\r\t\x80";
+            const std::size_t at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text.erase(at, 1 + random() % 20);
+                break;
+            case 1:
+                text.insert(at, 1, Marks[random() % Marks.size()]);
+                break;
+            default:
+                text[at] = Marks[random() % Marks.size()];
+            }
+        }
+        Findings findings;
+        const SectionTexts sections = splitDocument(text, "", findings);
+        if (findings.empty() && parseDocument(sections, "", findings)) {
+            EXPECT_EQ(splitDocument(joinDocument(sections), "", findings), sections) << text;
+            EXPECT_THAT(findings, testing::IsEmpty());
+        }
+    }
+}
+
 // The store would refuse the value only after the operator was told that the document is right.
 TEST(SectionTexts, SectionAboveTheStoresLimitIsReported)
 {
