--- a/Source/steering/AtMostOnceRegistry.h
+++ b/Source/steering/AtMostOnceRegistry.h
@@ -19,6 +19,8 @@
 {
     /// Validity of a permission, from before the confirmation was requested.
     microseconds permission{ 1'000'000 };
+    /// A runner that the primary has not answered in this time asks the backup as well.
+    microseconds primaryTimeout{ 300'000 };
     /// A confirmation without an answer is requested again after this time.
     microseconds confirmRetry{ 200'000 };
     /// A claim whose runner does not report its end counts as MayHaveRun after this time; at least
--- a/Source/steering/AtMostOnceRunner.cpp
+++ b/Source/steering/AtMostOnceRunner.cpp
@@ -106,7 +106,7 @@
             giveUp(run, "deadline passed while waiting for a permission", out);
         } else if (!run.inProgress && now - run.claimedAt >= m_options.permission) {
             giveUp(run, "neither primary nor backup answered", out);
-        } else if (!run.inProgress && now - run.claimedAt >= PrimaryTimeout) {
+        } else if (!run.inProgress && now - run.claimedAt >= m_options.primaryTimeout) {
             askBackup(run, out);
         }
     }
--- a/Source/steering/AtMostOnceRunner.h
+++ b/Source/steering/AtMostOnceRunner.h
@@ -80,9 +80,6 @@
     /// happened to earlier attempts is unknown, so that only a first one is known not to have run.
     static Verdict verdictOfRefusal(int attempt);
 
-    /// Time after which the backup is asked as well.
-    static constexpr microseconds PrimaryTimeout{ 300'000 };
-
 private:
     struct Run
     {
--- a/Source/steering/SlotLedger.cpp
+++ b/Source/steering/SlotLedger.cpp
@@ -49,6 +49,9 @@
     if (!m_history.empty() && shares.generation <= current()) {
         return;
     }
+    if (!m_fresh && shares.previous > current()) {
+        becomeFresh(now);
+    }
     if (m_fresh) {
         // What others may act on is unknown anyway, so that older documents tell nothing.
         m_history.clear();
@@ -57,10 +60,8 @@
         }
         // Others need time to adopt this document, too.
         m_freshSince = now;
-    } else if (shares.previous > current()) {
-        m_history.emplace(shares.previous, Document{ {}, {}, true });
     }
-    Document document{ shares.seats, {}, false };
+    Document document{ shares.seats, {} };
     const auto seat = std::find(shares.seats.begin(), shares.seats.end(), m_self);
     const int own = seat == shares.seats.end() ? -1 : static_cast<int>(seat - shares.seats.begin());
     const int seats = static_cast<int>(shares.seats.size());
@@ -69,6 +70,11 @@
         document.shares[it.id] = staticShare(it.id, it.slots, own, seats).value;
     }
     m_history.emplace(shares.generation, std::move(document));
+    for (auto &[id, other] : m_others) {
+        if (other.report && other.report->settled <= current()) {
+            other.settled = std::max(other.settled, other.report->settled);
+        }
+    }
     trackOthers(now);
     updateSettled(now);
     dropPast(now);
@@ -423,12 +429,16 @@
         other.replaced = other.report->fromIncarnation;
         other.replacedUntil = now + ReplacedReportLife;
         other.report.reset();
+        other.settled = Generation();
     }
     if (other.report && report.sequence <= other.report->sequence) {
         return;
     }
     other.report = report;
     other.heard = now;
+    if (report.settled <= current()) {
+        other.settled = std::max(other.settled, report.settled);
+    }
     endFreshIfKnown(now);
     dropPast(now);
 }
@@ -525,6 +535,7 @@
     m_lastReport = now;
     for (auto &[id, other] : m_others) {
         other.report.reset();
+        other.settled = Generation();
         other.heard = now;
     }
 }
@@ -622,7 +633,7 @@
 
 Generation SlotLedger::settledOf(const OtherState &other) const
 {
-    return other.report ? std::max(other.report->settled, other.since) : other.since;
+    return std::max(other.settled, other.since);
 }
 
 Generation SlotLedger::oldestInUse(MonotonicTime now, const InstanceId *except) const
@@ -647,9 +658,6 @@
             continue;
         }
         // A target that an older document does not name was used by nobody under it.
-        if (it->second.missed) {
-            return 0;
-        }
         const auto share = it->second.shares.find(target);
         if (share != it->second.shares.end()) {
             least = std::min(least.value_or(share->second), share->second);
@@ -706,6 +714,12 @@
     if (now - m_startedAt < m_options.lenderHold()) {
         return Generation();
     }
+    // After a missed document, requests from before it fit no document that others know.
+    const bool idle = std::all_of(m_targets.begin(), m_targets.end(),
+                                  [&](const auto &it) { return ownUse(it.second, now) == 0; });
+    if (m_fresh && !idle) {
+        return m_settled;
+    }
     Generation result = m_settled;
     const Generation from = std::min(oldestInUse(now, nullptr), current());
     for (const auto &document : m_history) {
@@ -714,7 +728,8 @@
             continue;
         }
         const bool fits = std::all_of(m_targets.begin(), m_targets.end(), [&](const auto &it) {
-            return ownUse(it.second, now) <= leastShare(it.first, from, generation);
+            return ownUse(it.second, now)
+                   <= leastShare(it.first, std::min(from, generation), generation);
         });
         if (!fits) {
             break;
--- a/Source/steering/SlotLedger.h
+++ b/Source/steering/SlotLedger.h
@@ -93,9 +93,9 @@
                MonotonicTime now);
 
     /// Adopts the shares of a newer document; an older one is ignored. Smaller shares apply to new
-    /// permits at once, larger ones when all others have given up the difference. If a document
-    /// between was missed it could have given this entry nothing, so that the entry gives up all
-    /// its slots until the others have settled on the new one. So every document should be adopted.
+    /// permits at once, larger ones when all others have given up the difference. After a
+    /// document that was missed, it is unknown who may use what, as after a start, so every one
+    /// should be adopted.
     void adopt(const SlotShares &shares, MonotonicTime now);
     /// Marks a target as leaving or not, also one that no document names yet. A leaving target gets
     /// no permits and no grants.
@@ -160,8 +160,6 @@
         std::vector<InstanceId> seats;
         /// This entry's own share of each target named.
         std::map<TargetId, int> shares;
-        /// A document that this entry has missed; it counts as one without a share.
-        bool missed = false;
     };
     struct Permit
     {
@@ -210,6 +208,9 @@
         /// Oldest document of this entry's history that names it; 0 if that was the first one
         /// known, so that it may act on an older one.
         Generation since;
+        /// Newest document up to this entry's own that it has settled on. One that has settled on a
+        /// newer document may have missed those between.
+        Generation settled;
         /// Incarnation that was replaced, and how long its late reports are ignored.
         Incarnation replaced;
         MonotonicTime replacedUntil;
--- a/Source/steering/SlotShares.cpp
+++ b/Source/steering/SlotShares.cpp
@@ -8,10 +8,7 @@
 
 SlotShares slotSharesOf(const Configuration &configuration, const FailureDomainId &domain)
 {
-    const std::uint64_t generation = configuration.generation.value();
-    SlotShares shares{
-        configuration.generation, Generation(generation - (generation > 0 ? 1 : 0)), {}, {}
-    };
+    SlotShares shares{ configuration.generation, Generation(), {}, {} };
     const auto found = configuration.topology.domains.find(domain);
     if (found == configuration.topology.domains.end()) {
         return shares;
--- a/Source/steering/SlotShares.h
+++ b/Source/steering/SlotShares.h
@@ -22,17 +22,16 @@
 {
     /// The document, or the last one before it that changed the topology or a service.
     Generation generation;
-    /// The document before it that changed the topology or a service; 0 if there is none. Tells
-    /// whether this entry has missed one.
+    /// The document before it that changed the topology or a service; 0 if unknown. Tells whether
+    /// this entry has missed one, which may have given its slots to others for a while.
     Generation previous;
     /// Entry instances of the domain by seat.
     std::vector<InstanceId> seats;
     std::vector<SlotTarget> targets;
 };
 
-/// Takes the shares of a failure domain from the document. An unknown domain has none. The document
-/// does not tell which earlier ones changed the shares, so every generation is taken for a change;
-/// a caller that knows from the head sets generation and previous itself.
+/// Takes the shares of a failure domain from the document. An unknown domain has none. "previous"
+/// is left at 0, as a document does not tell which one before it changed the shares.
 SlotShares slotSharesOf(const Configuration &configuration, const FailureDomainId &domain);
 
 /// Slots of a target that belong to a seat. The shares of all seats add up to the target's slots.
--- a/Tests/steering/SlotLedgerScheduleTest.cpp
+++ b/Tests/steering/SlotLedgerScheduleTest.cpp
@@ -115,6 +115,8 @@
         /// Until then the predecessor's grants may be in use, under this document.
         microseconds inheritedUntil{ -1 };
         Generation inherited;
+        /// First document of this incarnation; it acts on no older one.
+        Generation first;
     };
     struct Running
     {
@@ -161,6 +163,7 @@
         it.buffered.clear();
         it.leavingKnown.clear();
         it.requestSent.clear();
+        it.first = Generation();
         const MonotonicTime now = clock(i);
         const bool noWait = m_variant == Variant::NoWaitAfterStart;
         it.ledger = std::make_unique<SlotLedger>(instance(i), Incarnation(it.incarnation),
@@ -174,10 +177,17 @@
             const SlotShares shares = m_documents[document];
             const bool isLast = document + 1 == m_documents.size();
             inProcess(i, m_random.time(milliseconds(0), milliseconds(isLast ? 500 : 5)),
-                      [this, i, shares] { entry(i).ledger->adopt(shares, clock(i)); });
+                      [this, i, shares] { adopt(i, shares); });
         }
     }
 
+    void adopt(int i, const SlotShares &shares)
+    {
+        Entry &it = entry(i);
+        it.first = it.first == Generation() ? shares.generation : it.first;
+        it.ledger->adopt(shares, clock(i));
+    }
+
     void kill(int i)
     {
         Entry &it = entry(i);
@@ -262,7 +272,7 @@
         for (int i = 0; i < m_instances; ++i) {
             if (entry(i).alive) {
                 inProcess(i, m_random.time(milliseconds(0), milliseconds(1'500)),
-                          [this, i, next] { entry(i).ledger->adopt(next, clock(i)); });
+                          [this, i, next] { adopt(i, next); });
             }
         }
         if (m_random.chance(30)) {
@@ -427,8 +437,9 @@
             if (it.inheritedUntil > m_schedule.now()) {
                 oldest = std::min(oldest, it.inherited);
             }
-            if (it.alive && it.ledger->settled(clock(i)) != Generation()) {
-                oldest = std::min(oldest, it.ledger->settled(clock(i)));
+            if (it.alive && it.first != Generation()) {
+                // An entry that has settled on nothing yet may act on its first document.
+                oldest = std::min(oldest, std::max(it.first, it.ledger->settled(clock(i))));
             }
         }
         int slots = 0;
--- a/Tests/steering/SlotLedgerTest.cpp
+++ b/Tests/steering/SlotLedgerTest.cpp
@@ -309,16 +309,22 @@
     EXPECT_FALSE(m_a.mayStart(*taken, now()));
 }
 
-// An entry that restarts with a document of its own cannot know what the one it missed gave away.
-TEST_F(SlotLedgerTest, AMissedDocumentGivesNothingUntilOthersHaveSettled)
+// The document that was missed may have given this entry's slots to another.
+TEST_F(SlotLedgerTest, AMissedDocumentGivesNothingUntilANeighbourKnowsThePast)
 {
+    SlotShares missed = m_shares;
+    missed.generation = Generation(2);
+    missed.previous = Generation(1);
     SlotShares next = m_shares;
     next.generation = Generation(3);
     next.previous = Generation(2);
     m_a.adopt(next, now());
+    exchange();
     EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 0);
+    m_b.adopt(missed, now());
     m_b.adopt(next, now());
     exchange();
+    exchange();
     EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 3);
 }
 
