--- a/Source/steering/AppliedWeights.cpp
+++ b/Source/steering/AppliedWeights.cpp
@@ -109,17 +109,15 @@
     }
 }
 
+/// The row to move to; empty if there is none in the plan. The document's own weights are never a
+/// target: entries that follow a new document at once would move without the plan's steps.
 WeightRow AppliedWeights::target(const ServiceId &service, const RegionId &caller) const
 {
     const WeightRow *row = m_plan ? findRow(m_plan->weights, service, caller) : nullptr;
-    if (row == nullptr) {
-        row = findRow(m_configured, service, caller);
-    }
     if (row == nullptr) {
         return {};
     }
-    if (m_plan == nullptr || m_lost.count(m_failover) == 0
-        || shareOf(*row, m_failover).partsPerMillion == 0) {
+    if (m_lost.count(m_failover) == 0 || shareOf(*row, m_failover).partsPerMillion == 0) {
         return *row;
     }
     const auto failover = m_plan->failover.find(m_failover);
@@ -141,13 +139,14 @@
                                 const ShiftLimits &limits, MonotonicTime now)
 {
     const WeightRow goal = target(service, caller);
+    if (row.empty()) {
+        const WeightRow *first = goal.empty() ? findRow(m_configured, service, caller) : &goal;
+        row = first == nullptr ? WeightRow() : *first;
+        return !row.empty();
+    }
     if (goal.empty() || goal == row) {
         return false;
     }
-    if (row.empty()) {
-        row = goal;
-        return true;
-    }
     m_isSettled = false;
     const auto held = m_heldUntil.find(service);
     if (held != m_heldUntil.end() && now < held->second) {
--- a/Source/steering/AppliedWeights.h
+++ b/Source/steering/AppliedWeights.h
@@ -25,7 +25,8 @@
 public:
     explicit AppliedWeights(ConfigurationPtr configuration);
 
-    /// Takes a newer document. Rows of new services and caller regions start at their target.
+    /// Takes a newer document. Rows of new services and caller regions start at once with those of
+    /// the plan or else of the document. Other rows do not follow the document but the plan.
     void setConfiguration(ConfigurationPtr configuration);
 
     /// Sets the weights at the start of the process: weights() and failover() of a peer; without
--- a/Source/steering/PlanMaker.cpp
+++ b/Source/steering/PlanMaker.cpp
@@ -128,11 +128,10 @@
     ServiceState state;
     state.id = id;
     state.current = rowsOf(m_configured, id);
-    if (input.current != nullptr) {
-        for (const auto &[caller, row] : rowsOf(input.current->weights, id)) {
-            if (state.current.count(caller) > 0) {
-                state.current[caller] = row;
-            }
+    const Weights &base = input.current != nullptr ? input.current->weights : input.applied;
+    for (const auto &[caller, row] : rowsOf(base, id)) {
+        if (state.current.count(caller) > 0) {
+            state.current[caller] = row;
         }
     }
     state.next = state.current;
--- a/Source/steering/PlanMaker.h
+++ b/Source/steering/PlanMaker.h
@@ -34,8 +34,11 @@
 
     struct Input
     {
-        /// The plan in force; nullptr if there is none, which stands for configuredWeights().
+        /// The plan in force; nullptr if there is none.
         const Plan *current = nullptr;
+        /// Where the first plan starts if there is none: what the planner applies itself. Rows that
+        /// are missing here or in the plan start as configured.
+        Weights applied;
         Loads loads;
         RegionSlots slots;
         CivilTime now;
--- a/Source/steering/PlanStepGate.cpp
+++ b/Source/steering/PlanStepGate.cpp
@@ -30,24 +30,56 @@
     }
 }
 
-void PlanStepGate::acknowledge(const FailureDomainId &domain, PlanVersion version)
+void PlanStepGate::acknowledge(const InstanceId &entry, Incarnation incarnation,
+                               PlanVersion version, MonotonicTime now)
 {
-    PlanVersion &known = m_acknowledged[domain];
-    known = std::max(known, version);
+    Acknowledgement &known = m_acknowledged[entry];
+    if (known.incarnation != incarnation) {
+        known = { incarnation, version, now };
+    }
+    known.version = std::max(known.version, version);
+    known.heardAt = now;
 }
 
-void PlanStepGate::setRequired(std::set<FailureDomainId> domains)
+void PlanStepGate::setRequired(std::map<FailureDomainId, std::set<InstanceId>> domains)
 {
     m_required = std::move(domains);
 }
 
+bool PlanStepGate::isAcknowledged(const std::set<InstanceId> &entries) const
+{
+    return !entries.empty()
+           && std::all_of(entries.begin(), entries.end(), [&](const InstanceId &it) {
+                  const auto known = m_acknowledged.find(it);
+                  return known != m_acknowledged.end() && known->second.version >= m_version;
+              });
+}
+
 std::vector<FailureDomainId> PlanStepGate::missing() const
 {
     std::vector<FailureDomainId> domains;
-    for (const FailureDomainId &it : m_required) {
+    for (const auto &[domain, entries] : m_required) {
+        if (!isAcknowledged(entries)) {
+            domains.push_back(domain);
+        }
+    }
+    return domains;
+}
+
+bool PlanStepGate::isHeardSince(const std::set<InstanceId> &entries, MonotonicTime time) const
+{
+    return std::all_of(entries.begin(), entries.end(), [&](const InstanceId &it) {
         const auto known = m_acknowledged.find(it);
-        if (known == m_acknowledged.end() || known->second < m_version) {
-            domains.push_back(it);
+        return known != m_acknowledged.end() && known->second.heardAt >= time;
+    });
+}
+
+std::vector<FailureDomainId> PlanStepGate::silentSince(MonotonicTime time) const
+{
+    std::vector<FailureDomainId> domains;
+    for (const auto &[domain, entries] : m_required) {
+        if (!isHeardSince(entries, time)) {
+            domains.push_back(domain);
         }
     }
     return domains;
@@ -62,7 +94,7 @@
     if (!m_completeSince) {
         m_completeSince = now;
     }
-    return now - *m_completeSince >= m_hold;
+    return now - *m_completeSince >= m_hold && silentSince(*m_completeSince + m_hold / 2).empty();
 }
 
 } // namespace Tarragon
--- a/Source/steering/ShiftLimits.cpp
+++ b/Source/steering/ShiftLimits.cpp
@@ -96,11 +96,43 @@
 
 bool ShiftLimits::allows(const std::vector<PastRow> &past, const WeightRow &next) const
 {
+    if (m_limits.empty()) {
+        return true;
+    }
+    // Rows are turned into vectors once for all limits.
+    WeightRow all = next;
+    for (const PastRow &it : past) {
+        all.insert(it.row.begin(), it.row.end());
+    }
+    const auto toVector = [&](const WeightRow &row) {
+        std::vector<double> shares;
+        shares.reserve(all.size());
+        for (const auto &[region, unused] : all) {
+            shares.push_back(shareOf(row, region).ratio());
+        }
+        return shares;
+    };
+    const std::vector<double> after = toVector(next);
+    std::vector<std::vector<double>> before;
+    before.reserve(past.size());
+    for (const PastRow &it : past) {
+        before.push_back(toVector(it.row));
+    }
     return std::all_of(m_limits.begin(), m_limits.end(), [&](const Limit &limit) {
-        return std::all_of(past.begin(), past.end(), [&](const PastRow &it) {
-            return it.age >= limit.window
-                   || movedShare(it.row, next, limit.from, limit.to) <= limit.share + Tolerance;
-        });
+        const auto from = all.find(limit.from);
+        const auto to = all.find(limit.to);
+        if (from == all.end() || to == all.end()) {
+            return true;
+        }
+        const auto fromIndex = static_cast<std::size_t>(std::distance(all.begin(), from));
+        const auto toIndex = static_cast<std::size_t>(std::distance(all.begin(), to));
+        for (std::size_t i = 0; i < past.size(); ++i) {
+            if (past[i].age < limit.window
+                && movedShare(before[i], after, fromIndex, toIndex) > limit.share + Tolerance) {
+                return false;
+            }
+        }
+        return true;
     });
 }
 
@@ -114,7 +146,7 @@
         }
         share = std::min(share, limit.share);
         for (const PastRow &it : past) {
-            if (it.age < limit.window) {
+            if (it.age < limit.window && share > 0) {
                 share = std::min(share, limit.share - movedShare(it.row, current, from, to));
             }
         }
@@ -133,6 +165,12 @@
         const double limit = remaining(it.from, it.to, current, past) * 1e6;
         it.partsPerMillion = std::min(it.partsPerMillion, limit);
     }
+    const bool isExhausted = std::all_of(moves.begin(), moves.end(), [](const Move &it) {
+        return it.partsPerMillion + RoundingGuard < 1;
+    });
+    if (isExhausted) {
+        return current;
+    }
     double failed = 1;
     double scale = 1;
     WeightRow best = applied(current, moves, scale);
--- a/Tests/steering/AppliedWeightsTest.cpp
+++ b/Tests/steering/AppliedWeightsTest.cpp
@@ -81,6 +81,18 @@
     EXPECT_EQ(applied.weights.fullyApplied(), PlanVersion(9));
 }
 
+// Found by SteeringSchedule: an entry that had no plan yet followed each new document on its own,
+// far ahead of the others.
+TEST(AppliedWeights, DoNotFollowTheDocumentWithoutAPlan)
+{
+    Applied applied;
+    Configuration edited = *applied.configuration;
+    edited.services.at(catalog).weights[a] = row(0, 1'000'000, 0);
+    applied.weights.setConfiguration(std::make_shared<const Configuration>(edited));
+    applied.pass(3 * Window);
+    EXPECT_EQ(applied.rowOfA(), row(1'000'000, 0, 0));
+}
+
 TEST(AppliedWeights, OlderPlansAreIgnored)
 {
     Applied applied;
--- a/Tests/steering/PlanStepGateTest.cpp
+++ b/Tests/steering/PlanStepGateTest.cpp
@@ -9,6 +9,11 @@
 
 const FailureDomainId first("a-1");
 const FailureDomainId second("b-1");
+const InstanceId entryOfFirst("a-1-0");
+const InstanceId otherOfFirst("a-1-1");
+const InstanceId entryOfSecond("b-1-0");
+constexpr Incarnation Original(11);
+constexpr Incarnation Restarted(12);
 
 constexpr MonotonicTime at(int secondsSinceStart)
 {
@@ -22,20 +27,26 @@
     EXPECT_EQ(PlanStepGate::holdTime(configuration), seconds(62));
 }
 
+const std::map<FailureDomainId, std::set<InstanceId>> onlyFirst = { { first, { entryOfFirst } } };
+const std::map<FailureDomainId, std::set<InstanceId>> both = { { first, { entryOfFirst } },
+                                                               { second, { entryOfSecond } } };
+
 // A step while a partitioned domain still applies the one before last would let callers see two
 // steps at once.
 TEST(PlanStepGate, WaitsForEveryDomainAndThenForTheHold)
 {
     PlanStepGate gate(seconds(62));
-    gate.setRequired({ first, second });
+    gate.setRequired(both);
     gate.setPlan(PlanVersion(5));
-    gate.acknowledge(first, PlanVersion(5));
-    gate.acknowledge(second, PlanVersion(4));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(5), at(0));
+    gate.acknowledge(entryOfSecond, Original, PlanVersion(4), at(0));
     EXPECT_FALSE(gate.mayStep(at(0)));
     EXPECT_FALSE(gate.mayStep(at(1'000)));
     EXPECT_EQ(gate.missing(), std::vector<FailureDomainId>{ second });
-    gate.acknowledge(second, PlanVersion(5));
+    gate.acknowledge(entryOfSecond, Original, PlanVersion(5), at(1'001));
     EXPECT_FALSE(gate.mayStep(at(1'001)));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(5), at(1'050));
+    gate.acknowledge(entryOfSecond, Original, PlanVersion(5), at(1'050));
     EXPECT_FALSE(gate.mayStep(at(1'062)));
     EXPECT_TRUE(gate.mayStep(at(1'063)));
 }
@@ -43,12 +54,13 @@
 TEST(PlanStepGate, DrainedDomainsAreNotWaitedFor)
 {
     PlanStepGate gate(seconds(10));
-    gate.setRequired({ first, second });
+    gate.setRequired(both);
     gate.setPlan(PlanVersion(2));
-    gate.acknowledge(first, PlanVersion(2));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(0));
     EXPECT_FALSE(gate.mayStep(at(0)));
-    gate.setRequired({ first });
+    gate.setRequired(onlyFirst);
     EXPECT_FALSE(gate.mayStep(at(1)));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(10));
     EXPECT_TRUE(gate.mayStep(at(11)));
 }
 
@@ -56,14 +68,17 @@
 TEST(PlanStepGate, ADomainThatIsRequiredAgainStartsTheHoldAnew)
 {
     PlanStepGate gate(seconds(10));
-    gate.setRequired({ first });
+    gate.setRequired(onlyFirst);
     gate.setPlan(PlanVersion(2));
-    gate.acknowledge(first, PlanVersion(2));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(0));
     EXPECT_FALSE(gate.mayStep(at(0)));
-    gate.setRequired({ first, second });
+    gate.setRequired(both);
     EXPECT_FALSE(gate.mayStep(at(9)));
-    gate.acknowledge(second, PlanVersion(2));
+    gate.acknowledge(entryOfSecond, Original, PlanVersion(2), at(15));
     EXPECT_FALSE(gate.mayStep(at(15)));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(24));
+    gate.acknowledge(entryOfSecond, Original, PlanVersion(2), at(24));
+    EXPECT_FALSE(gate.mayStep(at(24)));
     EXPECT_TRUE(gate.mayStep(at(25)));
 }
 
@@ -71,16 +86,73 @@
 TEST(PlanStepGate, OlderVersionsAreIgnored)
 {
     PlanStepGate gate(seconds(10));
-    gate.setRequired({ first });
+    gate.setRequired(onlyFirst);
     gate.setPlan(PlanVersion(3));
-    gate.acknowledge(first, PlanVersion(3));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(3), at(0));
     EXPECT_FALSE(gate.mayStep(at(0)));
     gate.setPlan(PlanVersion(2));
-    gate.acknowledge(first, PlanVersion(1));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(1), at(6));
     EXPECT_TRUE(gate.mayStep(at(10)));
     gate.setPlan(PlanVersion(4));
     EXPECT_FALSE(gate.mayStep(at(20)));
 }
 
+TEST(PlanStepGate, EveryEntryOfADomainCounts)
+{
+    PlanStepGate gate(seconds(10));
+    gate.setRequired({ { first, { entryOfFirst, otherOfFirst } } });
+    gate.setPlan(PlanVersion(2));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(0));
+    EXPECT_FALSE(gate.mayStep(at(0)));
+    EXPECT_FALSE(gate.mayStep(at(20)));
+    gate.acknowledge(otherOfFirst, Original, PlanVersion(2), at(21));
+    EXPECT_FALSE(gate.mayStep(at(21)));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(30));
+    gate.acknowledge(otherOfFirst, Original, PlanVersion(2), at(30));
+    EXPECT_TRUE(gate.mayStep(at(31)));
+}
+
+// Found by SteeringSchedule: an entry that restarted with the weights of a peer one step behind was
+// still counted as having applied the plan, and its callers later moved by two steps at once.
+TEST(PlanStepGate, ARestartedEntryHasToAcknowledgeAnew)
+{
+    PlanStepGate gate(seconds(10));
+    gate.setRequired(onlyFirst);
+    gate.setPlan(PlanVersion(2));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(0));
+    EXPECT_FALSE(gate.mayStep(at(0)));
+    gate.acknowledge(entryOfFirst, Restarted, PlanVersion(), at(9));
+    EXPECT_FALSE(gate.mayStep(at(10)));
+    gate.acknowledge(entryOfFirst, Restarted, PlanVersion(2), at(11));
+    EXPECT_FALSE(gate.mayStep(at(11)));
+    gate.acknowledge(entryOfFirst, Restarted, PlanVersion(2), at(17));
+    EXPECT_FALSE(gate.mayStep(at(20)));
+    EXPECT_TRUE(gate.mayStep(at(21)));
+}
+
+// Found by SteeringSchedule (seed 380): the same when the entry is cut off right after its restart,
+// so that its new incarnation is not known.
+TEST(PlanStepGate, AnEntryThatFallsSilentDuringTheHoldKeepsTheGateShut)
+{
+    PlanStepGate gate(seconds(10));
+    gate.setRequired(onlyFirst);
+    gate.setPlan(PlanVersion(2));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(0));
+    EXPECT_FALSE(gate.mayStep(at(0)));
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(4));
+    EXPECT_FALSE(gate.mayStep(at(100)));
+    EXPECT_EQ(gate.silentSince(at(5)), std::vector<FailureDomainId>{ first });
+    gate.acknowledge(entryOfFirst, Original, PlanVersion(2), at(101));
+    EXPECT_TRUE(gate.mayStep(at(101)));
+}
+
+TEST(PlanStepGate, ADomainWithoutEntriesIsNotAcknowledged)
+{
+    PlanStepGate gate(seconds(10));
+    gate.setRequired({ { first, {} } });
+    EXPECT_FALSE(gate.mayStep(at(0)));
+    EXPECT_FALSE(gate.mayStep(at(20)));
+}
+
 } // namespace
 } // namespace Tarragon
