--- a/Source/entry/Daemon.cpp
+++ b/Source/entry/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "document/DocumentParser.h"
 #include "entry/Failure.h"
+#include "entry/StatusReport.h"
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -20,6 +21,9 @@
 
 constexpr seconds ShutdownLogPeriod{ 2 };
 
+/// Period of attempts to make the first document of an empty store.
+constexpr seconds SeedPeriod{ 2 };
+
 const log4cplus::Logger &logger()
 {
     static const log4cplus::Logger instance = log4cplus::Logger::getInstance("daemon");
@@ -40,19 +44,28 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_incarnation(strongRandom())
+    , m_rpc(loop.base())
     , m_client(loop)
+    , m_store(loop, m_client, settings.store.address, settings.store.port, settings.storeTimeout)
     , m_state(settings, m_incarnation, loop.now())
-    , m_proxyContext{ loop, m_client, settings, m_state, m_metrics, m_drain, {}, {}, {} }
+    , m_peers(loop, settings, m_incarnation, m_state, m_store, m_drain)
+    , m_proxyContext(makeProxyContext())
     , m_proxy(m_proxyContext)
-    , m_lookupApi(loop, m_state, m_metrics, [] { return std::string(); })
+    , m_lookupApi(loop, m_state, m_metrics, [this] { return m_peers.claims().seed(); })
+    , m_adminApi(makeAdminContext())
+    , m_prober(loop, m_client, m_state, m_peers.membership())
 {
+    m_peers.feed().adopted().connect(
+            [this](const ConfigurationPtr &configuration, const Head &head,
+                   const SectionTexts &texts) { adopt(configuration, head, texts); });
     HttpServerLimits limits;
     limits.bodyBytes = settings.maxBody;
     m_server = std::make_unique<HttpServer>(
             loop, settings.http.address, settings.http.port, limits,
             [this](const HttpExchangePtr &exchange) { route(exchange); });
     m_tick = loop.scheduleEvery(TickPeriod, [this] { tick(); });
-    adoptDocumentFile();
+    m_probeTimer = loop.scheduleEvery(TargetProber::ProbePeriod, [this] { m_prober.probe(); });
+    m_seedTimer = loop.schedule(microseconds(0), [this] { seedStore(); });
     LOG4CPLUS_INFO(logger(), "Listening. instance=" << settings.instance
                                                     << " failureDomain=" << settings.domain
                                                     << " http=" << settings.http.address << ":"
@@ -61,36 +74,67 @@
 
 Daemon::~Daemon() = default;
 
-void Daemon::adoptDocumentFile()
+ProxyContext Daemon::makeProxyContext()
+{
+    return ProxyContext{ m_loop,
+                         m_client,
+                         m_settings,
+                         m_state,
+                         m_metrics,
+                         m_drain,
+                         m_peers.claims().functions(),
+                         RetryPolicy{},
+                         {} };
+}
+
+AdminContext Daemon::makeAdminContext()
+{
+    return AdminContext{
+        m_loop,
+        m_store,
+        m_state,
+        m_lookupApi,
+        [this] { return m_document; },
+        [this](const Head &head, const SectionTexts &texts) {
+            m_peers.feed().acceptLocally(head, texts);
+        },
+        [this] { return status(); },
+    };
+}
+
+std::string Daemon::status() const
+{
+    Daemon &self = const_cast<Daemon &>(*this);
+    return statusBody(StatusSources{ m_settings, m_incarnation, self.m_state, self.m_peers, m_drain,
+                                     m_refuseFrom.has_value() },
+                      m_loop.now());
+}
+
+void Daemon::seedStore()
 {
-    if (m_settings.documentFile.empty()) {
+    if (m_settings.documentFile.empty() || m_state.configuration() != nullptr) {
         return;
     }
     std::ifstream file(m_settings.documentFile);
     std::stringstream text;
     text << file.rdbuf();
     Findings findings;
-    std::optional<Configuration> configuration =
-            parseWholeDocument(text.str(), m_settings.documentFile, findings);
+    const SectionTexts sections = splitDocument(text.str(), m_settings.documentFile, findings);
     for (const Finding &it : findings) {
         LOG4CPLUS_ERROR(logger(), toString(it));
     }
-    if (!configuration.has_value()) {
-        throw Error("found faults in the document \"" + m_settings.documentFile
-                    + "\", expected a valid document");
-    }
-    configuration->generation = Generation(1);
-    for (const auto &[id, domain] : configuration->topology.domains) {
-        for (const EntrySeat &it : domain.entries) {
-            m_state.setEntryState(it.id, EntryState::Live);
-        }
+    if (!file || !findings.empty()) {
+        LOG4CPLUS_ERROR(logger(), "Document file is not usable. file=" << m_settings.documentFile);
+        return;
     }
-    adopt(std::make_shared<const Configuration>(std::move(*configuration)));
+    m_adminApi.seed(sections);
+    // The store may be out, or another entry may be faster; it is tried until there is a document.
+    m_seedTimer = m_loop.schedule(SeedPeriod, [this] { seedStore(); });
 }
 
 void Daemon::run()
 {
-    m_loop.run();
+    m_rpc.run();
 }
 
 void Daemon::route(const HttpExchangePtr &exchange)
@@ -104,6 +148,10 @@
         m_lookupApi.handle(exchange);
         return;
     }
+    if (path.compare(0, 10, "/admin/v1/") == 0) {
+        m_adminApi.handle(exchange);
+        return;
+    }
     if (path == "/metrics") {
         replyWithText(*exchange, 200, "text/plain; version=0.0.4", m_metrics.text());
         return;
@@ -122,21 +170,32 @@
                      "");
 }
 
-void Daemon::adopt(const ConfigurationPtr &configuration)
+void Daemon::adopt(const ConfigurationPtr &configuration, const Head &head,
+                   const SectionTexts &texts)
 {
     if (!m_state.adopt(configuration, m_loop.now())) {
         return;
     }
+    m_document = CurrentDocument{ head, texts };
     m_metrics.setGeneration(configuration->generation.value());
-    LOG4CPLUS_INFO(logger(), "Configuration in force. generation=" << configuration->generation);
+    checkPlannedStop();
+}
+
+void Daemon::checkPlannedStop()
+{
+    // A stop of the instance, its domain or its region makes the process leave; it ends when its
+    // work is done, and whoever runs the instances starts it again after the stop is taken back.
+    if (m_state.configuration()->isStopped(m_settings.instance, m_settings.domain)) {
+        leave();
+    }
 }
 
 void Daemon::tick()
 {
     const MonotonicTime now = m_loop.now();
     m_state.refreshConditions(now);
-    static_cast<void>(m_state.ledger().reportFor(m_settings.instance, now));
     m_proxy.serveQueues();
+    m_metrics.setPeersReachable(m_peers.reachablePeers());
     checkShutdown();
 }
 
@@ -157,6 +216,7 @@
     m_shutdownDeadline = now + m_settings.stopDeadline;
     m_nextShutdownLog = now;
     m_state.setEntryState(m_settings.instance, EntryState::Leaving);
+    m_peers.announceLeaving();
     LOG4CPLUS_INFO(logger(), "Leaving. acceptsForMs=" << longestTtl.count() << " deadlineSeconds="
                                                       << m_settings.stopDeadline.count());
 }
@@ -173,13 +233,13 @@
     }
     if (m_drain.phase() == DrainPhase::Finished) {
         LOG4CPLUS_INFO(logger(), "Finished all work.");
-        m_loop.stop();
+        m_rpc.stop();
         return;
     }
     if (m_drain.isOverdue(now)) {
         LOG4CPLUS_WARN(logger(),
                        "Deadline of the shutdown has passed. pending=" << m_drain.pending().size());
-        m_loop.stop();
+        m_rpc.stop();
         return;
     }
     if (now < m_nextShutdownLog) {
--- a/Source/entry/Daemon.h
+++ b/Source/entry/Daemon.h
@@ -1,14 +1,19 @@
 #pragma once
 
+#include "entry/AdminApi.h"
 #include "entry/LookupApi.h"
 #include "entry/Metrics.h"
+#include "entry/PeerCoordinator.h"
 #include "entry/ProxyContext.h"
 #include "entry/RequestProxy.h"
 #include "entry/ServingState.h"
 #include "entry/Settings.h"
+#include "entry/TargetProber.h"
 #include "net/EventLoop.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "net/RpcRuntime.h"
+#include "platform/ObjectStoreClient.h"
 #include "steering/DrainState.h"
 
 #include <memory>
@@ -33,28 +38,40 @@
     void leave();
 
 private:
+    ProxyContext makeProxyContext();
+    AdminContext makeAdminContext();
     void route(const HttpExchangePtr &exchange);
     void tick();
-    void adopt(const ConfigurationPtr &configuration);
-    void adoptDocumentFile();
+    void adopt(const ConfigurationPtr &configuration, const Head &head, const SectionTexts &texts);
+    void seedStore();
+    void checkPlannedStop();
     void checkShutdown();
+    std::string status() const;
 
     EventLoop &m_loop;
     const Settings &m_settings;
     Incarnation m_incarnation;
+    RpcRuntime m_rpc;
     Metrics m_metrics;
     HttpClient m_client;
+    ObjectStoreClient m_store;
     ServingState m_state;
     DrainState m_drain;
+    PeerCoordinator m_peers;
     ProxyContext m_proxyContext;
     RequestProxy m_proxy;
     LookupApi m_lookupApi;
+    AdminApi m_adminApi;
+    TargetProber m_prober;
+    CurrentDocument m_document;
     std::unique_ptr<HttpServer> m_server;
     /// When new work is refused during a shutdown; nothing while serving.
     std::optional<MonotonicTime> m_refuseFrom;
     MonotonicTime m_shutdownDeadline;
     MonotonicTime m_nextShutdownLog;
     Timer m_tick;
+    Timer m_probeTimer;
+    Timer m_seedTimer;
 };
 
 } // namespace Tarragon
--- a/Source/entry/ProxiedRequest.cpp
+++ b/Source/entry/ProxiedRequest.cpp
@@ -382,6 +382,7 @@
 
 void ProxiedRequest::onComplete()
 {
+    m_isAnswered = true;
     if (m_refusal.has_value()) {
         const HttpResponseHead refusal = *m_refusal;
         const std::string body = m_refusalBody;
@@ -538,10 +539,17 @@
 
 void ProxiedRequest::endAttempt()
 {
+    const bool isCutOff = m_isSent && !m_isForwarding && !m_isAnswered;
     m_call.reset();
     m_isSent = false;
+    m_isAnswered = false;
     if (m_permit.has_value()) {
-        m_context.state.ledger().release(m_permit->id, m_context.loop.now());
+        if (isCutOff) {
+            // The target learns of the closed connection a little later.
+            m_context.state.ledger().abort(m_permit->id, m_context.loop.now());
+        } else {
+            m_context.state.ledger().release(m_permit->id, m_context.loop.now());
+        }
         m_permit.reset();
         m_callbacks.slotFreed(m_head.service);
     }
--- a/Source/entry/ProxiedRequest.h
+++ b/Source/entry/ProxiedRequest.h
@@ -108,6 +108,8 @@
     bool m_isForwarding = false;
     /// The request was handed to a connection and has no final response yet.
     bool m_isSent = false;
+    /// The attempt in progress has its complete response.
+    bool m_isAnswered = false;
     bool m_responseStarted = false;
     bool m_ended = false;
     /// Status sent to the caller; 0 before.
--- a/Source/entry/ServingState.cpp
+++ b/Source/entry/ServingState.cpp
@@ -28,6 +28,7 @@
 void ServingState::adoptTargets(MonotonicTime now)
 {
     m_targets.clear();
+    m_servicesOfTargets.clear();
     std::map<TargetId, ServiceId> own;
     for (const auto &[id, service] : m_configuration->services) {
         int slots = 0;
@@ -37,6 +38,7 @@
                 continue;
             }
             m_targets[it.id] = &it;
+            m_servicesOfTargets[it.id] = &service;
             own[it.id] = id;
             slots += m_ledger.allowance(it.id, now);
             ++count;
@@ -66,6 +68,13 @@
     return it == m_targets.end() ? nullptr : it->second;
 }
 
+const ServiceConfiguration *ServingState::serviceOf(const TargetId &target) const
+{
+    const std::map<TargetId, const ServiceConfiguration *>::const_iterator it =
+            m_servicesOfTargets.find(target);
+    return it == m_servicesOfTargets.end() ? nullptr : it->second;
+}
+
 void ServingState::setEntryState(const InstanceId &instance, EntryState state)
 {
     m_reportedStates[instance] = state;
--- a/Source/entry/ServingState.h
+++ b/Source/entry/ServingState.h
@@ -32,6 +32,10 @@
     /// Null until the first configuration.
     const ServiceConfiguration *findService(const ServiceId &service) const;
     const Target *findTarget(const TargetId &target) const;
+    /// Targets of the own failure domain.
+    const std::map<TargetId, const Target *> &ownTargets() const { return m_targets; }
+    /// The service of a target of the own failure domain; null for others.
+    const ServiceConfiguration *serviceOf(const TargetId &target) const;
     /// Null until the first configuration.
     LookupDecider *decider() { return m_decider.get(); }
 
@@ -67,6 +71,7 @@
     LookupDecider::EntryStates m_entryStates;
     std::map<InstanceId, EntryState> m_reportedStates;
     std::map<TargetId, const Target *> m_targets;
+    std::map<TargetId, const ServiceConfiguration *> m_servicesOfTargets;
     std::map<TargetId, bool> m_listedLeaving;
     SlotLedger m_ledger;
     TargetHealth m_health;
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -71,8 +71,8 @@
   weightsVersionSeen @9 :UInt64;
   # Acknowledged steps of the plan, which a planner needs before the next step.
   planVersionApplied @10 :UInt64;
-  # Null between failure domains.
-  shareReport @11 :ShareReport;
+  # Null outside the failure domain.
+  shares @11 :ShareReport;
 }
 
 struct Status {
@@ -85,46 +85,40 @@
   detail @5 :Text;
 }
 
-struct ShareReport {
-  # Which document the sender's use of slots fits; see SlotLedger. Only within a failure domain.
-  sender @0 :InstanceRef;
-  sequence @1 :UInt64;
-  adopted @2 :UInt64;
-  settled @3 :UInt64;
-  closed @4 :UInt64;
-  echoedIncarnation @5 :UInt64;
-  echoedSequence @6 :UInt64;
-}
-
-struct GrantRequest {
-  # From a borrower of slots to a neighbour.
+struct SlotRequest {
+  # GrantRequest of the slot ledger.
   sender @0 :InstanceRef;
   receiver @1 :InstanceRef;
   sequence @2 :UInt64;
-  # One new slot is wanted for each target named.
+  # One new slot is wanted for each element.
   wanted @3 :List(Text);
   renewals @4 :List(UInt64);
   returns @5 :List(UInt64);
 }
 
 struct SlotGrant {
-  id @0 :UInt64;
+  grant @0 :UInt64;
   target @1 :Text;
 }
 
-struct GrantResponse {
+struct SlotResponse {
+  # GrantResponse of the slot ledger.
   sender @0 :InstanceRef;
   receiver @1 :InstanceRef;
   sequence @2 :UInt64;
-  # The borrower measures it from before it sent the request, the lender from its answer.
-  durationMicroseconds @3 :Int64;
+  # The borrower measures it from before it sent the request.
+  durationUs @3 :UInt64;
   granted @4 :List(SlotGrant);
   renewed @5 :List(UInt64);
 }
 
-struct ClaimKey {
-  runner @0 :InstanceRef;
-  sequence @1 :UInt64;
+struct ShareReport {
+  sequence @0 :UInt64;
+  adopted @1 :UInt64;
+  settled @2 :UInt64;
+  closed @3 :UInt64;
+  echoedIncarnation @4 :UInt64;
+  echoedSequence @5 :UInt64;
 }
 
 struct HeaderField {
@@ -133,68 +127,110 @@
 }
 
 struct FinishedResponse {
-  status @0 :Int32;
+  status @0 :UInt16;
   headers @1 :List(HeaderField);
   body @2 :Data;
 }
 
+struct ClaimKey {
+  runner @0 :InstanceRef;
+  sequence @1 :UInt64;
+}
+
+struct ClaimRequest {
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  attempt @2 :UInt32;
+}
+
+enum ClaimOutcome {
+  permitted @0;
+  inProgress @1;
+  confirmed @2;
+  finished @3;
+  again @4;
+  askBackup @5;
+  stale @6;
+  superseded @7;
+  full @8;
+  noBackup @9;
+}
+
+struct ClaimAnswer {
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  outcome @2 :ClaimOutcome;
+  fromBackup @3 :Bool;
+  holder @4 :ClaimKey;
+  verdict @5 :Verdict;
+  # Null if none was kept.
+  response @6 :FinishedResponse;
+}
+
+struct OutcomeReport {
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  verdict @2 :Verdict;
+  response @3 :FinishedResponse;
+}
+
+struct ConfirmRequest {
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  attempt @2 :UInt32;
+  sequence @3 :UInt64;
+  oldestServed @4 :UInt64;
+}
+
+enum ConfirmOutcome {
+  confirmed @0;
+  takenOver @1;
+  superseded @2;
+  full @3;
+  stale @4;
+}
+
+struct ConfirmAnswer {
+  id @0 :Text;
+  sequence @1 :UInt64;
+  outcome @2 :ConfirmOutcome;
+}
+
+struct OutcomeCopy {
+  id @0 :Text;
+  sequence @1 :UInt64;
+  verdict @2 :Verdict;
+  response @3 :FinishedResponse;
+}
+
+struct BackupRegistration {
+  primary @0 :InstanceRef;
+  backup @1 :InstanceRef;
+  from @2 :UInt64;
+  current @3 :UInt64;
+  oldestServed @4 :UInt64;
+}
+
+struct RegistrationAnswer {
+  backup @0 :InstanceRef;
+  primary @1 :InstanceRef;
+  from @2 :UInt64;
+  accepted @3 :Bool;
+}
+
 struct RegistryMessage {
-  # A message between the records of non-idempotent requests; see AtMostOnceRegistry. Enumerations
-  # are numbered as in RegistryMessages.h.
+  # A message of the at-most-once registry, as in Source/steering/RegistryMessages.h. Answers are
+  # messages of their own, because some come long after the message that they answer.
   union {
-    claim :group {
-      requestId @0 :Text;
-      key @1 :ClaimKey;
-      attempt @2 :Int32;
-      settle @3 :Bool;
-    }
-    claimAnswer :group {
-      requestId @4 :Text;
-      key @5 :ClaimKey;
-      outcome @6 :UInt8;
-      fromBackup @7 :Bool;
-      holder @8 :ClaimKey;
-      verdict @9 :Verdict;
-      # Null if there is none.
-      response @10 :FinishedResponse;
-    }
-    outcome :group {
-      requestId @11 :Text;
-      key @12 :ClaimKey;
-      verdict @13 :Verdict;
-      response @14 :FinishedResponse;
-    }
-    confirm :group {
-      requestId @15 :Text;
-      key @16 :ClaimKey;
-      attempt @17 :Int32;
-      sequence @18 :UInt64;
-      oldestServed @19 :UInt64;
-    }
-    confirmAnswer :group {
-      requestId @20 :Text;
-      sequence @21 :UInt64;
-      outcome @22 :UInt8;
-    }
-    outcomeCopy :group {
-      requestId @23 :Text;
-      sequence @24 :UInt64;
-      verdict @25 :Verdict;
-      response @26 :FinishedResponse;
-    }
-    registration :group {
-      primary @27 :InstanceRef;
-      backup @28 :InstanceRef;
-      from @29 :UInt64;
-      current @30 :UInt64;
-      oldestServed @31 :UInt64;
-    }
-    registrationAnswer :group {
-      primary @32 :InstanceRef;
-      backup @33 :InstanceRef;
-      from @34 :UInt64;
-      accepted @35 :Bool;
-    }
+    claim @0 :ClaimRequest;
+    settle @1 :ClaimRequest;
+    claimAnswer @2 :ClaimAnswer;
+    recordOutcome @3 :OutcomeReport;
+    confirm @4 :ConfirmRequest;
+    confirmAnswer @5 :ConfirmAnswer;
+    outcomeCopy @6 :OutcomeCopy;
+    registration @7 :BackupRegistration;
+    registrationAnswer @8 :RegistrationAnswer;
   }
 }
 
@@ -212,15 +248,15 @@
   # Plan in JSON if its version is above newerThan; otherwise empty.
   fetchPlan @3 (newerThan :UInt64) -> (planVersion :UInt64, plan :Text);
 
-  # Tells that the sender has these versions in force. The receiver fetches what it misses, and
-  # passes it on within its failure domain if relay is set.
-  offer @4 (sender :InstanceRef, generation :UInt64, planVersion :UInt64, relay :Bool) -> ();
+  # Tells that the sender has these versions in force. The receiver fetches what it misses and
+  # then offers it within its failure domain.
+  offer @4 (sender :InstanceRef, generation :UInt64, planVersion :UInt64) -> ();
 
-  # Borrows, renews and returns slots of targets of the same failure domain.
-  exchangeSlots @5 (request :GrantRequest) -> (response :GrantResponse);
+  # Borrows idle slots of targets from an entry of the same failure domain, and returns them.
+  requestSlots @5 (request :SlotRequest) -> (response :SlotResponse);
 
-  # Hands over messages of the at-most-once records; answers come as messages of their own.
-  deliver @6 (messages :List(RegistryMessage)) -> ();
+  # Carries messages of the at-most-once registry. The answer says only that they have arrived.
+  registry @6 (messages :List(RegistryMessage)) -> ();
 
   status @7 () -> (status :Status);
 }
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -40,22 +40,45 @@
 CAPNP_DECLARE_SCHEMA(814a94e55a601085);
 CAPNP_DECLARE_SCHEMA(fd94db23d61fef4d);
 CAPNP_DECLARE_SCHEMA(96922e03c225ba70);
-CAPNP_DECLARE_SCHEMA(c8ec3e44fc06252b);
-CAPNP_DECLARE_SCHEMA(a7de5f62a37ac864);
+CAPNP_DECLARE_SCHEMA(ba0f3c29ba4166ad);
 CAPNP_DECLARE_SCHEMA(adb1732469ac3ee2);
-CAPNP_DECLARE_SCHEMA(c5042c300abad6f1);
-CAPNP_DECLARE_SCHEMA(da99205ab0f09d65);
+CAPNP_DECLARE_SCHEMA(bd96e15b88775894);
+CAPNP_DECLARE_SCHEMA(c8ec3e44fc06252b);
 CAPNP_DECLARE_SCHEMA(e8670e1b2a3902db);
 CAPNP_DECLARE_SCHEMA(bc1e176da42fa610);
+CAPNP_DECLARE_SCHEMA(da99205ab0f09d65);
+CAPNP_DECLARE_SCHEMA(8cca1f9111d1a9bf);
+CAPNP_DECLARE_SCHEMA(f940bf4a3fd1c8b3);
+enum class ClaimOutcome_f940bf4a3fd1c8b3: uint16_t {
+  PERMITTED,
+  IN_PROGRESS,
+  CONFIRMED,
+  FINISHED,
+  AGAIN,
+  ASK_BACKUP,
+  STALE,
+  SUPERSEDED,
+  FULL,
+  NO_BACKUP,
+};
+CAPNP_DECLARE_ENUM(ClaimOutcome, f940bf4a3fd1c8b3);
+CAPNP_DECLARE_SCHEMA(e9a5f12e421292b2);
+CAPNP_DECLARE_SCHEMA(d8371d522d99a17d);
+CAPNP_DECLARE_SCHEMA(a4d9df168e9055a8);
+CAPNP_DECLARE_SCHEMA(c554a878b17adc82);
+enum class ConfirmOutcome_c554a878b17adc82: uint16_t {
+  CONFIRMED,
+  TAKEN_OVER,
+  SUPERSEDED,
+  FULL,
+  STALE,
+};
+CAPNP_DECLARE_ENUM(ConfirmOutcome, c554a878b17adc82);
+CAPNP_DECLARE_SCHEMA(c9ef505412bb6be8);
+CAPNP_DECLARE_SCHEMA(fa91b8c6e3f1afd9);
+CAPNP_DECLARE_SCHEMA(a37bc8cc7c4c5efb);
+CAPNP_DECLARE_SCHEMA(e0096d4667a226db);
 CAPNP_DECLARE_SCHEMA(92c29e225453fa85);
-CAPNP_DECLARE_SCHEMA(bb29362dec921433);
-CAPNP_DECLARE_SCHEMA(a5ffd3949bffd996);
-CAPNP_DECLARE_SCHEMA(b138a493b719cf43);
-CAPNP_DECLARE_SCHEMA(e93ac5b6ec9c8087);
-CAPNP_DECLARE_SCHEMA(dea1fb71213bda25);
-CAPNP_DECLARE_SCHEMA(ca83d685ef35726f);
-CAPNP_DECLARE_SCHEMA(cbe0a94b793f3a87);
-CAPNP_DECLARE_SCHEMA(aade277074e75ce7);
 CAPNP_DECLARE_SCHEMA(d5f4e88c326a42cb);
 CAPNP_DECLARE_SCHEMA(fa6c2cbc6f290e47);
 CAPNP_DECLARE_SCHEMA(acc90a34937e4247);
@@ -174,30 +197,15 @@
   };
 };
 
-struct ShareReport {
-  ShareReport() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c8ec3e44fc06252b, 6, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct GrantRequest {
-  GrantRequest() = delete;
+struct SlotRequest {
+  SlotRequest() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a7de5f62a37ac864, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(ba0f3c29ba4166ad, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -219,30 +227,30 @@
   };
 };
 
-struct GrantResponse {
-  GrantResponse() = delete;
+struct SlotResponse {
+  SlotResponse() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5042c300abad6f1, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bd96e15b88775894, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct ClaimKey {
-  ClaimKey() = delete;
+struct ShareReport {
+  ShareReport() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da99205ab0f09d65, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c8ec3e44fc06252b, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -279,55 +287,39 @@
   };
 };
 
-struct RegistryMessage {
-  RegistryMessage() = delete;
+struct ClaimKey {
+  ClaimKey() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which: uint16_t {
-    CLAIM,
-    CLAIM_ANSWER,
-    OUTCOME,
-    CONFIRM,
-    CONFIRM_ANSWER,
-    OUTCOME_COPY,
-    REGISTRATION,
-    REGISTRATION_ANSWER,
-  };
-  struct Claim;
-  struct ClaimAnswer;
-  struct Outcome;
-  struct Confirm;
-  struct ConfirmAnswer;
-  struct OutcomeCopy;
-  struct Registration;
-  struct RegistrationAnswer;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(92c29e225453fa85, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(da99205ab0f09d65, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::Claim {
-  Claim() = delete;
+struct ClaimRequest {
+  ClaimRequest() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bb29362dec921433, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8cca1f9111d1a9bf, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::ClaimAnswer {
+typedef ::capnp::schemas::ClaimOutcome_f940bf4a3fd1c8b3 ClaimOutcome;
+
+struct ClaimAnswer {
   ClaimAnswer() = delete;
 
   class Reader;
@@ -335,44 +327,46 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a5ffd3949bffd996, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e9a5f12e421292b2, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::Outcome {
-  Outcome() = delete;
+struct OutcomeReport {
+  OutcomeReport() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b138a493b719cf43, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d8371d522d99a17d, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::Confirm {
-  Confirm() = delete;
+struct ConfirmRequest {
+  ConfirmRequest() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e93ac5b6ec9c8087, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a4d9df168e9055a8, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::ConfirmAnswer {
+typedef ::capnp::schemas::ConfirmOutcome_c554a878b17adc82 ConfirmOutcome;
+
+struct ConfirmAnswer {
   ConfirmAnswer() = delete;
 
   class Reader;
@@ -380,14 +374,14 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dea1fb71213bda25, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c9ef505412bb6be8, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::OutcomeCopy {
+struct OutcomeCopy {
   OutcomeCopy() = delete;
 
   class Reader;
@@ -395,29 +389,29 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca83d685ef35726f, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fa91b8c6e3f1afd9, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::Registration {
-  Registration() = delete;
+struct BackupRegistration {
+  BackupRegistration() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cbe0a94b793f3a87, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a37bc8cc7c4c5efb, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RegistryMessage::RegistrationAnswer {
+struct RegistrationAnswer {
   RegistrationAnswer() = delete;
 
   class Reader;
@@ -425,7 +419,33 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aade277074e75ce7, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e0096d4667a226db, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RegistryMessage {
+  RegistryMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    CLAIM,
+    SETTLE,
+    CLAIM_ANSWER,
+    RECORD_OUTCOME,
+    CONFIRM,
+    CONFIRM_ANSWER,
+    OUTCOME_COPY,
+    REGISTRATION,
+    REGISTRATION_ANSWER,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92c29e225453fa85, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -450,10 +470,10 @@
   struct FetchPlanResults;
   struct OfferParams;
   struct OfferResults;
-  struct ExchangeSlotsParams;
-  struct ExchangeSlotsResults;
-  struct DeliverParams;
-  struct DeliverResults;
+  struct RequestSlotsParams;
+  struct RequestSlotsResults;
+  struct RegistryParams;
+  struct RegistryResults;
   struct StatusParams;
   struct StatusResults;
 
@@ -593,7 +613,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de248b86a0d216ec, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(de248b86a0d216ec, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -615,8 +635,8 @@
   };
 };
 
-struct Peer::ExchangeSlotsParams {
-  ExchangeSlotsParams() = delete;
+struct Peer::RequestSlotsParams {
+  RequestSlotsParams() = delete;
 
   class Reader;
   class Builder;
@@ -630,8 +650,8 @@
   };
 };
 
-struct Peer::ExchangeSlotsResults {
-  ExchangeSlotsResults() = delete;
+struct Peer::RequestSlotsResults {
+  RequestSlotsResults() = delete;
 
   class Reader;
   class Builder;
@@ -645,8 +665,8 @@
   };
 };
 
-struct Peer::DeliverParams {
-  DeliverParams() = delete;
+struct Peer::RegistryParams {
+  RegistryParams() = delete;
 
   class Reader;
   class Builder;
@@ -660,8 +680,8 @@
   };
 };
 
-struct Peer::DeliverResults {
-  DeliverResults() = delete;
+struct Peer::RegistryResults {
+  RegistryResults() = delete;
 
   class Reader;
   class Builder;
@@ -1129,8 +1149,8 @@
 
   inline  ::uint64_t getPlanVersionApplied() const;
 
-  inline bool hasShareReport() const;
-  inline  ::Tarragon::PeerRpc::ShareReport::Reader getShareReport() const;
+  inline bool hasShares() const;
+  inline  ::Tarragon::PeerRpc::ShareReport::Reader getShares() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1209,12 +1229,12 @@
   inline  ::uint64_t getPlanVersionApplied();
   inline void setPlanVersionApplied( ::uint64_t value);
 
-  inline bool hasShareReport();
-  inline  ::Tarragon::PeerRpc::ShareReport::Builder getShareReport();
-  inline void setShareReport( ::Tarragon::PeerRpc::ShareReport::Reader value);
-  inline  ::Tarragon::PeerRpc::ShareReport::Builder initShareReport();
-  inline void adoptShareReport(::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> disownShareReport();
+  inline bool hasShares();
+  inline  ::Tarragon::PeerRpc::ShareReport::Builder getShares();
+  inline void setShares( ::Tarragon::PeerRpc::ShareReport::Reader value);
+  inline  ::Tarragon::PeerRpc::ShareReport::Builder initShares();
+  inline void adoptShares(::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> disownShares();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1235,7 +1255,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
-  inline  ::Tarragon::PeerRpc::ShareReport::Pipeline getShareReport();
+  inline  ::Tarragon::PeerRpc::ShareReport::Pipeline getShares();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1361,121 +1381,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ShareReport::Reader {
-public:
-  typedef ShareReport Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSender() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
-
-  inline  ::uint64_t getSequence() const;
-
-  inline  ::uint64_t getAdopted() const;
-
-  inline  ::uint64_t getSettled() const;
-
-  inline  ::uint64_t getClosed() const;
-
-  inline  ::uint64_t getEchoedIncarnation() const;
-
-  inline  ::uint64_t getEchoedSequence() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class ShareReport::Builder {
-public:
-  typedef ShareReport Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSender();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
-  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline  ::uint64_t getAdopted();
-  inline void setAdopted( ::uint64_t value);
-
-  inline  ::uint64_t getSettled();
-  inline void setSettled( ::uint64_t value);
-
-  inline  ::uint64_t getClosed();
-  inline void setClosed( ::uint64_t value);
-
-  inline  ::uint64_t getEchoedIncarnation();
-  inline void setEchoedIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getEchoedSequence();
-  inline void setEchoedSequence( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class ShareReport::Pipeline {
-public:
-  typedef ShareReport Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class GrantRequest::Reader {
+class SlotRequest::Reader {
 public:
-  typedef GrantRequest Reads;
+  typedef SlotRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1519,9 +1427,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GrantRequest::Builder {
+class SlotRequest::Builder {
 public:
-  typedef GrantRequest Builds;
+  typedef SlotRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1586,9 +1494,9 @@
 };
 
 #if !CAPNP_LITE
-class GrantRequest::Pipeline {
+class SlotRequest::Pipeline {
 public:
-  typedef GrantRequest Pipelines;
+  typedef SlotRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1621,7 +1529,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline  ::uint64_t getGrant() const;
 
   inline bool hasTarget() const;
   inline  ::capnp::Text::Reader getTarget() const;
@@ -1654,8 +1562,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline  ::uint64_t getGrant();
+  inline void setGrant( ::uint64_t value);
 
   inline bool hasTarget();
   inline  ::capnp::Text::Builder getTarget();
@@ -1690,9 +1598,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GrantResponse::Reader {
+class SlotResponse::Reader {
 public:
-  typedef GrantResponse Reads;
+  typedef SlotResponse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1715,7 +1623,7 @@
 
   inline  ::uint64_t getSequence() const;
 
-  inline  ::int64_t getDurationMicroseconds() const;
+  inline  ::uint64_t getDurationUs() const;
 
   inline bool hasGranted() const;
   inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader getGranted() const;
@@ -1735,9 +1643,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GrantResponse::Builder {
+class SlotResponse::Builder {
 public:
-  typedef GrantResponse Builds;
+  typedef SlotResponse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1768,8 +1676,8 @@
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
-  inline  ::int64_t getDurationMicroseconds();
-  inline void setDurationMicroseconds( ::int64_t value);
+  inline  ::uint64_t getDurationUs();
+  inline void setDurationUs( ::uint64_t value);
 
   inline bool hasGranted();
   inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder getGranted();
@@ -1796,9 +1704,9 @@
 };
 
 #if !CAPNP_LITE
-class GrantResponse::Pipeline {
+class SlotResponse::Pipeline {
 public:
-  typedef GrantResponse Pipelines;
+  typedef SlotResponse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1814,9 +1722,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ClaimKey::Reader {
+class ShareReport::Reader {
 public:
-  typedef ClaimKey Reads;
+  typedef ShareReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1831,11 +1739,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRunner() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getRunner() const;
-
   inline  ::uint64_t getSequence() const;
 
+  inline  ::uint64_t getAdopted() const;
+
+  inline  ::uint64_t getSettled() const;
+
+  inline  ::uint64_t getClosed() const;
+
+  inline  ::uint64_t getEchoedIncarnation() const;
+
+  inline  ::uint64_t getEchoedSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1848,9 +1763,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ClaimKey::Builder {
+class ShareReport::Builder {
 public:
-  typedef ClaimKey Builds;
+  typedef ShareReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1864,16 +1779,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRunner();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getRunner();
-  inline void setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initRunner();
-  inline void adoptRunner(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownRunner();
-
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
+  inline  ::uint64_t getAdopted();
+  inline void setAdopted( ::uint64_t value);
+
+  inline  ::uint64_t getSettled();
+  inline void setSettled( ::uint64_t value);
+
+  inline  ::uint64_t getClosed();
+  inline void setClosed( ::uint64_t value);
+
+  inline  ::uint64_t getEchoedIncarnation();
+  inline void setEchoedIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getEchoedSequence();
+  inline void setEchoedSequence( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1884,15 +1807,14 @@
 };
 
 #if !CAPNP_LITE
-class ClaimKey::Pipeline {
+class ShareReport::Pipeline {
 public:
-  typedef ClaimKey Pipelines;
+  typedef ShareReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getRunner();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2009,7 +1931,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getStatus() const;
+  inline  ::uint16_t getStatus() const;
 
   inline bool hasHeaders() const;
   inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
@@ -2045,8 +1967,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getStatus();
-  inline void setStatus( ::int32_t value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
   inline bool hasHeaders();
   inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder getHeaders();
@@ -2088,9 +2010,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::Reader {
+class ClaimKey::Reader {
 public:
-  typedef RegistryMessage Reads;
+  typedef ClaimKey Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2105,30 +2027,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isClaim() const;
-  inline typename Claim::Reader getClaim() const;
-
-  inline bool isClaimAnswer() const;
-  inline typename ClaimAnswer::Reader getClaimAnswer() const;
-
-  inline bool isOutcome() const;
-  inline typename Outcome::Reader getOutcome() const;
-
-  inline bool isConfirm() const;
-  inline typename Confirm::Reader getConfirm() const;
-
-  inline bool isConfirmAnswer() const;
-  inline typename ConfirmAnswer::Reader getConfirmAnswer() const;
-
-  inline bool isOutcomeCopy() const;
-  inline typename OutcomeCopy::Reader getOutcomeCopy() const;
-
-  inline bool isRegistration() const;
-  inline typename Registration::Reader getRegistration() const;
+  inline bool hasRunner() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getRunner() const;
 
-  inline bool isRegistrationAnswer() const;
-  inline typename RegistrationAnswer::Reader getRegistrationAnswer() const;
+  inline  ::uint64_t getSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2142,9 +2044,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::Builder {
+class ClaimKey::Builder {
 public:
-  typedef RegistryMessage Builds;
+  typedef ClaimKey Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2158,38 +2060,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isClaim();
-  inline typename Claim::Builder getClaim();
-  inline typename Claim::Builder initClaim();
+  inline bool hasRunner();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getRunner();
+  inline void setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initRunner();
+  inline void adoptRunner(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownRunner();
 
-  inline bool isClaimAnswer();
-  inline typename ClaimAnswer::Builder getClaimAnswer();
-  inline typename ClaimAnswer::Builder initClaimAnswer();
-
-  inline bool isOutcome();
-  inline typename Outcome::Builder getOutcome();
-  inline typename Outcome::Builder initOutcome();
-
-  inline bool isConfirm();
-  inline typename Confirm::Builder getConfirm();
-  inline typename Confirm::Builder initConfirm();
-
-  inline bool isConfirmAnswer();
-  inline typename ConfirmAnswer::Builder getConfirmAnswer();
-  inline typename ConfirmAnswer::Builder initConfirmAnswer();
-
-  inline bool isOutcomeCopy();
-  inline typename OutcomeCopy::Builder getOutcomeCopy();
-  inline typename OutcomeCopy::Builder initOutcomeCopy();
-
-  inline bool isRegistration();
-  inline typename Registration::Builder getRegistration();
-  inline typename Registration::Builder initRegistration();
-
-  inline bool isRegistrationAnswer();
-  inline typename RegistrationAnswer::Builder getRegistrationAnswer();
-  inline typename RegistrationAnswer::Builder initRegistrationAnswer();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2201,14 +2080,15 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::Pipeline {
+class ClaimKey::Pipeline {
 public:
-  typedef RegistryMessage Pipelines;
+  typedef ClaimKey Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getRunner();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2217,9 +2097,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::Claim::Reader {
+class ClaimRequest::Reader {
 public:
-  typedef Claim Reads;
+  typedef ClaimRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2234,15 +2114,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline bool hasKey() const;
-  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline  ::int32_t getAttempt() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
 
-  inline bool getSettle() const;
+  inline  ::uint32_t getAttempt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2256,9 +2134,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::Claim::Builder {
+class ClaimRequest::Builder {
 public:
-  typedef Claim Builds;
+  typedef ClaimRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2272,25 +2150,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasKey();
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
-  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
-  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
 
-  inline  ::int32_t getAttempt();
-  inline void setAttempt( ::int32_t value);
-
-  inline bool getSettle();
-  inline void setSettle(bool value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2302,15 +2177,15 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::Claim::Pipeline {
+class ClaimRequest::Pipeline {
 public:
-  typedef Claim Pipelines;
+  typedef ClaimRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2319,7 +2194,7 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::ClaimAnswer::Reader {
+class ClaimAnswer::Reader {
 public:
   typedef ClaimAnswer Reads;
 
@@ -2336,13 +2211,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasKey() const;
-  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
 
-  inline  ::uint8_t getOutcome() const;
+  inline  ::Tarragon::PeerRpc::ClaimOutcome getOutcome() const;
 
   inline bool getFromBackup() const;
 
@@ -2366,7 +2241,7 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::ClaimAnswer::Builder {
+class ClaimAnswer::Builder {
 public:
   typedef ClaimAnswer Builds;
 
@@ -2382,22 +2257,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasKey();
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
-  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
-  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
 
-  inline  ::uint8_t getOutcome();
-  inline void setOutcome( ::uint8_t value);
+  inline  ::Tarragon::PeerRpc::ClaimOutcome getOutcome();
+  inline void setOutcome( ::Tarragon::PeerRpc::ClaimOutcome value);
 
   inline bool getFromBackup();
   inline void setFromBackup(bool value);
@@ -2429,7 +2304,7 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::ClaimAnswer::Pipeline {
+class ClaimAnswer::Pipeline {
 public:
   typedef ClaimAnswer Pipelines;
 
@@ -2437,7 +2312,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
   inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getHolder();
   inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
@@ -2448,9 +2323,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::Outcome::Reader {
+class OutcomeReport::Reader {
 public:
-  typedef Outcome Reads;
+  typedef OutcomeReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2465,11 +2340,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasKey() const;
-  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
 
   inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
 
@@ -2488,9 +2363,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::Outcome::Builder {
+class OutcomeReport::Builder {
 public:
-  typedef Outcome Builds;
+  typedef OutcomeReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2504,19 +2379,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasKey();
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
-  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
-  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
 
   inline  ::Tarragon::PeerRpc::Verdict getVerdict();
   inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
@@ -2538,15 +2413,15 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::Outcome::Pipeline {
+class OutcomeReport::Pipeline {
 public:
-  typedef Outcome Pipelines;
+  typedef OutcomeReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
   inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2556,9 +2431,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::Confirm::Reader {
+class ConfirmRequest::Reader {
 public:
-  typedef Confirm Reads;
+  typedef ConfirmRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2573,13 +2448,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasKey() const;
-  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getKey() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
 
-  inline  ::int32_t getAttempt() const;
+  inline  ::uint32_t getAttempt() const;
 
   inline  ::uint64_t getSequence() const;
 
@@ -2597,9 +2472,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::Confirm::Builder {
+class ConfirmRequest::Builder {
 public:
-  typedef Confirm Builds;
+  typedef ConfirmRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2613,22 +2488,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasKey();
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getKey();
-  inline void setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initKey();
-  inline void adoptKey(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownKey();
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
 
-  inline  ::int32_t getAttempt();
-  inline void setAttempt( ::int32_t value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
@@ -2646,15 +2521,15 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::Confirm::Pipeline {
+class ConfirmRequest::Pipeline {
 public:
-  typedef Confirm Pipelines;
+  typedef ConfirmRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getKey();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2663,7 +2538,7 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::ConfirmAnswer::Reader {
+class ConfirmAnswer::Reader {
 public:
   typedef ConfirmAnswer Reads;
 
@@ -2680,12 +2555,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
   inline  ::uint64_t getSequence() const;
 
-  inline  ::uint8_t getOutcome() const;
+  inline  ::Tarragon::PeerRpc::ConfirmOutcome getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2699,7 +2574,7 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::ConfirmAnswer::Builder {
+class ConfirmAnswer::Builder {
 public:
   typedef ConfirmAnswer Builds;
 
@@ -2715,18 +2590,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
-  inline  ::uint8_t getOutcome();
-  inline void setOutcome( ::uint8_t value);
+  inline  ::Tarragon::PeerRpc::ConfirmOutcome getOutcome();
+  inline void setOutcome( ::Tarragon::PeerRpc::ConfirmOutcome value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2738,7 +2613,7 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::ConfirmAnswer::Pipeline {
+class ConfirmAnswer::Pipeline {
 public:
   typedef ConfirmAnswer Pipelines;
 
@@ -2754,7 +2629,7 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::OutcomeCopy::Reader {
+class OutcomeCopy::Reader {
 public:
   typedef OutcomeCopy Reads;
 
@@ -2771,8 +2646,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
   inline  ::uint64_t getSequence() const;
 
@@ -2793,7 +2668,7 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::OutcomeCopy::Builder {
+class OutcomeCopy::Builder {
 public:
   typedef OutcomeCopy Builds;
 
@@ -2809,12 +2684,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
@@ -2839,7 +2714,7 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::OutcomeCopy::Pipeline {
+class OutcomeCopy::Pipeline {
 public:
   typedef OutcomeCopy Pipelines;
 
@@ -2856,9 +2731,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::Registration::Reader {
+class BackupRegistration::Reader {
 public:
-  typedef Registration Reads;
+  typedef BackupRegistration Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2897,9 +2772,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::Registration::Builder {
+class BackupRegistration::Builder {
 public:
-  typedef Registration Builds;
+  typedef BackupRegistration Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2946,9 +2821,9 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::Registration::Pipeline {
+class BackupRegistration::Pipeline {
 public:
-  typedef Registration Pipelines;
+  typedef BackupRegistration Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2964,7 +2839,7 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegistryMessage::RegistrationAnswer::Reader {
+class RegistrationAnswer::Reader {
 public:
   typedef RegistrationAnswer Reads;
 
@@ -2981,12 +2856,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPrimary() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
-
   inline bool hasBackup() const;
   inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBackup() const;
 
+  inline bool hasPrimary() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
+
   inline  ::uint64_t getFrom() const;
 
   inline bool getAccepted() const;
@@ -3003,7 +2878,7 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegistryMessage::RegistrationAnswer::Builder {
+class RegistrationAnswer::Builder {
 public:
   typedef RegistrationAnswer Builds;
 
@@ -3019,13 +2894,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPrimary();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
-  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
-  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
-
   inline bool hasBackup();
   inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBackup();
   inline void setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value);
@@ -3033,6 +2901,13 @@
   inline void adoptBackup(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
   inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBackup();
 
+  inline bool hasPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
+  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
+  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
+
   inline  ::uint64_t getFrom();
   inline void setFrom( ::uint64_t value);
 
@@ -3049,7 +2924,7 @@
 };
 
 #if !CAPNP_LITE
-class RegistryMessage::RegistrationAnswer::Pipeline {
+class RegistrationAnswer::Pipeline {
 public:
   typedef RegistrationAnswer Pipelines;
 
@@ -3057,8 +2932,189 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
   inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBackup();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RegistryMessage::Reader {
+public:
+  typedef RegistryMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isClaim() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Reader getClaim() const;
+
+  inline bool isSettle() const;
+  inline bool hasSettle() const;
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Reader getSettle() const;
+
+  inline bool isClaimAnswer() const;
+  inline bool hasClaimAnswer() const;
+  inline  ::Tarragon::PeerRpc::ClaimAnswer::Reader getClaimAnswer() const;
+
+  inline bool isRecordOutcome() const;
+  inline bool hasRecordOutcome() const;
+  inline  ::Tarragon::PeerRpc::OutcomeReport::Reader getRecordOutcome() const;
+
+  inline bool isConfirm() const;
+  inline bool hasConfirm() const;
+  inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader getConfirm() const;
+
+  inline bool isConfirmAnswer() const;
+  inline bool hasConfirmAnswer() const;
+  inline  ::Tarragon::PeerRpc::ConfirmAnswer::Reader getConfirmAnswer() const;
+
+  inline bool isOutcomeCopy() const;
+  inline bool hasOutcomeCopy() const;
+  inline  ::Tarragon::PeerRpc::OutcomeCopy::Reader getOutcomeCopy() const;
+
+  inline bool isRegistration() const;
+  inline bool hasRegistration() const;
+  inline  ::Tarragon::PeerRpc::BackupRegistration::Reader getRegistration() const;
+
+  inline bool isRegistrationAnswer() const;
+  inline bool hasRegistrationAnswer() const;
+  inline  ::Tarragon::PeerRpc::RegistrationAnswer::Reader getRegistrationAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RegistryMessage::Builder {
+public:
+  typedef RegistryMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isClaim();
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> disownClaim();
+
+  inline bool isSettle();
+  inline bool hasSettle();
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder getSettle();
+  inline void setSettle( ::Tarragon::PeerRpc::ClaimRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder initSettle();
+  inline void adoptSettle(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> disownSettle();
+
+  inline bool isClaimAnswer();
+  inline bool hasClaimAnswer();
+  inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder getClaimAnswer();
+  inline void setClaimAnswer( ::Tarragon::PeerRpc::ClaimAnswer::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder initClaimAnswer();
+  inline void adoptClaimAnswer(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer> disownClaimAnswer();
+
+  inline bool isRecordOutcome();
+  inline bool hasRecordOutcome();
+  inline  ::Tarragon::PeerRpc::OutcomeReport::Builder getRecordOutcome();
+  inline void setRecordOutcome( ::Tarragon::PeerRpc::OutcomeReport::Reader value);
+  inline  ::Tarragon::PeerRpc::OutcomeReport::Builder initRecordOutcome();
+  inline void adoptRecordOutcome(::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport> disownRecordOutcome();
+
+  inline bool isConfirm();
+  inline bool hasConfirm();
+  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder getConfirm();
+  inline void setConfirm( ::Tarragon::PeerRpc::ConfirmRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder initConfirm();
+  inline void adoptConfirm(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> disownConfirm();
+
+  inline bool isConfirmAnswer();
+  inline bool hasConfirmAnswer();
+  inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder getConfirmAnswer();
+  inline void setConfirmAnswer( ::Tarragon::PeerRpc::ConfirmAnswer::Reader value);
+  inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder initConfirmAnswer();
+  inline void adoptConfirmAnswer(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer> disownConfirmAnswer();
+
+  inline bool isOutcomeCopy();
+  inline bool hasOutcomeCopy();
+  inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder getOutcomeCopy();
+  inline void setOutcomeCopy( ::Tarragon::PeerRpc::OutcomeCopy::Reader value);
+  inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder initOutcomeCopy();
+  inline void adoptOutcomeCopy(::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy> disownOutcomeCopy();
+
+  inline bool isRegistration();
+  inline bool hasRegistration();
+  inline  ::Tarragon::PeerRpc::BackupRegistration::Builder getRegistration();
+  inline void setRegistration( ::Tarragon::PeerRpc::BackupRegistration::Reader value);
+  inline  ::Tarragon::PeerRpc::BackupRegistration::Builder initRegistration();
+  inline void adoptRegistration(::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration> disownRegistration();
+
+  inline bool isRegistrationAnswer();
+  inline bool hasRegistrationAnswer();
+  inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder getRegistrationAnswer();
+  inline void setRegistrationAnswer( ::Tarragon::PeerRpc::RegistrationAnswer::Reader value);
+  inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder initRegistrationAnswer();
+  inline void adoptRegistrationAnswer(::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer> disownRegistrationAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RegistryMessage::Pipeline {
+public:
+  typedef RegistryMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3096,9 +3152,9 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Tarragon::PeerRpc::Peer::OfferParams,  ::Tarragon::PeerRpc::Peer::OfferResults> offerRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ExchangeSlotsParams,  ::Tarragon::PeerRpc::Peer::ExchangeSlotsResults> exchangeSlotsRequest(
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RequestSlotsParams,  ::Tarragon::PeerRpc::Peer::RequestSlotsResults> requestSlotsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::DeliverParams,  ::Tarragon::PeerRpc::Peer::DeliverResults> deliverRequest(
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RegistryParams,  ::Tarragon::PeerRpc::Peer::RegistryResults> registryRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Tarragon::PeerRpc::Peer::StatusParams,  ::Tarragon::PeerRpc::Peer::StatusResults> statusRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
@@ -3138,14 +3194,14 @@
   typedef  ::Tarragon::PeerRpc::Peer::OfferResults OfferResults;
   typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
   virtual ::kj::Promise<void> offer(OfferContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::ExchangeSlotsParams ExchangeSlotsParams;
-  typedef  ::Tarragon::PeerRpc::Peer::ExchangeSlotsResults ExchangeSlotsResults;
-  typedef ::capnp::CallContext<ExchangeSlotsParams, ExchangeSlotsResults> ExchangeSlotsContext;
-  virtual ::kj::Promise<void> exchangeSlots(ExchangeSlotsContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::DeliverParams DeliverParams;
-  typedef  ::Tarragon::PeerRpc::Peer::DeliverResults DeliverResults;
-  typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
-  virtual ::kj::Promise<void> deliver(DeliverContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsParams RequestSlotsParams;
+  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsResults RequestSlotsResults;
+  typedef ::capnp::CallContext<RequestSlotsParams, RequestSlotsResults> RequestSlotsContext;
+  virtual ::kj::Promise<void> requestSlots(RequestSlotsContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::RegistryParams RegistryParams;
+  typedef  ::Tarragon::PeerRpc::Peer::RegistryResults RegistryResults;
+  typedef ::capnp::CallContext<RegistryParams, RegistryResults> RegistryContext;
+  virtual ::kj::Promise<void> registry(RegistryContext context);
   typedef  ::Tarragon::PeerRpc::Peer::StatusParams StatusParams;
   typedef  ::Tarragon::PeerRpc::Peer::StatusResults StatusResults;
   typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
@@ -3851,8 +3907,6 @@
 
   inline  ::uint64_t getPlanVersion() const;
 
-  inline bool getRelay() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3894,9 +3948,6 @@
   inline  ::uint64_t getPlanVersion();
   inline void setPlanVersion( ::uint64_t value);
 
-  inline bool getRelay();
-  inline void setRelay(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3995,9 +4046,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeSlotsParams::Reader {
+class Peer::RequestSlotsParams::Reader {
 public:
-  typedef ExchangeSlotsParams Reads;
+  typedef RequestSlotsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4013,7 +4064,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::GrantRequest::Reader getRequest() const;
+  inline  ::Tarragon::PeerRpc::SlotRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4027,9 +4078,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeSlotsParams::Builder {
+class Peer::RequestSlotsParams::Builder {
 public:
-  typedef ExchangeSlotsParams Builds;
+  typedef RequestSlotsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4044,11 +4095,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::GrantRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::GrantRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::GrantRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest> disownRequest();
+  inline  ::Tarragon::PeerRpc::SlotRequest::Builder getRequest();
+  inline void setRequest( ::Tarragon::PeerRpc::SlotRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::SlotRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4060,15 +4111,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeSlotsParams::Pipeline {
+class Peer::RequestSlotsParams::Pipeline {
 public:
-  typedef ExchangeSlotsParams Pipelines;
+  typedef RequestSlotsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::GrantRequest::Pipeline getRequest();
+  inline  ::Tarragon::PeerRpc::SlotRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4077,9 +4128,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeSlotsResults::Reader {
+class Peer::RequestSlotsResults::Reader {
 public:
-  typedef ExchangeSlotsResults Reads;
+  typedef RequestSlotsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4095,7 +4146,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::GrantResponse::Reader getResponse() const;
+  inline  ::Tarragon::PeerRpc::SlotResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4109,9 +4160,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeSlotsResults::Builder {
+class Peer::RequestSlotsResults::Builder {
 public:
-  typedef ExchangeSlotsResults Builds;
+  typedef RequestSlotsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4126,11 +4177,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::GrantResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::GrantResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::GrantResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse> disownResponse();
+  inline  ::Tarragon::PeerRpc::SlotResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::SlotResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::SlotResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4142,15 +4193,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeSlotsResults::Pipeline {
+class Peer::RequestSlotsResults::Pipeline {
 public:
-  typedef ExchangeSlotsResults Pipelines;
+  typedef RequestSlotsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::GrantResponse::Pipeline getResponse();
+  inline  ::Tarragon::PeerRpc::SlotResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4159,9 +4210,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::DeliverParams::Reader {
+class Peer::RegistryParams::Reader {
 public:
-  typedef DeliverParams Reads;
+  typedef RegistryParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4191,9 +4242,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::DeliverParams::Builder {
+class Peer::RegistryParams::Builder {
 public:
-  typedef DeliverParams Builds;
+  typedef RegistryParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4224,9 +4275,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::DeliverParams::Pipeline {
+class Peer::RegistryParams::Pipeline {
 public:
-  typedef DeliverParams Pipelines;
+  typedef RegistryParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4240,9 +4291,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::DeliverResults::Reader {
+class Peer::RegistryResults::Reader {
 public:
-  typedef DeliverResults Reads;
+  typedef RegistryResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4269,9 +4320,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::DeliverResults::Builder {
+class Peer::RegistryResults::Builder {
 public:
-  typedef DeliverResults Builds;
+  typedef RegistryResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4295,9 +4346,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::DeliverResults::Pipeline {
+class Peer::RegistryResults::Pipeline {
 public:
-  typedef DeliverResults Pipelines;
+  typedef RegistryResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5007,41 +5058,41 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasShareReport() const {
+inline bool Heartbeat::Reader::hasShares() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasShareReport() {
+inline bool Heartbeat::Builder::hasShares() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ShareReport::Reader Heartbeat::Reader::getShareReport() const {
+inline  ::Tarragon::PeerRpc::ShareReport::Reader Heartbeat::Reader::getShares() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::getShareReport() {
+inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::getShares() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ShareReport::Pipeline Heartbeat::Pipeline::getShareReport() {
+inline  ::Tarragon::PeerRpc::ShareReport::Pipeline Heartbeat::Pipeline::getShares() {
   return  ::Tarragon::PeerRpc::ShareReport::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setShareReport( ::Tarragon::PeerRpc::ShareReport::Reader value) {
+inline void Heartbeat::Builder::setShares( ::Tarragon::PeerRpc::ShareReport::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::initShareReport() {
+inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::initShares() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::adoptShareReport(
+inline void Heartbeat::Builder::adoptShares(
     ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> Heartbeat::Builder::disownShareReport() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> Heartbeat::Builder::disownShares() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
@@ -5195,345 +5246,222 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ShareReport::Reader::hasSender() const {
+inline bool SlotRequest::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ShareReport::Builder::hasSender() {
+inline bool SlotRequest::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ShareReport::Reader::getSender() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotRequest::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ShareReport::Builder::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ShareReport::Pipeline::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotRequest::Pipeline::getSender() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ShareReport::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void SlotRequest::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ShareReport::Builder::initSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ShareReport::Builder::adoptSender(
+inline void SlotRequest::Builder::adoptSender(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ShareReport::Builder::disownSender() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotRequest::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ShareReport::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SlotRequest::Reader::hasReceiver() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ShareReport::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SlotRequest::Builder::hasReceiver() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ShareReport::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotRequest::Reader::getReceiver() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ShareReport::Reader::getAdopted() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::getReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ShareReport::Builder::getAdopted() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotRequest::Pipeline::getReceiver() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
 }
-inline void ShareReport::Builder::setAdopted( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void SlotRequest::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t ShareReport::Reader::getSettled() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::initReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ShareReport::Builder::getSettled() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void SlotRequest::Builder::adoptReceiver(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ShareReport::Builder::setSettled( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotRequest::Builder::disownReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ShareReport::Reader::getClosed() const {
+inline  ::uint64_t SlotRequest::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ShareReport::Builder::getClosed() {
+inline  ::uint64_t SlotRequest::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ShareReport::Builder::setClosed( ::uint64_t value) {
+inline void SlotRequest::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ShareReport::Reader::getEchoedIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool SlotRequest::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ShareReport::Builder::getEchoedIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool SlotRequest::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void ShareReport::Builder::setEchoedIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SlotRequest::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ShareReport::Reader::getEchoedSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotRequest::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ShareReport::Builder::getEchoedSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void SlotRequest::Builder::setWanted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void ShareReport::Builder::setEchoedSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void SlotRequest::Builder::setWanted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotRequest::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SlotRequest::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SlotRequest::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool GrantRequest::Reader::hasSender() const {
+inline bool SlotRequest::Reader::hasRenewals() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantRequest::Builder::hasSender() {
+inline bool SlotRequest::Builder::hasRenewals() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantRequest::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantRequest::Pipeline::getSender() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void GrantRequest::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void GrantRequest::Builder::adoptSender(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantRequest::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool GrantRequest::Reader::hasReceiver() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool GrantRequest::Builder::hasReceiver() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantRequest::Reader::getReceiver() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::getReceiver() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantRequest::Pipeline::getReceiver() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void GrantRequest::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantRequest::Builder::initReceiver() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void GrantRequest::Builder::adoptReceiver(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantRequest::Builder::disownReceiver() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t GrantRequest::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t GrantRequest::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void GrantRequest::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GrantRequest::Reader::hasWanted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool GrantRequest::Builder::hasWanted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GrantRequest::Reader::getWanted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantRequest::Builder::getWanted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void GrantRequest::Builder::setWanted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void GrantRequest::Builder::setWanted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantRequest::Builder::initWanted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void GrantRequest::Builder::adoptWanted(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GrantRequest::Builder::disownWanted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool GrantRequest::Reader::hasRenewals() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool GrantRequest::Builder::hasRenewals() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantRequest::Reader::getRenewals() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotRequest::Reader::getRenewals() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::getRenewals() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::getRenewals() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void GrantRequest::Builder::setRenewals( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void SlotRequest::Builder::setRenewals( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void GrantRequest::Builder::setRenewals(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void SlotRequest::Builder::setRenewals(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::initRenewals(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::initRenewals(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void GrantRequest::Builder::adoptRenewals(
+inline void SlotRequest::Builder::adoptRenewals(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantRequest::Builder::disownRenewals() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotRequest::Builder::disownRenewals() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool GrantRequest::Reader::hasReturns() const {
+inline bool SlotRequest::Reader::hasReturns() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantRequest::Builder::hasReturns() {
+inline bool SlotRequest::Builder::hasReturns() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantRequest::Reader::getReturns() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotRequest::Reader::getReturns() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::getReturns() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::getReturns() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void GrantRequest::Builder::setReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void SlotRequest::Builder::setReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void GrantRequest::Builder::setReturns(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void SlotRequest::Builder::setReturns(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantRequest::Builder::initReturns(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::initReturns(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void GrantRequest::Builder::adoptReturns(
+inline void SlotRequest::Builder::adoptReturns(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantRequest::Builder::disownReturns() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotRequest::Builder::disownReturns() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SlotGrant::Reader::getId() const {
+inline  ::uint64_t SlotGrant::Reader::getGrant() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SlotGrant::Builder::getId() {
+inline  ::uint64_t SlotGrant::Builder::getGrant() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotGrant::Builder::setId( ::uint64_t value) {
+inline void SlotGrant::Builder::setGrant( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
@@ -5572,235 +5500,266 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GrantResponse::Reader::hasSender() const {
+inline bool SlotResponse::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantResponse::Builder::hasSender() {
+inline bool SlotResponse::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantResponse::Reader::getSender() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotResponse::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantResponse::Pipeline::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotResponse::Pipeline::getSender() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void GrantResponse::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void SlotResponse::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::initSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GrantResponse::Builder::adoptSender(
+inline void SlotResponse::Builder::adoptSender(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantResponse::Builder::disownSender() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotResponse::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GrantResponse::Reader::hasReceiver() const {
+inline bool SlotResponse::Reader::hasReceiver() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantResponse::Builder::hasReceiver() {
+inline bool SlotResponse::Builder::hasReceiver() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader GrantResponse::Reader::getReceiver() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotResponse::Reader::getReceiver() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::getReceiver() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::getReceiver() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline GrantResponse::Pipeline::getReceiver() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotResponse::Pipeline::getReceiver() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void GrantResponse::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void SlotResponse::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder GrantResponse::Builder::initReceiver() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::initReceiver() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GrantResponse::Builder::adoptReceiver(
+inline void SlotResponse::Builder::adoptReceiver(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> GrantResponse::Builder::disownReceiver() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotResponse::Builder::disownReceiver() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GrantResponse::Reader::getSequence() const {
+inline  ::uint64_t SlotResponse::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantResponse::Builder::getSequence() {
+inline  ::uint64_t SlotResponse::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantResponse::Builder::setSequence( ::uint64_t value) {
+inline void SlotResponse::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t GrantResponse::Reader::getDurationMicroseconds() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t SlotResponse::Reader::getDurationUs() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t GrantResponse::Builder::getDurationMicroseconds() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t SlotResponse::Builder::getDurationUs() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantResponse::Builder::setDurationMicroseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void SlotResponse::Builder::setDurationUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GrantResponse::Reader::hasGranted() const {
+inline bool SlotResponse::Reader::hasGranted() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantResponse::Builder::hasGranted() {
+inline bool SlotResponse::Builder::hasGranted() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader GrantResponse::Reader::getGranted() const {
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader SlotResponse::Reader::getGranted() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder GrantResponse::Builder::getGranted() {
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder SlotResponse::Builder::getGranted() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GrantResponse::Builder::setGranted( ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void SlotResponse::Builder::setGranted( ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder GrantResponse::Builder::initGranted(unsigned int size) {
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder SlotResponse::Builder::initGranted(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void GrantResponse::Builder::adoptGranted(
+inline void SlotResponse::Builder::adoptGranted(
     ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>> GrantResponse::Builder::disownGranted() {
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>> SlotResponse::Builder::disownGranted() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool GrantResponse::Reader::hasRenewed() const {
+inline bool SlotResponse::Reader::hasRenewed() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantResponse::Builder::hasRenewed() {
+inline bool SlotResponse::Builder::hasRenewed() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantResponse::Reader::getRenewed() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotResponse::Reader::getRenewed() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantResponse::Builder::getRenewed() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotResponse::Builder::getRenewed() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void GrantResponse::Builder::setRenewed( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void SlotResponse::Builder::setRenewed( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void GrantResponse::Builder::setRenewed(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void SlotResponse::Builder::setRenewed(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantResponse::Builder::initRenewed(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotResponse::Builder::initRenewed(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void GrantResponse::Builder::adoptRenewed(
+inline void SlotResponse::Builder::adoptRenewed(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantResponse::Builder::disownRenewed() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotResponse::Builder::disownRenewed() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimKey::Reader::hasRunner() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t ShareReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool ClaimKey::Builder::hasRunner() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t ShareReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ClaimKey::Reader::getRunner() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void ShareReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::getRunner() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ShareReport::Reader::getAdopted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ClaimKey::Pipeline::getRunner() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+
+inline  ::uint64_t ShareReport::Builder::getAdopted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void ClaimKey::Builder::setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ShareReport::Builder::setAdopted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::initRunner() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ShareReport::Reader::getSettled() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ClaimKey::Builder::adoptRunner(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t ShareReport::Builder::getSettled() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ClaimKey::Builder::disownRunner() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void ShareReport::Builder::setSettled( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ClaimKey::Reader::getSequence() const {
+inline  ::uint64_t ShareReport::Reader::getClosed() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ClaimKey::Builder::getSequence() {
+inline  ::uint64_t ShareReport::Builder::getClosed() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ClaimKey::Builder::setSequence( ::uint64_t value) {
+inline void ShareReport::Builder::setClosed( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ShareReport::Reader::getEchoedIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ShareReport::Builder::getEchoedIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ShareReport::Builder::setEchoedIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ShareReport::Reader::getEchoedSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ShareReport::Builder::getEchoedSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ShareReport::Builder::setEchoedSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HeaderField::Reader::hasName() const {
@@ -5871,17 +5830,17 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t FinishedResponse::Reader::getStatus() const {
-  return _reader.getDataField< ::int32_t>(
+inline  ::uint16_t FinishedResponse::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t FinishedResponse::Builder::getStatus() {
-  return _builder.getDataField< ::int32_t>(
+inline  ::uint16_t FinishedResponse::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FinishedResponse::Builder::setStatus( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
+inline void FinishedResponse::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
