@@ -5953,1141 +5912,1462 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool ClaimKey::Reader::hasRunner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool RegistryMessage::Reader::isClaim() const {
-  return which() == RegistryMessage::CLAIM;
+inline bool ClaimKey::Builder::hasRunner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Builder::isClaim() {
-  return which() == RegistryMessage::CLAIM;
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader ClaimKey::Reader::getRunner() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline typename RegistryMessage::Claim::Reader RegistryMessage::Reader::getClaim() const {
-  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Claim::Reader(_reader);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::getRunner() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline typename RegistryMessage::Claim::Builder RegistryMessage::Builder::getClaim() {
-  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Claim::Builder(_builder);
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ClaimKey::Pipeline::getRunner() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
-inline typename RegistryMessage::Claim::Builder RegistryMessage::Builder::initClaim() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
-  _builder.setDataField< ::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::Claim::Builder(_builder);
+#endif  // !CAPNP_LITE
+inline void ClaimKey::Builder::setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline bool RegistryMessage::Reader::isClaimAnswer() const {
-  return which() == RegistryMessage::CLAIM_ANSWER;
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::initRunner() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool RegistryMessage::Builder::isClaimAnswer() {
-  return which() == RegistryMessage::CLAIM_ANSWER;
+inline void ClaimKey::Builder::adoptRunner(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline typename RegistryMessage::ClaimAnswer::Reader RegistryMessage::Reader::getClaimAnswer() const {
-  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::ClaimAnswer::Reader(_reader);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ClaimKey::Builder::disownRunner() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline typename RegistryMessage::ClaimAnswer::Builder RegistryMessage::Builder::getClaimAnswer() {
-  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::ClaimAnswer::Builder(_builder);
-}
-inline typename RegistryMessage::ClaimAnswer::Builder RegistryMessage::Builder::initClaimAnswer() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
-  _builder.setDataField< ::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::ClaimAnswer::Builder(_builder);
-}
-inline bool RegistryMessage::Reader::isOutcome() const {
-  return which() == RegistryMessage::OUTCOME;
-}
-inline bool RegistryMessage::Builder::isOutcome() {
-  return which() == RegistryMessage::OUTCOME;
-}
-inline typename RegistryMessage::Outcome::Reader RegistryMessage::Reader::getOutcome() const {
-  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Outcome::Reader(_reader);
-}
-inline typename RegistryMessage::Outcome::Builder RegistryMessage::Builder::getOutcome() {
-  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Outcome::Builder(_builder);
-}
-inline typename RegistryMessage::Outcome::Builder RegistryMessage::Builder::initOutcome() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME);
-  _builder.setDataField< ::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::Outcome::Builder(_builder);
-}
-inline bool RegistryMessage::Reader::isConfirm() const {
-  return which() == RegistryMessage::CONFIRM;
-}
-inline bool RegistryMessage::Builder::isConfirm() {
-  return which() == RegistryMessage::CONFIRM;
-}
-inline typename RegistryMessage::Confirm::Reader RegistryMessage::Reader::getConfirm() const {
-  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Confirm::Reader(_reader);
-}
-inline typename RegistryMessage::Confirm::Builder RegistryMessage::Builder::getConfirm() {
-  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Confirm::Builder(_builder);
-}
-inline typename RegistryMessage::Confirm::Builder RegistryMessage::Builder::initConfirm() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
-  _builder.setDataField< ::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::Confirm::Builder(_builder);
-}
-inline bool RegistryMessage::Reader::isConfirmAnswer() const {
-  return which() == RegistryMessage::CONFIRM_ANSWER;
-}
-inline bool RegistryMessage::Builder::isConfirmAnswer() {
-  return which() == RegistryMessage::CONFIRM_ANSWER;
-}
-inline typename RegistryMessage::ConfirmAnswer::Reader RegistryMessage::Reader::getConfirmAnswer() const {
-  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::ConfirmAnswer::Reader(_reader);
-}
-inline typename RegistryMessage::ConfirmAnswer::Builder RegistryMessage::Builder::getConfirmAnswer() {
-  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::ConfirmAnswer::Builder(_builder);
-}
-inline typename RegistryMessage::ConfirmAnswer::Builder RegistryMessage::Builder::initConfirmAnswer() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::ConfirmAnswer::Builder(_builder);
-}
-inline bool RegistryMessage::Reader::isOutcomeCopy() const {
-  return which() == RegistryMessage::OUTCOME_COPY;
-}
-inline bool RegistryMessage::Builder::isOutcomeCopy() {
-  return which() == RegistryMessage::OUTCOME_COPY;
-}
-inline typename RegistryMessage::OutcomeCopy::Reader RegistryMessage::Reader::getOutcomeCopy() const {
-  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::OutcomeCopy::Reader(_reader);
-}
-inline typename RegistryMessage::OutcomeCopy::Builder RegistryMessage::Builder::getOutcomeCopy() {
-  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::OutcomeCopy::Builder(_builder);
-}
-inline typename RegistryMessage::OutcomeCopy::Builder RegistryMessage::Builder::initOutcomeCopy() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint16_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::OutcomeCopy::Builder(_builder);
-}
-inline bool RegistryMessage::Reader::isRegistration() const {
-  return which() == RegistryMessage::REGISTRATION;
-}
-inline bool RegistryMessage::Builder::isRegistration() {
-  return which() == RegistryMessage::REGISTRATION;
-}
-inline typename RegistryMessage::Registration::Reader RegistryMessage::Reader::getRegistration() const {
-  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Registration::Reader(_reader);
-}
-inline typename RegistryMessage::Registration::Builder RegistryMessage::Builder::getRegistration() {
-  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::Registration::Builder(_builder);
-}
-inline typename RegistryMessage::Registration::Builder RegistryMessage::Builder::initRegistration() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::Registration::Builder(_builder);
-}
-inline bool RegistryMessage::Reader::isRegistrationAnswer() const {
-  return which() == RegistryMessage::REGISTRATION_ANSWER;
-}
-inline bool RegistryMessage::Builder::isRegistrationAnswer() {
-  return which() == RegistryMessage::REGISTRATION_ANSWER;
+
+inline  ::uint64_t ClaimKey::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline typename RegistryMessage::RegistrationAnswer::Reader RegistryMessage::Reader::getRegistrationAnswer() const {
-  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::RegistrationAnswer::Reader(_reader);
+
+inline  ::uint64_t ClaimKey::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline typename RegistryMessage::RegistrationAnswer::Builder RegistryMessage::Builder::getRegistrationAnswer() {
-  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return typename RegistryMessage::RegistrationAnswer::Builder(_builder);
+inline void ClaimKey::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline typename RegistryMessage::RegistrationAnswer::Builder RegistryMessage::Builder::initRegistrationAnswer() {
-  _builder.setDataField<RegistryMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename RegistryMessage::RegistrationAnswer::Builder(_builder);
-}
-inline bool RegistryMessage::Claim::Reader::hasRequestId() const {
+
+inline bool ClaimRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Claim::Builder::hasRequestId() {
+inline bool ClaimRequest::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegistryMessage::Claim::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader ClaimRequest::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegistryMessage::Claim::Builder::getRequestId() {
+inline  ::capnp::Text::Builder ClaimRequest::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Claim::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void ClaimRequest::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegistryMessage::Claim::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimRequest::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegistryMessage::Claim::Builder::adoptRequestId(
+inline void ClaimRequest::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::Claim::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::Claim::Reader::hasKey() const {
+inline bool ClaimRequest::Reader::hasClaim() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Claim::Builder::hasKey() {
+inline bool ClaimRequest::Builder::hasClaim() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::Claim::Reader::getKey() const {
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ClaimRequest::Reader::getClaim() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Claim::Builder::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimRequest::Builder::getClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::Claim::Pipeline::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ClaimRequest::Pipeline::getClaim() {
   return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void RegistryMessage::Claim::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+inline void ClaimRequest::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Claim::Builder::initKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimRequest::Builder::initClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Claim::Builder::adoptKey(
+inline void ClaimRequest::Builder::adoptClaim(
     ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::Claim::Builder::disownKey() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ClaimRequest::Builder::disownClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t RegistryMessage::Claim::Reader::getAttempt() const {
-  return _reader.getDataField< ::int32_t>(
+inline  ::uint32_t ClaimRequest::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t RegistryMessage::Claim::Builder::getAttempt() {
-  return _builder.getDataField< ::int32_t>(
+inline  ::uint32_t ClaimRequest::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::Claim::Builder::setAttempt( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
+inline void ClaimRequest::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegistryMessage::Claim::Reader::getSettle() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool RegistryMessage::Claim::Builder::getSettle() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void RegistryMessage::Claim::Builder::setSettle(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool RegistryMessage::ClaimAnswer::Reader::hasRequestId() const {
+inline bool ClaimAnswer::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::ClaimAnswer::Builder::hasRequestId() {
+inline bool ClaimAnswer::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegistryMessage::ClaimAnswer::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader ClaimAnswer::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegistryMessage::ClaimAnswer::Builder::getRequestId() {
+inline  ::capnp::Text::Builder ClaimAnswer::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::ClaimAnswer::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void ClaimAnswer::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegistryMessage::ClaimAnswer::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimAnswer::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegistryMessage::ClaimAnswer::Builder::adoptRequestId(
+inline void ClaimAnswer::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::ClaimAnswer::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimAnswer::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::ClaimAnswer::Reader::hasKey() const {
+inline bool ClaimAnswer::Reader::hasClaim() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::ClaimAnswer::Builder::hasKey() {
+inline bool ClaimAnswer::Builder::hasClaim() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::ClaimAnswer::Reader::getKey() const {
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ClaimAnswer::Reader::getClaim() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::getClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::ClaimAnswer::Pipeline::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ClaimAnswer::Pipeline::getClaim() {
   return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void RegistryMessage::ClaimAnswer::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+inline void ClaimAnswer::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::initKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::initClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::ClaimAnswer::Builder::adoptKey(
+inline void ClaimAnswer::Builder::adoptClaim(
     ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::ClaimAnswer::Builder::disownKey() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ClaimAnswer::Builder::disownClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t RegistryMessage::ClaimAnswer::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::Tarragon::PeerRpc::ClaimOutcome ClaimAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::ClaimOutcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t RegistryMessage::ClaimAnswer::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::Tarragon::PeerRpc::ClaimOutcome ClaimAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::ClaimOutcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::ClaimAnswer::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void ClaimAnswer::Builder::setOutcome( ::Tarragon::PeerRpc::ClaimOutcome value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::ClaimOutcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegistryMessage::ClaimAnswer::Reader::getFromBackup() const {
+inline bool ClaimAnswer::Reader::getFromBackup() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool RegistryMessage::ClaimAnswer::Builder::getFromBackup() {
+inline bool ClaimAnswer::Builder::getFromBackup() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::ClaimAnswer::Builder::setFromBackup(bool value) {
+inline void ClaimAnswer::Builder::setFromBackup(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegistryMessage::ClaimAnswer::Reader::hasHolder() const {
+inline bool ClaimAnswer::Reader::hasHolder() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::ClaimAnswer::Builder::hasHolder() {
+inline bool ClaimAnswer::Builder::hasHolder() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::ClaimAnswer::Reader::getHolder() const {
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ClaimAnswer::Reader::getHolder() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::getHolder() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::getHolder() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::ClaimAnswer::Pipeline::getHolder() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ClaimAnswer::Pipeline::getHolder() {
   return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void RegistryMessage::ClaimAnswer::Builder::setHolder( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+inline void ClaimAnswer::Builder::setHolder( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::ClaimAnswer::Builder::initHolder() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::initHolder() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::ClaimAnswer::Builder::adoptHolder(
+inline void ClaimAnswer::Builder::adoptHolder(
     ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::ClaimAnswer::Builder::disownHolder() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ClaimAnswer::Builder::disownHolder() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::ClaimAnswer::Reader::getVerdict() const {
+inline  ::Tarragon::PeerRpc::Verdict ClaimAnswer::Reader::getVerdict() const {
   return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::ClaimAnswer::Builder::getVerdict() {
+inline  ::Tarragon::PeerRpc::Verdict ClaimAnswer::Builder::getVerdict() {
   return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::ClaimAnswer::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+inline void ClaimAnswer::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
   _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegistryMessage::ClaimAnswer::Reader::hasResponse() const {
+inline bool ClaimAnswer::Reader::hasResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::ClaimAnswer::Builder::hasResponse() {
+inline bool ClaimAnswer::Builder::hasResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Reader RegistryMessage::ClaimAnswer::Reader::getResponse() const {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader ClaimAnswer::Reader::getResponse() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::ClaimAnswer::Builder::getResponse() {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder ClaimAnswer::Builder::getResponse() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline RegistryMessage::ClaimAnswer::Pipeline::getResponse() {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline ClaimAnswer::Pipeline::getResponse() {
   return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
-inline void RegistryMessage::ClaimAnswer::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+inline void ClaimAnswer::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::ClaimAnswer::Builder::initResponse() {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder ClaimAnswer::Builder::initResponse() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::ClaimAnswer::Builder::adoptResponse(
+inline void ClaimAnswer::Builder::adoptResponse(
     ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> RegistryMessage::ClaimAnswer::Builder::disownResponse() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> ClaimAnswer::Builder::disownResponse() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::Outcome::Reader::hasRequestId() const {
+inline bool OutcomeReport::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Outcome::Builder::hasRequestId() {
+inline bool OutcomeReport::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegistryMessage::Outcome::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader OutcomeReport::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegistryMessage::Outcome::Builder::getRequestId() {
+inline  ::capnp::Text::Builder OutcomeReport::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Outcome::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void OutcomeReport::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegistryMessage::Outcome::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder OutcomeReport::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegistryMessage::Outcome::Builder::adoptRequestId(
+inline void OutcomeReport::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::Outcome::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> OutcomeReport::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::Outcome::Reader::hasKey() const {
+inline bool OutcomeReport::Reader::hasClaim() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Outcome::Builder::hasKey() {
+inline bool OutcomeReport::Builder::hasClaim() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::Outcome::Reader::getKey() const {
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader OutcomeReport::Reader::getClaim() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Outcome::Builder::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder OutcomeReport::Builder::getClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::Outcome::Pipeline::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline OutcomeReport::Pipeline::getClaim() {
   return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void RegistryMessage::Outcome::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+inline void OutcomeReport::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Outcome::Builder::initKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder OutcomeReport::Builder::initClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Outcome::Builder::adoptKey(
+inline void OutcomeReport::Builder::adoptClaim(
     ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::Outcome::Builder::disownKey() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> OutcomeReport::Builder::disownClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::Outcome::Reader::getVerdict() const {
+inline  ::Tarragon::PeerRpc::Verdict OutcomeReport::Reader::getVerdict() const {
   return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::Outcome::Builder::getVerdict() {
+inline  ::Tarragon::PeerRpc::Verdict OutcomeReport::Builder::getVerdict() {
   return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::Outcome::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+inline void OutcomeReport::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
   _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegistryMessage::Outcome::Reader::hasResponse() const {
+inline bool OutcomeReport::Reader::hasResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Outcome::Builder::hasResponse() {
+inline bool OutcomeReport::Builder::hasResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Reader RegistryMessage::Outcome::Reader::getResponse() const {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader OutcomeReport::Reader::getResponse() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::Outcome::Builder::getResponse() {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeReport::Builder::getResponse() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline RegistryMessage::Outcome::Pipeline::getResponse() {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline OutcomeReport::Pipeline::getResponse() {
   return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void RegistryMessage::Outcome::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+inline void OutcomeReport::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::Outcome::Builder::initResponse() {
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeReport::Builder::initResponse() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Outcome::Builder::adoptResponse(
+inline void OutcomeReport::Builder::adoptResponse(
     ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> RegistryMessage::Outcome::Builder::disownResponse() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> OutcomeReport::Builder::disownResponse() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::Confirm::Reader::hasRequestId() const {
+inline bool ConfirmRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Confirm::Builder::hasRequestId() {
+inline bool ConfirmRequest::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegistryMessage::Confirm::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader ConfirmRequest::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegistryMessage::Confirm::Builder::getRequestId() {
+inline  ::capnp::Text::Builder ConfirmRequest::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Confirm::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void ConfirmRequest::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegistryMessage::Confirm::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder ConfirmRequest::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegistryMessage::Confirm::Builder::adoptRequestId(
+inline void ConfirmRequest::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::Confirm::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> ConfirmRequest::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::Confirm::Reader::hasKey() const {
+inline bool ConfirmRequest::Reader::hasClaim() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Confirm::Builder::hasKey() {
+inline bool ConfirmRequest::Builder::hasClaim() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Reader RegistryMessage::Confirm::Reader::getKey() const {
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ConfirmRequest::Reader::getClaim() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Confirm::Builder::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ConfirmRequest::Builder::getClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline RegistryMessage::Confirm::Pipeline::getKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ConfirmRequest::Pipeline::getClaim() {
   return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void RegistryMessage::Confirm::Builder::setKey( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+inline void ConfirmRequest::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::ClaimKey::Builder RegistryMessage::Confirm::Builder::initKey() {
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ConfirmRequest::Builder::initClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Confirm::Builder::adoptKey(
+inline void ConfirmRequest::Builder::adoptClaim(
     ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> RegistryMessage::Confirm::Builder::disownKey() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ConfirmRequest::Builder::disownClaim() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int32_t RegistryMessage::Confirm::Reader::getAttempt() const {
-  return _reader.getDataField< ::int32_t>(
+inline  ::uint32_t ConfirmRequest::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t RegistryMessage::Confirm::Builder::getAttempt() {
-  return _builder.getDataField< ::int32_t>(
+inline  ::uint32_t ConfirmRequest::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::Confirm::Builder::setAttempt( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
+inline void ConfirmRequest::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RegistryMessage::Confirm::Reader::getSequence() const {
+inline  ::uint64_t ConfirmRequest::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RegistryMessage::Confirm::Builder::getSequence() {
+inline  ::uint64_t ConfirmRequest::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::Confirm::Builder::setSequence( ::uint64_t value) {
+inline void ConfirmRequest::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RegistryMessage::Confirm::Reader::getOldestServed() const {
+inline  ::uint64_t ConfirmRequest::Reader::getOldestServed() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RegistryMessage::Confirm::Builder::getOldestServed() {
+inline  ::uint64_t ConfirmRequest::Builder::getOldestServed() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::Confirm::Builder::setOldestServed( ::uint64_t value) {
+inline void ConfirmRequest::Builder::setOldestServed( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegistryMessage::ConfirmAnswer::Reader::hasRequestId() const {
+inline bool ConfirmAnswer::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::ConfirmAnswer::Builder::hasRequestId() {
+inline bool ConfirmAnswer::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegistryMessage::ConfirmAnswer::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader ConfirmAnswer::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegistryMessage::ConfirmAnswer::Builder::getRequestId() {
+inline  ::capnp::Text::Builder ConfirmAnswer::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::ConfirmAnswer::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void ConfirmAnswer::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegistryMessage::ConfirmAnswer::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder ConfirmAnswer::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegistryMessage::ConfirmAnswer::Builder::adoptRequestId(
+inline void ConfirmAnswer::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::ConfirmAnswer::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> ConfirmAnswer::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RegistryMessage::ConfirmAnswer::Reader::getSequence() const {
+inline  ::uint64_t ConfirmAnswer::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RegistryMessage::ConfirmAnswer::Builder::getSequence() {
+inline  ::uint64_t ConfirmAnswer::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::ConfirmAnswer::Builder::setSequence( ::uint64_t value) {
+inline void ConfirmAnswer::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t RegistryMessage::ConfirmAnswer::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::ConfirmOutcome ConfirmAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::ConfirmOutcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t RegistryMessage::ConfirmAnswer::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::ConfirmOutcome ConfirmAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::ConfirmOutcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::ConfirmAnswer::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void ConfirmAnswer::Builder::setOutcome( ::Tarragon::PeerRpc::ConfirmOutcome value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::ConfirmOutcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegistryMessage::OutcomeCopy::Reader::hasRequestId() const {
+inline bool OutcomeCopy::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::OutcomeCopy::Builder::hasRequestId() {
+inline bool OutcomeCopy::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegistryMessage::OutcomeCopy::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader OutcomeCopy::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegistryMessage::OutcomeCopy::Builder::getRequestId() {
+inline  ::capnp::Text::Builder OutcomeCopy::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::OutcomeCopy::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void OutcomeCopy::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegistryMessage::OutcomeCopy::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder OutcomeCopy::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegistryMessage::OutcomeCopy::Builder::adoptRequestId(
+inline void OutcomeCopy::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegistryMessage::OutcomeCopy::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> OutcomeCopy::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RegistryMessage::OutcomeCopy::Reader::getSequence() const {
+inline  ::uint64_t OutcomeCopy::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RegistryMessage::OutcomeCopy::Builder::getSequence() {
+inline  ::uint64_t OutcomeCopy::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RegistryMessage::OutcomeCopy::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void OutcomeCopy::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Tarragon::PeerRpc::Verdict OutcomeCopy::Reader::getVerdict() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Tarragon::PeerRpc::Verdict OutcomeCopy::Builder::getVerdict() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void OutcomeCopy::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OutcomeCopy::Reader::hasResponse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OutcomeCopy::Builder::hasResponse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader OutcomeCopy::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeCopy::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline OutcomeCopy::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void OutcomeCopy::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeCopy::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OutcomeCopy::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> OutcomeCopy::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BackupRegistration::Reader::hasPrimary() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackupRegistration::Builder::hasPrimary() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader BackupRegistration::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline BackupRegistration::Pipeline::getPrimary() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void BackupRegistration::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::initPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BackupRegistration::Builder::adoptPrimary(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> BackupRegistration::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BackupRegistration::Reader::hasBackup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackupRegistration::Builder::hasBackup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader BackupRegistration::Reader::getBackup() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::getBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline BackupRegistration::Pipeline::getBackup() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void BackupRegistration::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::initBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BackupRegistration::Builder::adoptBackup(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> BackupRegistration::Builder::disownBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t BackupRegistration::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackupRegistration::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackupRegistration::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BackupRegistration::Reader::getCurrent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackupRegistration::Builder::getCurrent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BackupRegistration::Builder::setCurrent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BackupRegistration::Reader::getOldestServed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackupRegistration::Builder::getOldestServed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BackupRegistration::Builder::setOldestServed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistrationAnswer::Reader::hasBackup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistrationAnswer::Builder::hasBackup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistrationAnswer::Reader::getBackup() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::getBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistrationAnswer::Pipeline::getBackup() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RegistrationAnswer::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::initBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistrationAnswer::Builder::adoptBackup(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistrationAnswer::Builder::disownBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RegistrationAnswer::Reader::hasPrimary() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistrationAnswer::Builder::hasPrimary() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistrationAnswer::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistrationAnswer::Pipeline::getPrimary() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void RegistrationAnswer::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::initPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RegistrationAnswer::Builder::adoptPrimary(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistrationAnswer::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RegistrationAnswer::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RegistrationAnswer::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegistrationAnswer::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegistrationAnswer::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool RegistrationAnswer::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void RegistrationAnswer::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RegistryMessage::Reader::isClaim() const {
+  return which() == RegistryMessage::CLAIM;
+}
+inline bool RegistryMessage::Builder::isClaim() {
+  return which() == RegistryMessage::CLAIM;
+}
+inline bool RegistryMessage::Reader::hasClaim() const {
+  if (which() != RegistryMessage::CLAIM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::Builder::hasClaim() {
+  if (which() != RegistryMessage::CLAIM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::ClaimRequest::Reader RegistryMessage::Reader::getClaim() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::getClaim() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::setClaim( ::Tarragon::PeerRpc::ClaimRequest::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::initClaim() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::adoptClaim(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> RegistryMessage::Builder::disownClaim() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RegistryMessage::Reader::isSettle() const {
+  return which() == RegistryMessage::SETTLE;
+}
+inline bool RegistryMessage::Builder::isSettle() {
+  return which() == RegistryMessage::SETTLE;
+}
+inline bool RegistryMessage::Reader::hasSettle() const {
+  if (which() != RegistryMessage::SETTLE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::Builder::hasSettle() {
+  if (which() != RegistryMessage::SETTLE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::ClaimRequest::Reader RegistryMessage::Reader::getSettle() const {
+  KJ_IREQUIRE((which() == RegistryMessage::SETTLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::getSettle() {
+  KJ_IREQUIRE((which() == RegistryMessage::SETTLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::setSettle( ::Tarragon::PeerRpc::ClaimRequest::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::SETTLE);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::initSettle() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::SETTLE);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::adoptSettle(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::SETTLE);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> RegistryMessage::Builder::disownSettle() {
+  KJ_IREQUIRE((which() == RegistryMessage::SETTLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RegistryMessage::Reader::isClaimAnswer() const {
+  return which() == RegistryMessage::CLAIM_ANSWER;
+}
+inline bool RegistryMessage::Builder::isClaimAnswer() {
+  return which() == RegistryMessage::CLAIM_ANSWER;
+}
+inline bool RegistryMessage::Reader::hasClaimAnswer() const {
+  if (which() != RegistryMessage::CLAIM_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::Builder::hasClaimAnswer() {
+  if (which() != RegistryMessage::CLAIM_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::ClaimAnswer::Reader RegistryMessage::Reader::getClaimAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder RegistryMessage::Builder::getClaimAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::setClaimAnswer( ::Tarragon::PeerRpc::ClaimAnswer::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder RegistryMessage::Builder::initClaimAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::adoptClaimAnswer(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::OutcomeCopy::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer> RegistryMessage::Builder::disownClaimAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RegistryMessage::OutcomeCopy::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isRecordOutcome() const {
+  return which() == RegistryMessage::RECORD_OUTCOME;
 }
-inline void RegistryMessage::OutcomeCopy::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline bool RegistryMessage::Builder::isRecordOutcome() {
+  return which() == RegistryMessage::RECORD_OUTCOME;
 }
-
-inline bool RegistryMessage::OutcomeCopy::Reader::hasResponse() const {
+inline bool RegistryMessage::Reader::hasRecordOutcome() const {
+  if (which() != RegistryMessage::RECORD_OUTCOME) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::OutcomeCopy::Builder::hasResponse() {
+inline bool RegistryMessage::Builder::hasRecordOutcome() {
+  if (which() != RegistryMessage::RECORD_OUTCOME) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::FinishedResponse::Reader RegistryMessage::OutcomeCopy::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::OutcomeCopy::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::OutcomeReport::Reader RegistryMessage::Reader::getRecordOutcome() const {
+  KJ_IREQUIRE((which() == RegistryMessage::RECORD_OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline RegistryMessage::OutcomeCopy::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(1));
+inline  ::Tarragon::PeerRpc::OutcomeReport::Builder RegistryMessage::Builder::getRecordOutcome() {
+  KJ_IREQUIRE((which() == RegistryMessage::RECORD_OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void RegistryMessage::OutcomeCopy::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RegistryMessage::Builder::setRecordOutcome( ::Tarragon::PeerRpc::OutcomeReport::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::RECORD_OUTCOME);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::FinishedResponse::Builder RegistryMessage::OutcomeCopy::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::OutcomeReport::Builder RegistryMessage::Builder::initRecordOutcome() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::RECORD_OUTCOME);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::OutcomeCopy::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void RegistryMessage::Builder::adoptRecordOutcome(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::RECORD_OUTCOME);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> RegistryMessage::OutcomeCopy::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport> RegistryMessage::Builder::disownRecordOutcome() {
+  KJ_IREQUIRE((which() == RegistryMessage::RECORD_OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::Registration::Reader::hasPrimary() const {
+inline bool RegistryMessage::Reader::isConfirm() const {
+  return which() == RegistryMessage::CONFIRM;
+}
+inline bool RegistryMessage::Builder::isConfirm() {
+  return which() == RegistryMessage::CONFIRM;
+}
+inline bool RegistryMessage::Reader::hasConfirm() const {
+  if (which() != RegistryMessage::CONFIRM) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Registration::Builder::hasPrimary() {
+inline bool RegistryMessage::Builder::hasConfirm() {
+  if (which() != RegistryMessage::CONFIRM) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::Registration::Reader::getPrimary() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader RegistryMessage::Reader::getConfirm() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::getPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder RegistryMessage::Builder::getConfirm() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::Registration::Pipeline::getPrimary() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RegistryMessage::Registration::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void RegistryMessage::Builder::setConfirm( ::Tarragon::PeerRpc::ConfirmRequest::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::initPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder RegistryMessage::Builder::initConfirm() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Registration::Builder::adoptPrimary(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Builder::adoptConfirm(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::Registration::Builder::disownPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> RegistryMessage::Builder::disownConfirm() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::Registration::Reader::hasBackup() const {
+inline bool RegistryMessage::Reader::isConfirmAnswer() const {
+  return which() == RegistryMessage::CONFIRM_ANSWER;
+}
+inline bool RegistryMessage::Builder::isConfirmAnswer() {
+  return which() == RegistryMessage::CONFIRM_ANSWER;
+}
+inline bool RegistryMessage::Reader::hasConfirmAnswer() const {
+  if (which() != RegistryMessage::CONFIRM_ANSWER) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::Registration::Builder::hasBackup() {
+inline bool RegistryMessage::Builder::hasConfirmAnswer() {
+  if (which() != RegistryMessage::CONFIRM_ANSWER) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::Registration::Reader::getBackup() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::getBackup() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::ConfirmAnswer::Reader RegistryMessage::Reader::getConfirmAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::Registration::Pipeline::getBackup() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder RegistryMessage::Builder::getConfirmAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void RegistryMessage::Registration::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RegistryMessage::Builder::setConfirmAnswer( ::Tarragon::PeerRpc::ConfirmAnswer::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::Registration::Builder::initBackup() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder RegistryMessage::Builder::initConfirmAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Registration::Builder::adoptBackup(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void RegistryMessage::Builder::adoptConfirmAnswer(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::Registration::Builder::disownBackup() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer> RegistryMessage::Builder::disownConfirmAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RegistryMessage::Registration::Reader::getFrom() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isOutcomeCopy() const {
+  return which() == RegistryMessage::OUTCOME_COPY;
 }
-
-inline  ::uint64_t RegistryMessage::Registration::Builder::getFrom() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Builder::isOutcomeCopy() {
+  return which() == RegistryMessage::OUTCOME_COPY;
 }
-inline void RegistryMessage::Registration::Builder::setFrom( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool RegistryMessage::Reader::hasOutcomeCopy() const {
+  if (which() != RegistryMessage::OUTCOME_COPY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RegistryMessage::Registration::Reader::getCurrent() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Builder::hasOutcomeCopy() {
+  if (which() != RegistryMessage::OUTCOME_COPY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RegistryMessage::Registration::Builder::getCurrent() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::OutcomeCopy::Reader RegistryMessage::Reader::getOutcomeCopy() const {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Registration::Builder::setCurrent( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder RegistryMessage::Builder::getOutcomeCopy() {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RegistryMessage::Registration::Reader::getOldestServed() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void RegistryMessage::Builder::setOutcomeCopy( ::Tarragon::PeerRpc::OutcomeCopy::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t RegistryMessage::Registration::Builder::getOldestServed() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder RegistryMessage::Builder::initOutcomeCopy() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::Registration::Builder::setOldestServed( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RegistryMessage::Builder::adoptOutcomeCopy(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy> RegistryMessage::Builder::disownOutcomeCopy() {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::RegistrationAnswer::Reader::hasPrimary() const {
+inline bool RegistryMessage::Reader::isRegistration() const {
+  return which() == RegistryMessage::REGISTRATION;
+}
+inline bool RegistryMessage::Builder::isRegistration() {
+  return which() == RegistryMessage::REGISTRATION;
+}
+inline bool RegistryMessage::Reader::hasRegistration() const {
+  if (which() != RegistryMessage::REGISTRATION) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegistryMessage::RegistrationAnswer::Builder::hasPrimary() {
+inline bool RegistryMessage::Builder::hasRegistration() {
+  if (which() != RegistryMessage::REGISTRATION) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::RegistrationAnswer::Reader::getPrimary() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::BackupRegistration::Reader RegistryMessage::Reader::getRegistration() const {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::getPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::BackupRegistration::Builder RegistryMessage::Builder::getRegistration() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::RegistrationAnswer::Pipeline::getPrimary() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RegistryMessage::RegistrationAnswer::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void RegistryMessage::Builder::setRegistration( ::Tarragon::PeerRpc::BackupRegistration::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::initPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::BackupRegistration::Builder RegistryMessage::Builder::initRegistration() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::RegistrationAnswer::Builder::adoptPrimary(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Builder::adoptRegistration(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::RegistrationAnswer::Builder::disownPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration> RegistryMessage::Builder::disownRegistration() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegistryMessage::RegistrationAnswer::Reader::hasBackup() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool RegistryMessage::RegistrationAnswer::Builder::hasBackup() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistryMessage::RegistrationAnswer::Reader::getBackup() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::getBackup() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistryMessage::RegistrationAnswer::Pipeline::getBackup() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void RegistryMessage::RegistrationAnswer::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline bool RegistryMessage::Reader::isRegistrationAnswer() const {
+  return which() == RegistryMessage::REGISTRATION_ANSWER;
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistryMessage::RegistrationAnswer::Builder::initBackup() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool RegistryMessage::Builder::isRegistrationAnswer() {
+  return which() == RegistryMessage::REGISTRATION_ANSWER;
 }
-inline void RegistryMessage::RegistrationAnswer::Builder::adoptBackup(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline bool RegistryMessage::Reader::hasRegistrationAnswer() const {
+  if (which() != RegistryMessage::REGISTRATION_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistryMessage::RegistrationAnswer::Builder::disownBackup() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool RegistryMessage::Builder::hasRegistrationAnswer() {
+  if (which() != RegistryMessage::REGISTRATION_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RegistryMessage::RegistrationAnswer::Reader::getFrom() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::RegistrationAnswer::Reader RegistryMessage::Reader::getRegistrationAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RegistryMessage::RegistrationAnswer::Builder::getFrom() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder RegistryMessage::Builder::getRegistrationAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegistryMessage::RegistrationAnswer::Builder::setFrom( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RegistryMessage::Builder::setRegistrationAnswer( ::Tarragon::PeerRpc::RegistrationAnswer::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool RegistryMessage::RegistrationAnswer::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder RegistryMessage::Builder::initRegistrationAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool RegistryMessage::RegistrationAnswer::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline void RegistryMessage::Builder::adoptRegistrationAnswer(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RegistryMessage::RegistrationAnswer::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer> RegistryMessage::Builder::disownRegistrationAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -7499,128 +7779,114 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::OfferParams::Reader::getRelay() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool Peer::OfferParams::Builder::getRelay() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void Peer::OfferParams::Builder::setRelay(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::ExchangeSlotsParams::Reader::hasRequest() const {
+inline bool Peer::RequestSlotsParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExchangeSlotsParams::Builder::hasRequest() {
+inline bool Peer::RequestSlotsParams::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::GrantRequest::Reader Peer::ExchangeSlotsParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotRequest::Reader Peer::RequestSlotsParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::GrantRequest::Builder Peer::ExchangeSlotsParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotRequest::Builder Peer::RequestSlotsParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::GrantRequest::Pipeline Peer::ExchangeSlotsParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::GrantRequest::Pipeline(_typeless.getPointerField(0));
+inline  ::Tarragon::PeerRpc::SlotRequest::Pipeline Peer::RequestSlotsParams::Pipeline::getRequest() {
+  return  ::Tarragon::PeerRpc::SlotRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ExchangeSlotsParams::Builder::setRequest( ::Tarragon::PeerRpc::GrantRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::set(_builder.getPointerField(
+inline void Peer::RequestSlotsParams::Builder::setRequest( ::Tarragon::PeerRpc::SlotRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::GrantRequest::Builder Peer::ExchangeSlotsParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotRequest::Builder Peer::RequestSlotsParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeSlotsParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::adopt(_builder.getPointerField(
+inline void Peer::RequestSlotsParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantRequest> Peer::ExchangeSlotsParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantRequest>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest> Peer::RequestSlotsParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ExchangeSlotsResults::Reader::hasResponse() const {
+inline bool Peer::RequestSlotsResults::Reader::hasResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExchangeSlotsResults::Builder::hasResponse() {
+inline bool Peer::RequestSlotsResults::Builder::hasResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::GrantResponse::Reader Peer::ExchangeSlotsResults::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotResponse::Reader Peer::RequestSlotsResults::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::GrantResponse::Builder Peer::ExchangeSlotsResults::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotResponse::Builder Peer::RequestSlotsResults::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::GrantResponse::Pipeline Peer::ExchangeSlotsResults::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::GrantResponse::Pipeline(_typeless.getPointerField(0));
+inline  ::Tarragon::PeerRpc::SlotResponse::Pipeline Peer::RequestSlotsResults::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::SlotResponse::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ExchangeSlotsResults::Builder::setResponse( ::Tarragon::PeerRpc::GrantResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::set(_builder.getPointerField(
+inline void Peer::RequestSlotsResults::Builder::setResponse( ::Tarragon::PeerRpc::SlotResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::GrantResponse::Builder Peer::ExchangeSlotsResults::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotResponse::Builder Peer::RequestSlotsResults::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeSlotsResults::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::adopt(_builder.getPointerField(
+inline void Peer::RequestSlotsResults::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::GrantResponse> Peer::ExchangeSlotsResults::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::GrantResponse>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse> Peer::RequestSlotsResults::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::DeliverParams::Reader::hasMessages() const {
+inline bool Peer::RegistryParams::Reader::hasMessages() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::DeliverParams::Builder::hasMessages() {
+inline bool Peer::RegistryParams::Builder::hasMessages() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader Peer::DeliverParams::Reader::getMessages() const {
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader Peer::RegistryParams::Reader::getMessages() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::DeliverParams::Builder::getMessages() {
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::RegistryParams::Builder::getMessages() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::DeliverParams::Builder::setMessages( ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void Peer::RegistryParams::Builder::setMessages( ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::DeliverParams::Builder::initMessages(unsigned int size) {
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::RegistryParams::Builder::initMessages(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::DeliverParams::Builder::adoptMessages(
+inline void Peer::RegistryParams::Builder::adoptMessages(
     ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>> Peer::DeliverParams::Builder::disownMessages() {
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>> Peer::RegistryParams::Builder::disownMessages() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
--- a/Source/peer/RegistryCodec.cpp
+++ b/Source/peer/RegistryCodec.cpp
@@ -23,31 +23,35 @@
     return ClaimKey{ runner.instance, runner.incarnation, reader.getSequence() };
 }
 
-template<typename Group>
-void writeResponse(Group group, const std::optional<FinishedResponse> &response)
+void writeResponse(PeerRpc::FinishedResponse::Builder builder, const FinishedResponse &response)
 {
-    if (!response.has_value()) {
-        return;
-    }
-    PeerRpc::FinishedResponse::Builder builder = group.initResponse();
-    builder.setStatus(response->status);
+    builder.setStatus(static_cast<std::uint16_t>(response.status));
     capnp::List<PeerRpc::HeaderField>::Builder fields =
-            builder.initHeaders(static_cast<unsigned int>(response->headers.size()));
-    for (std::size_t i = 0; i < response->headers.size(); ++i) {
-        fields[static_cast<unsigned int>(i)].setName(response->headers[i].first);
-        fields[static_cast<unsigned int>(i)].setValue(response->headers[i].second);
+            builder.initHeaders(static_cast<unsigned int>(response.headers.size()));
+    for (std::size_t i = 0; i < response.headers.size(); ++i) {
+        fields[static_cast<unsigned int>(i)].setName(response.headers[i].first);
+        fields[static_cast<unsigned int>(i)].setValue(response.headers[i].second);
+    }
+    builder.setBody(kj::arrayPtr(reinterpret_cast<const kj::byte *>(response.body.data()),
+                                 response.body.size()));
+}
+
+/// Writes the response of a message that may have one.
+template<typename Builder>
+void writeOptionalResponse(Builder builder, const std::optional<FinishedResponse> &response)
+{
+    if (response.has_value()) {
+        writeResponse(builder.initResponse(), *response);
     }
-    builder.setBody(kj::arrayPtr(reinterpret_cast<const kj::byte *>(response->body.data()),
-                                 response->body.size()));
 }
 
-template<typename Group>
-std::optional<FinishedResponse> readResponse(Group group)
+template<typename Reader>
+std::optional<FinishedResponse> readOptionalResponse(Reader message)
 {
-    if (!group.hasResponse()) {
+    if (!message.hasResponse()) {
         return std::nullopt;
     }
-    const PeerRpc::FinishedResponse::Reader reader = group.getResponse();
+    const PeerRpc::FinishedResponse::Reader reader = message.getResponse();
     FinishedResponse response;
     response.status = reader.getStatus();
     for (const PeerRpc::HeaderField::Reader it : reader.getHeaders()) {
@@ -58,166 +62,169 @@
     return response;
 }
 
-/// Converts a number into an enumeration whose last value is given.
-template<typename Enumeration>
-Enumeration readEnumeration(std::uint8_t value, Enumeration last, const char *name)
+/// Converts an enumeration of the schema, whose values are numbered as those of the code.
+template<typename Enumeration, typename WireEnumeration>
+Enumeration readEnumeration(WireEnumeration value, Enumeration last, const char *name)
 {
-    if (value > static_cast<std::uint8_t>(last)) {
-        throw Error(std::string(name) + ": found " + std::to_string(value) + ", expected 0 to "
-                    + std::to_string(static_cast<int>(last)));
+    if (static_cast<int>(value) > static_cast<int>(last)) {
+        throw Error(std::string(name) + ": found " + std::to_string(static_cast<int>(value))
+                    + ", expected 0 to " + std::to_string(static_cast<int>(last)));
     }
     return static_cast<Enumeration>(value);
 }
 
-/// Writes each kind of payload into its group.
+void writeClaim(PeerRpc::ClaimRequest::Builder builder, const ClaimRequest &message)
+{
+    builder.setId(message.id.value());
+    writeKey(builder.initClaim(), message.claim);
+    builder.setAttempt(static_cast<std::uint32_t>(message.attempt));
+}
+
+/// Writes each kind of payload into its member of the union.
 struct PayloadWriter
 {
     WireMessage::Builder builder;
 
     void operator()(const ClaimRequest &message)
     {
-        WireMessage::Claim::Builder group = builder.initClaim();
-        group.setRequestId(message.id.value());
-        writeKey(group.initKey(), message.claim);
-        group.setAttempt(message.attempt);
-        group.setSettle(message.settle);
+        writeClaim(message.settle ? builder.initSettle() : builder.initClaim(), message);
     }
 
     void operator()(const ClaimAnswer &message)
     {
-        WireMessage::ClaimAnswer::Builder group = builder.initClaimAnswer();
-        group.setRequestId(message.id.value());
-        writeKey(group.initKey(), message.claim);
-        group.setOutcome(static_cast<std::uint8_t>(message.outcome));
-        group.setFromBackup(message.fromBackup);
-        writeKey(group.initHolder(), message.holder);
-        group.setVerdict(toWire(message.verdict));
-        writeResponse(group, message.response);
+        PeerRpc::ClaimAnswer::Builder out = builder.initClaimAnswer();
+        out.setId(message.id.value());
+        writeKey(out.initClaim(), message.claim);
+        out.setOutcome(static_cast<PeerRpc::ClaimOutcome>(message.outcome));
+        out.setFromBackup(message.fromBackup);
+        writeKey(out.initHolder(), message.holder);
+        out.setVerdict(toWire(message.verdict));
+        writeOptionalResponse(out, message.response);
     }
 
     void operator()(const OutcomeReport &message)
     {
-        WireMessage::Outcome::Builder group = builder.initOutcome();
-        group.setRequestId(message.id.value());
-        writeKey(group.initKey(), message.claim);
-        group.setVerdict(toWire(message.verdict));
-        writeResponse(group, message.response);
+        PeerRpc::OutcomeReport::Builder out = builder.initRecordOutcome();
+        out.setId(message.id.value());
+        writeKey(out.initClaim(), message.claim);
+        out.setVerdict(toWire(message.verdict));
+        writeOptionalResponse(out, message.response);
     }
 
     void operator()(const ConfirmRequest &message)
     {
-        WireMessage::Confirm::Builder group = builder.initConfirm();
-        group.setRequestId(message.id.value());
-        writeKey(group.initKey(), message.claim);
-        group.setAttempt(message.attempt);
-        group.setSequence(message.sequence);
-        group.setOldestServed(message.oldestServed.value());
+        PeerRpc::ConfirmRequest::Builder out = builder.initConfirm();
+        out.setId(message.id.value());
+        writeKey(out.initClaim(), message.claim);
+        out.setAttempt(static_cast<std::uint32_t>(message.attempt));
+        out.setSequence(message.sequence);
+        out.setOldestServed(message.oldestServed.value());
     }
 
     void operator()(const ConfirmAnswer &message)
     {
-        WireMessage::ConfirmAnswer::Builder group = builder.initConfirmAnswer();
-        group.setRequestId(message.id.value());
-        group.setSequence(message.sequence);
-        group.setOutcome(static_cast<std::uint8_t>(message.outcome));
+        PeerRpc::ConfirmAnswer::Builder out = builder.initConfirmAnswer();
+        out.setId(message.id.value());
+        out.setSequence(message.sequence);
+        out.setOutcome(static_cast<PeerRpc::ConfirmOutcome>(message.outcome));
     }
 
     void operator()(const OutcomeCopy &message)
     {
-        WireMessage::OutcomeCopy::Builder group = builder.initOutcomeCopy();
-        group.setRequestId(message.id.value());
-        group.setSequence(message.sequence);
-        group.setVerdict(toWire(message.verdict));
-        writeResponse(group, message.response);
+        PeerRpc::OutcomeCopy::Builder out = builder.initOutcomeCopy();
+        out.setId(message.id.value());
+        out.setSequence(message.sequence);
+        out.setVerdict(toWire(message.verdict));
+        writeOptionalResponse(out, message.response);
     }
 
     void operator()(const BackupRegistration &message)
     {
-        WireMessage::Registration::Builder group = builder.initRegistration();
-        writeInstance(group.initPrimary(), message.primary, message.primaryIncarnation);
-        writeInstance(group.initBackup(), message.backup, message.backupIncarnation);
-        group.setFrom(message.from.value());
-        group.setCurrent(message.current.value());
-        group.setOldestServed(message.oldestServed.value());
+        PeerRpc::BackupRegistration::Builder out = builder.initRegistration();
+        writeInstance(out.initPrimary(), message.primary, message.primaryIncarnation);
+        writeInstance(out.initBackup(), message.backup, message.backupIncarnation);
+        out.setFrom(message.from.value());
+        out.setCurrent(message.current.value());
+        out.setOldestServed(message.oldestServed.value());
     }
 
     void operator()(const RegistrationAnswer &message)
     {
-        WireMessage::RegistrationAnswer::Builder group = builder.initRegistrationAnswer();
-        writeInstance(group.initPrimary(), message.primary, message.primaryIncarnation);
-        writeInstance(group.initBackup(), message.backup, message.backupIncarnation);
-        group.setFrom(message.from.value());
-        group.setAccepted(message.accepted);
+        PeerRpc::RegistrationAnswer::Builder out = builder.initRegistrationAnswer();
+        writeInstance(out.initPrimary(), message.primary, message.primaryIncarnation);
+        writeInstance(out.initBackup(), message.backup, message.backupIncarnation);
+        out.setFrom(message.from.value());
+        out.setAccepted(message.accepted);
     }
 };
 
-RegistryPayload readClaim(WireMessage::Claim::Reader group)
+RegistryPayload readClaim(PeerRpc::ClaimRequest::Reader reader, bool isSettle)
 {
-    return ClaimRequest{ RequestId(readText(group.getRequestId())), readKey(group.getKey()),
-                         group.getAttempt(), group.getSettle() };
+    return ClaimRequest{ RequestId(readText(reader.getId())), readKey(reader.getClaim()),
+                         static_cast<int>(reader.getAttempt()), isSettle };
 }
 
-RegistryPayload readClaimAnswer(WireMessage::ClaimAnswer::Reader group)
+RegistryPayload readClaimAnswer(PeerRpc::ClaimAnswer::Reader reader)
 {
     ClaimAnswer message;
-    message.id = RequestId(readText(group.getRequestId()));
-    message.claim = readKey(group.getKey());
-    message.outcome = readEnumeration(group.getOutcome(), ClaimOutcome::NoBackup, "outcome");
-    message.fromBackup = group.getFromBackup();
-    message.holder = readKey(group.getHolder());
-    message.verdict = fromWire(group.getVerdict());
-    message.response = readResponse(group);
+    message.id = RequestId(readText(reader.getId()));
+    message.claim = readKey(reader.getClaim());
+    message.outcome = readEnumeration(reader.getOutcome(), ClaimOutcome::NoBackup, "outcome");
+    message.fromBackup = reader.getFromBackup();
+    message.holder = readKey(reader.getHolder());
+    message.verdict = fromWire(reader.getVerdict());
+    message.response = readOptionalResponse(reader);
     return message;
 }
 
-RegistryPayload readOutcome(WireMessage::Outcome::Reader group)
+RegistryPayload readOutcome(PeerRpc::OutcomeReport::Reader reader)
 {
-    return OutcomeReport{ RequestId(readText(group.getRequestId())), readKey(group.getKey()),
-                          fromWire(group.getVerdict()), readResponse(group) };
+    return OutcomeReport{ RequestId(readText(reader.getId())), readKey(reader.getClaim()),
+                          fromWire(reader.getVerdict()), readOptionalResponse(reader) };
 }
 
-RegistryPayload readConfirm(WireMessage::Confirm::Reader group)
+RegistryPayload readConfirm(PeerRpc::ConfirmRequest::Reader reader)
 {
-    return ConfirmRequest{ RequestId(readText(group.getRequestId())), readKey(group.getKey()),
-                           group.getAttempt(), group.getSequence(),
-                           SeedGeneration(group.getOldestServed()) };
+    return ConfirmRequest{ RequestId(readText(reader.getId())), readKey(reader.getClaim()),
+                           static_cast<int>(reader.getAttempt()), reader.getSequence(),
+                           SeedGeneration(reader.getOldestServed()) };
 }
 
-RegistryPayload readConfirmAnswer(WireMessage::ConfirmAnswer::Reader group)
+RegistryPayload readConfirmAnswer(PeerRpc::ConfirmAnswer::Reader reader)
 {
-    return ConfirmAnswer{ RequestId(readText(group.getRequestId())), group.getSequence(),
-                          readEnumeration(group.getOutcome(), ConfirmOutcome::Stale, "outcome") };
+    return ConfirmAnswer{ RequestId(readText(reader.getId())), reader.getSequence(),
+                          readEnumeration(reader.getOutcome(), ConfirmOutcome::Stale, "outcome") };
 }
 
-RegistryPayload readOutcomeCopy(WireMessage::OutcomeCopy::Reader group)
+RegistryPayload readOutcomeCopy(PeerRpc::OutcomeCopy::Reader reader)
 {
-    return OutcomeCopy{ RequestId(readText(group.getRequestId())), group.getSequence(),
-                        fromWire(group.getVerdict()), readResponse(group) };
+    return OutcomeCopy{ RequestId(readText(reader.getId())), reader.getSequence(),
+                        fromWire(reader.getVerdict()), readOptionalResponse(reader) };
 }
 
-RegistryPayload readRegistration(WireMessage::Registration::Reader group)
+RegistryPayload readRegistration(PeerRpc::BackupRegistration::Reader reader)
 {
-    const InstanceRun primary = readInstance(group.getPrimary());
-    const InstanceRun backup = readInstance(group.getBackup());
+    const InstanceRun primary = readInstance(reader.getPrimary());
+    const InstanceRun backup = readInstance(reader.getBackup());
     return BackupRegistration{ primary.instance,
                                primary.incarnation,
                                backup.instance,
                                backup.incarnation,
-                               SeedGeneration(group.getFrom()),
-                               SeedGeneration(group.getCurrent()),
-                               SeedGeneration(group.getOldestServed()) };
+                               SeedGeneration(reader.getFrom()),
+                               SeedGeneration(reader.getCurrent()),
+                               SeedGeneration(reader.getOldestServed()) };
 }
 
-RegistryPayload readRegistrationAnswer(WireMessage::RegistrationAnswer::Reader group)
+RegistryPayload readRegistrationAnswer(PeerRpc::RegistrationAnswer::Reader reader)
 {
-    const InstanceRun primary = readInstance(group.getPrimary());
-    const InstanceRun backup = readInstance(group.getBackup());
+    const InstanceRun primary = readInstance(reader.getPrimary());
+    const InstanceRun backup = readInstance(reader.getBackup());
     return RegistrationAnswer{ backup.instance,
                                backup.incarnation,
                                primary.instance,
                                primary.incarnation,
-                               SeedGeneration(group.getFrom()),
-                               group.getAccepted() };
+                               SeedGeneration(reader.getFrom()),
+                               reader.getAccepted() };
 }
 
 } // namespace
@@ -231,11 +238,13 @@
 {
     switch (reader.which()) {
     case WireMessage::CLAIM:
-        return readClaim(reader.getClaim());
+        return readClaim(reader.getClaim(), false);
+    case WireMessage::SETTLE:
+        return readClaim(reader.getSettle(), true);
     case WireMessage::CLAIM_ANSWER:
         return readClaimAnswer(reader.getClaimAnswer());
-    case WireMessage::OUTCOME:
-        return readOutcome(reader.getOutcome());
+    case WireMessage::RECORD_OUTCOME:
+        return readOutcome(reader.getRecordOutcome());
     case WireMessage::CONFIRM:
         return readConfirm(reader.getConfirm());
     case WireMessage::CONFIRM_ANSWER:
@@ -248,7 +257,7 @@
         return readRegistrationAnswer(reader.getRegistrationAnswer());
     }
     throw Error("registry message: found kind " + std::to_string(static_cast<int>(reader.which()))
-                + ", expected 0 to 7");
+                + ", expected 0 to 8");
 }
 
 } // namespace Tarragon
--- a/Source/peer/SlotCodec.cpp
+++ b/Source/peer/SlotCodec.cpp
@@ -32,7 +32,6 @@
 
 void writeShareReport(PeerRpc::ShareReport::Builder builder, const ShareReport &report)
 {
-    writeInstance(builder.initSender(), report.from, report.fromIncarnation);
     builder.setSequence(report.sequence);
     builder.setAdopted(report.adopted.value());
     builder.setSettled(report.settled.value());
@@ -41,12 +40,12 @@
     builder.setEchoedSequence(report.echoedSequence);
 }
 
-ShareReport readShareReport(PeerRpc::ShareReport::Reader reader)
+ShareReport readShareReport(PeerRpc::ShareReport::Reader reader, const InstanceId &from,
+                            Incarnation fromIncarnation)
 {
-    const InstanceRun sender = readInstance(reader.getSender());
     ShareReport report;
-    report.from = sender.instance;
-    report.fromIncarnation = sender.incarnation;
+    report.from = from;
+    report.fromIncarnation = fromIncarnation;
     report.sequence = reader.getSequence();
     report.adopted = Generation(reader.getAdopted());
     report.settled = Generation(reader.getSettled());
@@ -56,7 +55,7 @@
     return report;
 }
 
-void writeGrantRequest(PeerRpc::GrantRequest::Builder builder, const GrantRequest &request)
+void writeGrantRequest(PeerRpc::SlotRequest::Builder builder, const GrantRequest &request)
 {
     writeInstance(builder.initSender(), request.from, request.fromIncarnation);
     writeInstance(builder.initReceiver(), request.to, request.toIncarnation);
@@ -69,7 +68,7 @@
     writeGrantIds(builder.initReturns(listSize(request.returns.size())), request.returns);
 }
 
-GrantRequest readGrantRequest(PeerRpc::GrantRequest::Reader reader)
+GrantRequest readGrantRequest(PeerRpc::SlotRequest::Reader reader)
 {
     const InstanceRun sender = readInstance(reader.getSender());
     const InstanceRun receiver = readInstance(reader.getReceiver());
@@ -87,22 +86,22 @@
     return request;
 }
 
-void writeGrantResponse(PeerRpc::GrantResponse::Builder builder, const GrantResponse &response)
+void writeGrantResponse(PeerRpc::SlotResponse::Builder builder, const GrantResponse &response)
 {
     writeInstance(builder.initSender(), response.from, response.fromIncarnation);
     writeInstance(builder.initReceiver(), response.to, response.toIncarnation);
     builder.setSequence(response.sequence);
-    builder.setDurationMicroseconds(response.duration.count());
+    builder.setDurationUs(static_cast<std::uint64_t>(response.duration.count()));
     capnp::List<PeerRpc::SlotGrant>::Builder granted =
             builder.initGranted(listSize(response.granted.size()));
     for (std::size_t i = 0; i < response.granted.size(); ++i) {
-        granted[listSize(i)].setId(response.granted[i].id.value());
+        granted[listSize(i)].setGrant(response.granted[i].id.value());
         granted[listSize(i)].setTarget(response.granted[i].target.value());
     }
     writeGrantIds(builder.initRenewed(listSize(response.renewed.size())), response.renewed);
 }
 
-GrantResponse readGrantResponse(PeerRpc::GrantResponse::Reader reader)
+GrantResponse readGrantResponse(PeerRpc::SlotResponse::Reader reader)
 {
     const InstanceRun sender = readInstance(reader.getSender());
     const InstanceRun receiver = readInstance(reader.getReceiver());
@@ -112,10 +111,10 @@
     response.to = receiver.instance;
     response.toIncarnation = receiver.incarnation;
     response.sequence = reader.getSequence();
-    response.duration = microseconds(reader.getDurationMicroseconds());
+    response.duration = microseconds(reader.getDurationUs());
     for (const PeerRpc::SlotGrant::Reader it : reader.getGranted()) {
         response.granted.push_back(
-                SlotGrant{ GrantId(it.getId()), TargetId(readText(it.getTarget())) });
+                SlotGrant{ GrantId(it.getGrant()), TargetId(readText(it.getTarget())) });
     }
     response.renewed = readGrantIds(reader.getRenewed());
     return response;
--- a/Source/peer/SlotCodec.h
+++ b/Source/peer/SlotCodec.h
@@ -8,12 +8,14 @@
 // Messages of the slot ledger in their form for RPC.
 
 void writeShareReport(PeerRpc::ShareReport::Builder builder, const ShareReport &report);
-ShareReport readShareReport(PeerRpc::ShareReport::Reader reader);
+/// The sender is that of the heartbeat which carries the report.
+ShareReport readShareReport(PeerRpc::ShareReport::Reader reader, const InstanceId &from,
+                            Incarnation fromIncarnation);
 
-void writeGrantRequest(PeerRpc::GrantRequest::Builder builder, const GrantRequest &request);
-GrantRequest readGrantRequest(PeerRpc::GrantRequest::Reader reader);
+void writeGrantRequest(PeerRpc::SlotRequest::Builder builder, const GrantRequest &request);
+GrantRequest readGrantRequest(PeerRpc::SlotRequest::Reader reader);
 
-void writeGrantResponse(PeerRpc::GrantResponse::Builder builder, const GrantResponse &response);
-GrantResponse readGrantResponse(PeerRpc::GrantResponse::Reader reader);
+void writeGrantResponse(PeerRpc::SlotResponse::Builder builder, const GrantResponse &response);
+GrantResponse readGrantResponse(PeerRpc::SlotResponse::Reader reader);
 
 } // namespace Tarragon
--- a/Tests/StandIns/caller/main.cpp
+++ b/Tests/StandIns/caller/main.cpp
@@ -23,9 +23,9 @@
     const AuditResult result =
             auditJournals(arguments["audit-callers"].as<std::vector<std::string>>(),
                           arguments["audit-targets"].as<std::vector<std::string>>());
-    std::cout << toString(result) << std::endl;
-    std::cerr << "uncertain=" << result.uncertain << " false-not-run=" << result.falseNotRun
-              << " lost=" << result.lost << '\n';
+    std::cout << "uncertain=" << result.uncertain << " false-not-run=" << result.falseNotRun
+              << " unanswered=" << result.lost << '\n'
+              << arguments["audit-prefix"].as<std::string>() << toString(result) << std::endl;
     const bool holds = result.lost + result.uncertain + result.falseNotRun + result.runTwice == 0;
     return holds ? 0 : ExitLost;
 }
@@ -84,6 +84,8 @@
     add("audit-callers", "callers' journals to compare with the targets'",
         cxxopts::value<std::vector<std::string>>());
     add("audit-targets", "targets' journals", cxxopts::value<std::vector<std::string>>());
+    add("audit-prefix", "text before the audit's last line",
+        cxxopts::value<std::string>()->default_value(""));
     add("help", "print this help");
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     if (arguments.count("help") != 0) {
--- a/Tests/peer/CodecTest.cpp
+++ b/Tests/peer/CodecTest.cpp
@@ -74,7 +74,7 @@
     capnp::MallocMessageBuilder message;
     PeerRpc::RegistryMessage::Builder builder = message.initRoot<PeerRpc::RegistryMessage>();
     writeRegistryPayload(builder, ConfirmAnswer{ RequestId("a"), 1, ConfirmOutcome::Stale });
-    builder.getConfirmAnswer().setOutcome(200);
+    builder.getConfirmAnswer().setOutcome(static_cast<PeerRpc::ConfirmOutcome>(200));
     EXPECT_ANY_THROW(readRegistryPayload(builder.asReader()));
 }
 
@@ -90,7 +90,7 @@
     request.wanted = { TargetId("t1"), TargetId("t1") };
     request.renewals = { GrantId(4) };
     request.returns = { GrantId(5), GrantId(6) };
-    const PeerRpc::GrantRequest::Builder builder = message.initRoot<PeerRpc::GrantRequest>();
+    const PeerRpc::SlotRequest::Builder builder = message.initRoot<PeerRpc::SlotRequest>();
     writeGrantRequest(builder, request);
     const GrantRequest read = readGrantRequest(builder.asReader());
     EXPECT_EQ(read.from, request.from);
@@ -105,7 +105,7 @@
     response.duration = microseconds(2'000'000);
     response.granted = { SlotGrant{ GrantId(7), TargetId("t1") } };
     response.renewed = { GrantId(4) };
-    const PeerRpc::GrantResponse::Builder out = other.initRoot<PeerRpc::GrantResponse>();
+    const PeerRpc::SlotResponse::Builder out = other.initRoot<PeerRpc::SlotResponse>();
     writeGrantResponse(out, response);
     const GrantResponse back = readGrantResponse(out.asReader());
     EXPECT_EQ(back.duration, response.duration);
@@ -121,7 +121,8 @@
                               Generation(5),    Incarnation(6), 7 };
     const PeerRpc::ShareReport::Builder builder = message.initRoot<PeerRpc::ShareReport>();
     writeShareReport(builder, report);
-    const ShareReport read = readShareReport(builder.asReader());
+    const ShareReport read =
+            readShareReport(builder.asReader(), report.from, report.fromIncarnation);
     EXPECT_EQ(read.sequence, 2U);
     EXPECT_EQ(read.adopted, Generation(3));
     EXPECT_EQ(read.settled, Generation(4));
