--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -211,9 +211,9 @@
   # Plan in JSON if its version is above newerThan; otherwise empty.
   fetchPlan @3 (newerThan :UInt64) -> (planVersion :UInt64, plan :Text);
 
-  # Tells that the sender has these versions in force. The receiver fetches what it misses, and
-  # passes it on within its failure domain if relay is set.
-  offer @4 (sender :InstanceRef, generation :UInt64, planVersion :UInt64, relay :Bool) -> ();
+  # Tells that the sender has these versions in force. The receiver fetches what it misses and
+  # then offers it within its failure domain.
+  offer @4 (sender :InstanceRef, generation :UInt64, planVersion :UInt64) -> ();
 
   # Borrows idle slots of a target from an entry of the same failure domain.
   requestSlots @5 (request :SlotRequest) -> (grant :SlotGrant);
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -542,7 +542,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de248b86a0d216ec, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(de248b86a0d216ec, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3487,8 +3487,6 @@
 
   inline  ::uint64_t getPlanVersion() const;
 
-  inline bool getRelay() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3530,9 +3528,6 @@
   inline  ::uint64_t getPlanVersion();
   inline void setPlanVersion( ::uint64_t value);
 
-  inline bool getRelay();
-  inline void setRelay(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7221,20 +7216,6 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::OfferParams::Reader::getRelay() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool Peer::OfferParams::Builder::getRelay() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void Peer::OfferParams::Builder::setRelay(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Peer::RequestSlotsParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
