--- a/Source/net/RpcRuntime.cpp
+++ b/Source/net/RpcRuntime.cpp
@@ -29,10 +29,11 @@
 
 void RpcRuntime::run()
 {
-    // A break that ended an earlier run must not end this one.
-    event_base_loop(m_base, EVLOOP_NONBLOCK);
     kj::PromiseFulfillerPair<void> stopped = kj::newPromiseAndFulfiller<void>();
     m_stop = kj::mv(stopped.fulfiller);
+    // A break that ended an earlier run must not end this one. The callbacks that run here may stop
+    // this one.
+    event_base_loop(m_base, EVLOOP_NONBLOCK);
     stopped.promise.wait(m_scope);
     m_stop = nullptr;
 }
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -71,6 +71,8 @@
   weightsVersionSeen @9 :UInt64;
   # Acknowledged steps of the plan, which a planner needs before the next step.
   planVersionApplied @10 :UInt64;
+  # Null outside the failure domain.
+  shares @11 :ShareReport;
 }
 
 struct Status {
@@ -84,117 +86,152 @@
 }
 
 struct SlotRequest {
-  borrower @0 :InstanceRef;
-  service @1 :Text;
-  target @2 :Text;
-  count @3 :UInt32;
-  # Grant to renew, or 0 for a new one.
-  renewGrant @4 :UInt64;
+  # GrantRequest of the slot ledger.
+  sender @0 :InstanceRef;
+  receiver @1 :InstanceRef;
+  sequence @2 :UInt64;
+  # One new slot is wanted for each element.
+  wanted @3 :List(Text);
+  renewals @4 :List(UInt64);
+  returns @5 :List(UInt64);
 }
 
 struct SlotGrant {
-  # Number of the grant; 0 if nothing was granted.
   grant @0 :UInt64;
-  lender @1 :InstanceRef;
-  count @2 :UInt32;
-  # The borrower measures it from before it sent the request, the lender from its answer.
-  durationMs @3 :UInt32;
+  target @1 :Text;
+}
+
+struct SlotResponse {
+  # GrantResponse of the slot ledger.
+  sender @0 :InstanceRef;
+  receiver @1 :InstanceRef;
+  sequence @2 :UInt64;
+  # The borrower measures it from before it sent the request.
+  durationUs @3 :UInt64;
+  granted @4 :List(SlotGrant);
+  renewed @5 :List(UInt64);
+}
+
+struct ShareReport {
+  sequence @0 :UInt64;
+  adopted @1 :UInt64;
+  settled @2 :UInt64;
+  closed @3 :UInt64;
+  echoedIncarnation @4 :UInt64;
+  echoedSequence @5 :UInt64;
 }
 
-struct SlotReturn {
-  borrower @0 :InstanceRef;
-  service @1 :Text;
-  target @2 :Text;
-  grant @3 :UInt64;
-  count @4 :UInt32;
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Text;
 }
 
-struct StoredResponse {
-  # First response of a request that has run.
+struct FinishedResponse {
   status @0 :UInt16;
-  # Header fields as they were sent, each "name: value" on a line of its own.
-  headers @1 :Text;
+  headers @1 :List(HeaderField);
   body @2 :Data;
-  # Whether the body was too long to keep; then only the verdict is known.
-  bodyDropped @3 :Bool;
+}
+
+struct ClaimKey {
+  runner @0 :InstanceRef;
+  sequence @1 :UInt64;
 }
 
 struct ClaimRequest {
-  # Whole request id: the lookup's seed and the caller's own part.
-  requestId @0 :Text;
-  service @1 :Text;
-  claimant @2 :InstanceRef;
-  # Whether the caller says that this is its first attempt.
-  firstAttempt @3 :Bool;
-}
-
-enum ClaimDecision {
-  # The claimant may start the request within validMs.
-  start @0;
-  # The id is settled; verdict and response say how.
-  settled @1;
-  # The id is being run by another claimant.
-  inProgress @2;
-  # The id's incarnation or seed generation is no longer served.
-  rejected @3;
-  # The backup did not confirm in time; nothing was started.
-  unconfirmed @4;
-}
-
-struct ClaimResult {
-  decision @0 :ClaimDecision;
-  verdict @1 :Verdict;
-  # Names the permission in recordOutcome.
-  claim @2 :UInt64;
-  # Measured by the claimant from before it sent the claim.
-  validMs @3 :UInt32;
-  response @4 :StoredResponse;
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  attempt @2 :UInt32;
 }
 
-struct ConfirmRequest {
-  # From the primary to the backup of the id.
-  requestId @0 :Text;
-  primary @1 :InstanceRef;
-  claimant @2 :InstanceRef;
-  claim @3 :UInt64;
+enum ClaimOutcome {
+  permitted @0;
+  inProgress @1;
+  confirmed @2;
+  finished @3;
+  again @4;
+  askBackup @5;
+  stale @6;
+  superseded @7;
+  full @8;
+  noBackup @9;
 }
 
-struct ConfirmResult {
-  confirmed @0 :Bool;
-  # Verdict if the id was settled without the primary.
-  verdict @1 :Verdict;
-  # Measured by the primary from before it asked.
-  validMs @2 :UInt32;
+struct ClaimAnswer {
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  outcome @2 :ClaimOutcome;
+  fromBackup @3 :Bool;
+  holder @4 :ClaimKey;
+  verdict @5 :Verdict;
+  # Null if none was kept.
+  response @6 :FinishedResponse;
 }
 
-struct SettleRequest {
-  # To the backup, when the primary of the id cannot be reached.
-  requestId @0 :Text;
-  asker @1 :InstanceRef;
-  firstAttempt @2 :Bool;
+struct OutcomeReport {
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  verdict @2 :Verdict;
+  response @3 :FinishedResponse;
+}
+
+struct ConfirmRequest {
+  id @0 :Text;
+  claim @1 :ClaimKey;
+  attempt @2 :UInt32;
+  sequence @3 :UInt64;
+  oldestServed @4 :UInt64;
 }
 
-struct SettleResult {
-  verdict @0 :Verdict;
-  # Whether the backup has taken the id over and its answer is final.
-  final @1 :Bool;
-  response @2 :StoredResponse;
+enum ConfirmOutcome {
+  confirmed @0;
+  takenOver @1;
+  superseded @2;
+  full @3;
+  stale @4;
 }
 
-struct OutcomeRecord {
-  requestId @0 :Text;
-  claim @1 :UInt64;
-  recorder @2 :InstanceRef;
-  verdict @3 :Verdict;
-  response @4 :StoredResponse;
+struct ConfirmAnswer {
+  id @0 :Text;
+  sequence @1 :UInt64;
+  outcome @2 :ConfirmOutcome;
 }
 
-struct RecordLookup {
-  known @0 :Bool;
-  # Whether the request has ended.
-  settled @1 :Bool;
+struct OutcomeCopy {
+  id @0 :Text;
+  sequence @1 :UInt64;
   verdict @2 :Verdict;
-  response @3 :StoredResponse;
+  response @3 :FinishedResponse;
+}
+
+struct BackupRegistration {
+  primary @0 :InstanceRef;
+  backup @1 :InstanceRef;
+  from @2 :UInt64;
+  current @3 :UInt64;
+  oldestServed @4 :UInt64;
+}
+
+struct RegistrationAnswer {
+  backup @0 :InstanceRef;
+  primary @1 :InstanceRef;
+  from @2 :UInt64;
+  accepted @3 :Bool;
+}
+
+struct RegistryMessage {
+  # A message of the at-most-once registry, as in Source/steering/RegistryMessages.h. Answers are
+  # messages of their own, because some come long after the message that they answer.
+  union {
+    claim @0 :ClaimRequest;
+    settle @1 :ClaimRequest;
+    claimAnswer @2 :ClaimAnswer;
+    recordOutcome @3 :OutcomeReport;
+    confirm @4 :ConfirmRequest;
+    confirmAnswer @5 :ConfirmAnswer;
+    outcomeCopy @6 :OutcomeCopy;
+    registration @7 :BackupRegistration;
+    registrationAnswer @8 :RegistrationAnswer;
+  }
 }
 
 interface Peer {
@@ -215,16 +252,11 @@
   # then offers it within its failure domain.
   offer @4 (sender :InstanceRef, generation :UInt64, planVersion :UInt64) -> ();
 
-  # Borrows idle slots of a target from an entry of the same failure domain.
-  requestSlots @5 (request :SlotRequest) -> (grant :SlotGrant);
-  returnSlots @6 (returned :SlotReturn) -> ();
+  # Borrows idle slots of targets from an entry of the same failure domain, and returns them.
+  requestSlots @5 (request :SlotRequest) -> (response :SlotResponse);
 
-  # At most once: see "At most once" in docs/design.md.
-  claim @7 (request :ClaimRequest) -> (result :ClaimResult);
-  confirm @8 (request :ConfirmRequest) -> (result :ConfirmResult);
-  settle @9 (request :SettleRequest) -> (result :SettleResult);
-  recordOutcome @10 (record :OutcomeRecord) -> (recorded :Bool);
-  lookupRecord @11 (requestId :Text) -> (record :RecordLookup);
+  # Carries messages of the at-most-once registry. The answer says only that they have arrived.
+  registry @6 (messages :List(RegistryMessage)) -> ();
 
-  status @12 () -> (status :Status);
+  status @7 () -> (status :Status);
 }
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -42,25 +42,43 @@
 CAPNP_DECLARE_SCHEMA(96922e03c225ba70);
 CAPNP_DECLARE_SCHEMA(ba0f3c29ba4166ad);
 CAPNP_DECLARE_SCHEMA(adb1732469ac3ee2);
-CAPNP_DECLARE_SCHEMA(e7307942d6fb49be);
-CAPNP_DECLARE_SCHEMA(ee52a3acbda7c3c8);
+CAPNP_DECLARE_SCHEMA(bd96e15b88775894);
+CAPNP_DECLARE_SCHEMA(c8ec3e44fc06252b);
+CAPNP_DECLARE_SCHEMA(e8670e1b2a3902db);
+CAPNP_DECLARE_SCHEMA(bc1e176da42fa610);
+CAPNP_DECLARE_SCHEMA(da99205ab0f09d65);
 CAPNP_DECLARE_SCHEMA(8cca1f9111d1a9bf);
-CAPNP_DECLARE_SCHEMA(f3121f07ec0b221e);
-enum class ClaimDecision_f3121f07ec0b221e: uint16_t {
-  START,
-  SETTLED,
+CAPNP_DECLARE_SCHEMA(f940bf4a3fd1c8b3);
+enum class ClaimOutcome_f940bf4a3fd1c8b3: uint16_t {
+  PERMITTED,
   IN_PROGRESS,
-  REJECTED,
-  UNCONFIRMED,
-};
-CAPNP_DECLARE_ENUM(ClaimDecision, f3121f07ec0b221e);
-CAPNP_DECLARE_SCHEMA(d77d19b3e6702bca);
+  CONFIRMED,
+  FINISHED,
+  AGAIN,
+  ASK_BACKUP,
+  STALE,
+  SUPERSEDED,
+  FULL,
+  NO_BACKUP,
+};
+CAPNP_DECLARE_ENUM(ClaimOutcome, f940bf4a3fd1c8b3);
+CAPNP_DECLARE_SCHEMA(e9a5f12e421292b2);
+CAPNP_DECLARE_SCHEMA(d8371d522d99a17d);
 CAPNP_DECLARE_SCHEMA(a4d9df168e9055a8);
-CAPNP_DECLARE_SCHEMA(ba1b2155366da815);
-CAPNP_DECLARE_SCHEMA(83dcc6846f6a50fb);
-CAPNP_DECLARE_SCHEMA(a45990087567654b);
-CAPNP_DECLARE_SCHEMA(efb2036a05d555c1);
-CAPNP_DECLARE_SCHEMA(9f47f1c6936eaec2);
+CAPNP_DECLARE_SCHEMA(c554a878b17adc82);
+enum class ConfirmOutcome_c554a878b17adc82: uint16_t {
+  CONFIRMED,
+  TAKEN_OVER,
+  SUPERSEDED,
+  FULL,
+  STALE,
+};
+CAPNP_DECLARE_ENUM(ConfirmOutcome, c554a878b17adc82);
+CAPNP_DECLARE_SCHEMA(c9ef505412bb6be8);
+CAPNP_DECLARE_SCHEMA(fa91b8c6e3f1afd9);
+CAPNP_DECLARE_SCHEMA(a37bc8cc7c4c5efb);
+CAPNP_DECLARE_SCHEMA(e0096d4667a226db);
+CAPNP_DECLARE_SCHEMA(92c29e225453fa85);
 CAPNP_DECLARE_SCHEMA(d5f4e88c326a42cb);
 CAPNP_DECLARE_SCHEMA(fa6c2cbc6f290e47);
 CAPNP_DECLARE_SCHEMA(acc90a34937e4247);
@@ -78,16 +96,6 @@
 CAPNP_DECLARE_SCHEMA(c708f689cda8dd55);
 CAPNP_DECLARE_SCHEMA(9e5c1a283d449c1b);
 CAPNP_DECLARE_SCHEMA(d1451fd52f8e6ddc);
-CAPNP_DECLARE_SCHEMA(ae5f9f4a40887fcc);
-CAPNP_DECLARE_SCHEMA(c462606b5f68823e);
-CAPNP_DECLARE_SCHEMA(93e018ca66db20b5);
-CAPNP_DECLARE_SCHEMA(fe0dfac1989f30d4);
-CAPNP_DECLARE_SCHEMA(a27216799013bbb7);
-CAPNP_DECLARE_SCHEMA(c4c0e2c4fa642981);
-CAPNP_DECLARE_SCHEMA(9fdcd7a83c608d97);
-CAPNP_DECLARE_SCHEMA(bc4158ac0f0bbb6c);
-CAPNP_DECLARE_SCHEMA(eec1cacce371c761);
-CAPNP_DECLARE_SCHEMA(dd01809ac40b26e8);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -167,7 +175,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd94db23d61fef4d, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fd94db23d61fef4d, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -197,7 +205,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba0f3c29ba4166ad, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ba0f3c29ba4166ad, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -212,37 +220,82 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(adb1732469ac3ee2, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(adb1732469ac3ee2, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotResponse {
+  SlotResponse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bd96e15b88775894, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ShareReport {
+  ShareReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c8ec3e44fc06252b, 6, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HeaderField {
+  HeaderField() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8670e1b2a3902db, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct SlotReturn {
-  SlotReturn() = delete;
+struct FinishedResponse {
+  FinishedResponse() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e7307942d6fb49be, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bc1e176da42fa610, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct StoredResponse {
-  StoredResponse() = delete;
+struct ClaimKey {
+  ClaimKey() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee52a3acbda7c3c8, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(da99205ab0f09d65, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -257,24 +310,39 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cca1f9111d1a9bf, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8cca1f9111d1a9bf, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-typedef ::capnp::schemas::ClaimDecision_f3121f07ec0b221e ClaimDecision;
+typedef ::capnp::schemas::ClaimOutcome_f940bf4a3fd1c8b3 ClaimOutcome;
+
+struct ClaimAnswer {
+  ClaimAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e9a5f12e421292b2, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-struct ClaimResult {
-  ClaimResult() = delete;
+struct OutcomeReport {
+  OutcomeReport() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d77d19b3e6702bca, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d8371d522d99a17d, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -289,82 +357,95 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a4d9df168e9055a8, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a4d9df168e9055a8, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct ConfirmResult {
-  ConfirmResult() = delete;
+typedef ::capnp::schemas::ConfirmOutcome_c554a878b17adc82 ConfirmOutcome;
+
+struct ConfirmAnswer {
+  ConfirmAnswer() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba1b2155366da815, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c9ef505412bb6be8, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct SettleRequest {
-  SettleRequest() = delete;
+struct OutcomeCopy {
+  OutcomeCopy() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83dcc6846f6a50fb, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fa91b8c6e3f1afd9, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct SettleResult {
-  SettleResult() = delete;
+struct BackupRegistration {
+  BackupRegistration() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a45990087567654b, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a37bc8cc7c4c5efb, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct OutcomeRecord {
-  OutcomeRecord() = delete;
+struct RegistrationAnswer {
+  RegistrationAnswer() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(efb2036a05d555c1, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e0096d4667a226db, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RecordLookup {
-  RecordLookup() = delete;
+struct RegistryMessage {
+  RegistryMessage() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
+  enum Which: uint16_t {
+    CLAIM,
+    SETTLE,
+    CLAIM_ANSWER,
+    RECORD_OUTCOME,
+    CONFIRM,
+    CONFIRM_ANSWER,
+    OUTCOME_COPY,
+    REGISTRATION,
+    REGISTRATION_ANSWER,
+  };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f47f1c6936eaec2, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(92c29e225453fa85, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -391,18 +472,8 @@
   struct OfferResults;
   struct RequestSlotsParams;
   struct RequestSlotsResults;
-  struct ReturnSlotsParams;
-  struct ReturnSlotsResults;
-  struct ClaimParams;
-  struct ClaimResults;
-  struct ConfirmParams;
-  struct ConfirmResults;
-  struct SettleParams;
-  struct SettleResults;
-  struct RecordOutcomeParams;
-  struct RecordOutcomeResults;
-  struct LookupRecordParams;
-  struct LookupRecordResults;
+  struct RegistryParams;
+  struct RegistryResults;
   struct StatusParams;
   struct StatusResults;
 
@@ -594,8 +665,8 @@
   };
 };
 
-struct Peer::ReturnSlotsParams {
-  ReturnSlotsParams() = delete;
+struct Peer::RegistryParams {
+  RegistryParams() = delete;
 
   class Reader;
   class Builder;
@@ -609,8 +680,8 @@
   };
 };
 
-struct Peer::ReturnSlotsResults {
-  ReturnSlotsResults() = delete;
+struct Peer::RegistryResults {
+  RegistryResults() = delete;
 
   class Reader;
   class Builder;
@@ -624,156 +695,6 @@
   };
 };
 
-struct Peer::ClaimParams {
-  ClaimParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e5c1a283d449c1b, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::ClaimResults {
-  ClaimResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d1451fd52f8e6ddc, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::ConfirmParams {
-  ConfirmParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae5f9f4a40887fcc, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::ConfirmResults {
-  ConfirmResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c462606b5f68823e, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::SettleParams {
-  SettleParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93e018ca66db20b5, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::SettleResults {
-  SettleResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe0dfac1989f30d4, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::RecordOutcomeParams {
-  RecordOutcomeParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a27216799013bbb7, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::RecordOutcomeResults {
-  RecordOutcomeResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4c0e2c4fa642981, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::LookupRecordParams {
-  LookupRecordParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9fdcd7a83c608d97, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::LookupRecordResults {
-  LookupRecordResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc4158ac0f0bbb6c, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct Peer::StatusParams {
   StatusParams() = delete;
 
@@ -782,7 +703,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eec1cacce371c761, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9e5c1a283d449c1b, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -797,7 +718,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd01809ac40b26e8, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d1451fd52f8e6ddc, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1228,6 +1149,9 @@
 
   inline  ::uint64_t getPlanVersionApplied() const;
 
+  inline bool hasShares() const;
+  inline  ::Tarragon::PeerRpc::ShareReport::Reader getShares() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1305,6 +1229,13 @@
   inline  ::uint64_t getPlanVersionApplied();
   inline void setPlanVersionApplied( ::uint64_t value);
 
+  inline bool hasShares();
+  inline  ::Tarragon::PeerRpc::ShareReport::Builder getShares();
+  inline void setShares( ::Tarragon::PeerRpc::ShareReport::Reader value);
+  inline  ::Tarragon::PeerRpc::ShareReport::Builder initShares();
+  inline void adoptShares(::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> disownShares();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1324,6 +1255,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
+  inline  ::Tarragon::PeerRpc::ShareReport::Pipeline getShares();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1466,18 +1398,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBorrower() const;
+  inline bool hasSender() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline bool hasReceiver() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getReceiver() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::uint32_t getCount() const;
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWanted() const;
 
-  inline  ::uint64_t getRenewGrant() const;
+  inline bool hasRenewals() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRenewals() const;
+
+  inline bool hasReturns() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReturns() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1507,32 +1443,46 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBorrower();
-  inline void setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBorrower();
-  inline void adoptBorrower(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBorrower();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
-
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline bool hasSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
+  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
 
-  inline  ::uint64_t getRenewGrant();
-  inline void setRenewGrant( ::uint64_t value);
+  inline bool hasReceiver();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getReceiver();
+  inline void setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initReceiver();
+  inline void adoptReceiver(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownReceiver();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWanted();
+
+  inline bool hasRenewals();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRenewals();
+  inline void setRenewals( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRenewals(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRenewals(unsigned int size);
+  inline void adoptRenewals(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRenewals();
+
+  inline bool hasReturns();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReturns();
+  inline void setReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReturns(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReturns(unsigned int size);
+  inline void adoptReturns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReturns();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1552,7 +1502,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBorrower();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getReceiver();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1580,12 +1531,8 @@
 
   inline  ::uint64_t getGrant() const;
 
-  inline bool hasLender() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getLender() const;
-
-  inline  ::uint32_t getCount() const;
-
-  inline  ::uint32_t getDurationMs() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1618,18 +1565,12 @@
   inline  ::uint64_t getGrant();
   inline void setGrant( ::uint64_t value);
 
-  inline bool hasLender();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getLender();
-  inline void setLender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initLender();
-  inline void adoptLender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownLender();
-
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
-
-  inline  ::uint32_t getDurationMs();
-  inline void setDurationMs( ::uint32_t value);
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1649,7 +1590,6 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getLender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1658,9 +1598,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SlotReturn::Reader {
+class SlotResponse::Reader {
 public:
-  typedef SlotReturn Reads;
+  typedef SlotResponse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1675,18 +1615,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBorrower() const;
+  inline bool hasSender() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline bool hasReceiver() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getReceiver() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::uint64_t getGrant() const;
+  inline  ::uint64_t getDurationUs() const;
 
-  inline  ::uint32_t getCount() const;
+  inline bool hasGranted() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader getGranted() const;
+
+  inline bool hasRenewed() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRenewed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1700,9 +1643,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SlotReturn::Builder {
+class SlotResponse::Builder {
 public:
-  typedef SlotReturn Builds;
+  typedef SlotResponse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1716,32 +1659,40 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBorrower();
-  inline void setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBorrower();
-  inline void adoptBorrower(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBorrower();
+  inline bool hasSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
+  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline bool hasReceiver();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getReceiver();
+  inline void setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initReceiver();
+  inline void adoptReceiver(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownReceiver();
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline  ::uint64_t getGrant();
-  inline void setGrant( ::uint64_t value);
+  inline  ::uint64_t getDurationUs();
+  inline void setDurationUs( ::uint64_t value);
+
+  inline bool hasGranted();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder getGranted();
+  inline void setGranted( ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder initGranted(unsigned int size);
+  inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>> disownGranted();
 
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline bool hasRenewed();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRenewed();
+  inline void setRenewed( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRenewed(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRenewed(unsigned int size);
+  inline void adoptRenewed(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRenewed();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1753,15 +1704,16 @@
 };
 
 #if !CAPNP_LITE
-class SlotReturn::Pipeline {
+class SlotResponse::Pipeline {
 public:
-  typedef SlotReturn Pipelines;
+  typedef SlotResponse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBorrower();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getReceiver();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1770,9 +1722,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StoredResponse::Reader {
+class ShareReport::Reader {
 public:
-  typedef StoredResponse Reads;
+  typedef ShareReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1787,15 +1739,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasHeaders() const;
-  inline  ::capnp::Text::Reader getHeaders() const;
+  inline  ::uint64_t getAdopted() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline  ::uint64_t getSettled() const;
+
+  inline  ::uint64_t getClosed() const;
 
-  inline bool getBodyDropped() const;
+  inline  ::uint64_t getEchoedIncarnation() const;
+
+  inline  ::uint64_t getEchoedSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1809,9 +1763,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoredResponse::Builder {
+class ShareReport::Builder {
 public:
-  typedef StoredResponse Builds;
+  typedef ShareReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1825,25 +1779,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasHeaders();
-  inline  ::capnp::Text::Builder getHeaders();
-  inline void setHeaders( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHeaders();
+  inline  ::uint64_t getAdopted();
+  inline void setAdopted( ::uint64_t value);
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline  ::uint64_t getSettled();
+  inline void setSettled( ::uint64_t value);
+
+  inline  ::uint64_t getClosed();
+  inline void setClosed( ::uint64_t value);
+
+  inline  ::uint64_t getEchoedIncarnation();
+  inline void setEchoedIncarnation( ::uint64_t value);
 
-  inline bool getBodyDropped();
-  inline void setBodyDropped(bool value);
+  inline  ::uint64_t getEchoedSequence();
+  inline void setEchoedSequence( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1855,9 +1807,9 @@
 };
 
 #if !CAPNP_LITE
-class StoredResponse::Pipeline {
+class ShareReport::Pipeline {
 public:
-  typedef StoredResponse Pipelines;
+  typedef ShareReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1871,9 +1823,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ClaimRequest::Reader {
+class HeaderField::Reader {
 public:
-  typedef ClaimRequest Reads;
+  typedef HeaderField Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1888,16 +1840,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasClaimant() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getClaimant() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool getFirstAttempt() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1911,9 +1858,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ClaimRequest::Builder {
+class HeaderField::Builder {
 public:
-  typedef ClaimRequest Builds;
+  typedef HeaderField Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1927,29 +1874,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasClaimant();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getClaimant();
-  inline void setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initClaimant();
-  inline void adoptClaimant(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownClaimant();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool getFirstAttempt();
-  inline void setFirstAttempt(bool value);
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1961,15 +1898,14 @@
 };
 
 #if !CAPNP_LITE
-class ClaimRequest::Pipeline {
+class HeaderField::Pipeline {
 public:
-  typedef ClaimRequest Pipelines;
+  typedef HeaderField Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getClaimant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1978,9 +1914,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ClaimResult::Reader {
+class FinishedResponse::Reader {
 public:
-  typedef ClaimResult Reads;
+  typedef FinishedResponse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1995,16 +1931,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::Tarragon::PeerRpc::ClaimDecision getDecision() const;
-
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
-
-  inline  ::uint64_t getClaim() const;
+  inline  ::uint16_t getStatus() const;
 
-  inline  ::uint32_t getValidMs() const;
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
-  inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2018,9 +1951,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ClaimResult::Builder {
+class FinishedResponse::Builder {
 public:
-  typedef ClaimResult Builds;
+  typedef FinishedResponse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2034,24 +1967,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::Tarragon::PeerRpc::ClaimDecision getDecision();
-  inline void setDecision( ::Tarragon::PeerRpc::ClaimDecision value);
-
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
-  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
-
-  inline  ::uint64_t getClaim();
-  inline void setClaim( ::uint64_t value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
-  inline  ::uint32_t getValidMs();
-  inline void setValidMs( ::uint32_t value);
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>> disownHeaders();
 
-  inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2063,15 +1994,14 @@
 };
 
 #if !CAPNP_LITE
-class ClaimResult::Pipeline {
+class FinishedResponse::Pipeline {
 public:
-  typedef ClaimResult Pipelines;
+  typedef FinishedResponse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2080,9 +2010,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfirmRequest::Reader {
+class ClaimKey::Reader {
 public:
-  typedef ConfirmRequest Reads;
+  typedef ClaimKey Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2097,16 +2027,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline bool hasPrimary() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
-
-  inline bool hasClaimant() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getClaimant() const;
+  inline bool hasRunner() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getRunner() const;
 
-  inline  ::uint64_t getClaim() const;
+  inline  ::uint64_t getSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2120,9 +2044,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfirmRequest::Builder {
+class ClaimKey::Builder {
 public:
-  typedef ConfirmRequest Builds;
+  typedef ClaimKey Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2136,29 +2060,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasRunner();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getRunner();
+  inline void setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initRunner();
+  inline void adoptRunner(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownRunner();
 
-  inline bool hasPrimary();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
-  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
-  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
-
-  inline bool hasClaimant();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getClaimant();
-  inline void setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initClaimant();
-  inline void adoptClaimant(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownClaimant();
-
-  inline  ::uint64_t getClaim();
-  inline void setClaim( ::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2170,16 +2080,15 @@
 };
 
 #if !CAPNP_LITE
-class ConfirmRequest::Pipeline {
+class ClaimKey::Pipeline {
 public:
-  typedef ConfirmRequest Pipelines;
+  typedef ClaimKey Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getClaimant();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getRunner();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2188,9 +2097,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfirmResult::Reader {
+class ClaimRequest::Reader {
 public:
-  typedef ConfirmResult Reads;
+  typedef ClaimRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2205,11 +2114,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getConfirmed() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
 
-  inline  ::uint32_t getValidMs() const;
+  inline  ::uint32_t getAttempt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2223,9 +2134,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfirmResult::Builder {
+class ClaimRequest::Builder {
 public:
-  typedef ConfirmResult Builds;
+  typedef ClaimRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2239,14 +2150,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getConfirmed();
-  inline void setConfirmed(bool value);
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
-  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
 
-  inline  ::uint32_t getValidMs();
-  inline void setValidMs( ::uint32_t value);
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2258,14 +2177,15 @@
 };
 
 #if !CAPNP_LITE
-class ConfirmResult::Pipeline {
+class ClaimRequest::Pipeline {
 public:
-  typedef ConfirmResult Pipelines;
+  typedef ClaimRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2274,9 +2194,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SettleRequest::Reader {
+class ClaimAnswer::Reader {
 public:
-  typedef SettleRequest Reads;
+  typedef ClaimAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2291,13 +2211,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
+
+  inline  ::Tarragon::PeerRpc::ClaimOutcome getOutcome() const;
+
+  inline bool getFromBackup() const;
+
+  inline bool hasHolder() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getHolder() const;
 
-  inline bool hasAsker() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getAsker() const;
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
 
-  inline bool getFirstAttempt() const;
+  inline bool hasResponse() const;
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2311,9 +2241,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SettleRequest::Builder {
+class ClaimAnswer::Builder {
 public:
-  typedef SettleRequest Builds;
+  typedef ClaimAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2327,22 +2257,42 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
+
+  inline  ::Tarragon::PeerRpc::ClaimOutcome getOutcome();
+  inline void setOutcome( ::Tarragon::PeerRpc::ClaimOutcome value);
 
-  inline bool hasAsker();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getAsker();
-  inline void setAsker( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initAsker();
-  inline void adoptAsker(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownAsker();
+  inline bool getFromBackup();
+  inline void setFromBackup(bool value);
+
+  inline bool hasHolder();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getHolder();
+  inline void setHolder( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownHolder();
+
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
+  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
 
-  inline bool getFirstAttempt();
-  inline void setFirstAttempt(bool value);
+  inline bool hasResponse();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2354,15 +2304,17 @@
 };
 
 #if !CAPNP_LITE
-class SettleRequest::Pipeline {
+class ClaimAnswer::Pipeline {
 public:
-  typedef SettleRequest Pipelines;
+  typedef ClaimAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getAsker();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getHolder();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2371,9 +2323,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SettleResult::Reader {
+class OutcomeReport::Reader {
 public:
-  typedef SettleResult Reads;
+  typedef OutcomeReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2388,12 +2340,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool getFinal() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
+
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
 
   inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2407,9 +2363,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SettleResult::Builder {
+class OutcomeReport::Builder {
 public:
-  typedef SettleResult Builds;
+  typedef OutcomeReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2423,18 +2379,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
+
   inline  ::Tarragon::PeerRpc::Verdict getVerdict();
   inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
 
-  inline bool getFinal();
-  inline void setFinal(bool value);
-
   inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2446,15 +2413,16 @@
 };
 
 #if !CAPNP_LITE
-class SettleResult::Pipeline {
+class OutcomeReport::Pipeline {
 public:
-  typedef SettleResult Pipelines;
+  typedef OutcomeReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2463,9 +2431,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class OutcomeRecord::Reader {
+class ConfirmRequest::Reader {
 public:
-  typedef OutcomeRecord Reads;
+  typedef ConfirmRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2480,18 +2448,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline  ::uint64_t getClaim() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimKey::Reader getClaim() const;
 
-  inline bool hasRecorder() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getRecorder() const;
+  inline  ::uint32_t getAttempt() const;
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline  ::uint64_t getOldestServed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2505,9 +2472,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class OutcomeRecord::Builder {
+class ConfirmRequest::Builder {
 public:
-  typedef OutcomeRecord Builds;
+  typedef ConfirmRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2521,32 +2488,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline  ::uint64_t getClaim();
-  inline void setClaim( ::uint64_t value);
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimKey::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> disownClaim();
 
-  inline bool hasRecorder();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getRecorder();
-  inline void setRecorder( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initRecorder();
-  inline void adoptRecorder(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownRecorder();
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
-  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline  ::uint64_t getOldestServed();
+  inline void setOldestServed( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2558,16 +2521,15 @@
 };
 
 #if !CAPNP_LITE
-class OutcomeRecord::Pipeline {
+class ConfirmRequest::Pipeline {
 public:
-  typedef OutcomeRecord Pipelines;
+  typedef ConfirmRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getRecorder();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
+  inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2576,9 +2538,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RecordLookup::Reader {
+class ConfirmAnswer::Reader {
 public:
-  typedef RecordLookup Reads;
+  typedef ConfirmAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2593,14 +2555,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool getSettled() const;
-
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasResponse() const;
-  inline  ::Tarragon::PeerRpc::StoredResponse::Reader getResponse() const;
+  inline  ::Tarragon::PeerRpc::ConfirmOutcome getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2614,9 +2574,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RecordLookup::Builder {
+class ConfirmAnswer::Builder {
 public:
-  typedef RecordLookup Builds;
+  typedef ConfirmAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2630,21 +2590,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
-
-  inline bool getSettled();
-  inline void setSettled(bool value);
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
-  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasResponse();
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder getResponse();
-  inline void setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value);
-  inline  ::Tarragon::PeerRpc::StoredResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> disownResponse();
+  inline  ::Tarragon::PeerRpc::ConfirmOutcome getOutcome();
+  inline void setOutcome( ::Tarragon::PeerRpc::ConfirmOutcome value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2656,15 +2613,14 @@
 };
 
 #if !CAPNP_LITE
-class RecordLookup::Pipeline {
+class ConfirmAnswer::Pipeline {
 public:
-  typedef RecordLookup Pipelines;
+  typedef ConfirmAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2673,134 +2629,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::HeartbeatParams,  ::Tarragon::PeerRpc::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchHeadParams,  ::Tarragon::PeerRpc::Peer::FetchHeadResults> fetchHeadRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchSectionParams,  ::Tarragon::PeerRpc::Peer::FetchSectionResults> fetchSectionRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchPlanParams,  ::Tarragon::PeerRpc::Peer::FetchPlanResults> fetchPlanRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::OfferParams,  ::Tarragon::PeerRpc::Peer::OfferResults> offerRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RequestSlotsParams,  ::Tarragon::PeerRpc::Peer::RequestSlotsResults> requestSlotsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ReturnSlotsParams,  ::Tarragon::PeerRpc::Peer::ReturnSlotsResults> returnSlotsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ClaimParams,  ::Tarragon::PeerRpc::Peer::ClaimResults> claimRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ConfirmParams,  ::Tarragon::PeerRpc::Peer::ConfirmResults> confirmRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::SettleParams,  ::Tarragon::PeerRpc::Peer::SettleResults> settleRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RecordOutcomeParams,  ::Tarragon::PeerRpc::Peer::RecordOutcomeResults> recordOutcomeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::LookupRecordParams,  ::Tarragon::PeerRpc::Peer::LookupRecordResults> lookupRecordRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Tarragon::PeerRpc::Peer::StatusParams,  ::Tarragon::PeerRpc::Peer::StatusResults> statusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadParams FetchHeadParams;
-  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadResults FetchHeadResults;
-  typedef ::capnp::CallContext<FetchHeadParams, FetchHeadResults> FetchHeadContext;
-  virtual ::kj::Promise<void> fetchHead(FetchHeadContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionParams FetchSectionParams;
-  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionResults FetchSectionResults;
-  typedef ::capnp::CallContext<FetchSectionParams, FetchSectionResults> FetchSectionContext;
-  virtual ::kj::Promise<void> fetchSection(FetchSectionContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanParams FetchPlanParams;
-  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanResults FetchPlanResults;
-  typedef ::capnp::CallContext<FetchPlanParams, FetchPlanResults> FetchPlanContext;
-  virtual ::kj::Promise<void> fetchPlan(FetchPlanContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::OfferParams OfferParams;
-  typedef  ::Tarragon::PeerRpc::Peer::OfferResults OfferResults;
-  typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
-  virtual ::kj::Promise<void> offer(OfferContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsParams RequestSlotsParams;
-  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsResults RequestSlotsResults;
-  typedef ::capnp::CallContext<RequestSlotsParams, RequestSlotsResults> RequestSlotsContext;
-  virtual ::kj::Promise<void> requestSlots(RequestSlotsContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::ReturnSlotsParams ReturnSlotsParams;
-  typedef  ::Tarragon::PeerRpc::Peer::ReturnSlotsResults ReturnSlotsResults;
-  typedef ::capnp::CallContext<ReturnSlotsParams, ReturnSlotsResults> ReturnSlotsContext;
-  virtual ::kj::Promise<void> returnSlots(ReturnSlotsContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::ClaimParams ClaimParams;
-  typedef  ::Tarragon::PeerRpc::Peer::ClaimResults ClaimResults;
-  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
-  virtual ::kj::Promise<void> claim(ClaimContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::ConfirmParams ConfirmParams;
-  typedef  ::Tarragon::PeerRpc::Peer::ConfirmResults ConfirmResults;
-  typedef ::capnp::CallContext<ConfirmParams, ConfirmResults> ConfirmContext;
-  virtual ::kj::Promise<void> confirm(ConfirmContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::SettleParams SettleParams;
-  typedef  ::Tarragon::PeerRpc::Peer::SettleResults SettleResults;
-  typedef ::capnp::CallContext<SettleParams, SettleResults> SettleContext;
-  virtual ::kj::Promise<void> settle(SettleContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::RecordOutcomeParams RecordOutcomeParams;
-  typedef  ::Tarragon::PeerRpc::Peer::RecordOutcomeResults RecordOutcomeResults;
-  typedef ::capnp::CallContext<RecordOutcomeParams, RecordOutcomeResults> RecordOutcomeContext;
-  virtual ::kj::Promise<void> recordOutcome(RecordOutcomeContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::LookupRecordParams LookupRecordParams;
-  typedef  ::Tarragon::PeerRpc::Peer::LookupRecordResults LookupRecordResults;
-  typedef ::capnp::CallContext<LookupRecordParams, LookupRecordResults> LookupRecordContext;
-  virtual ::kj::Promise<void> lookupRecord(LookupRecordContext context);
-  typedef  ::Tarragon::PeerRpc::Peer::StatusParams StatusParams;
-  typedef  ::Tarragon::PeerRpc::Peer::StatusResults StatusResults;
-  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
-  virtual ::kj::Promise<void> status(StatusContext context);
-
-  inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Tarragon::PeerRpc::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HeartbeatParams::Reader {
+class OutcomeCopy::Reader {
 public:
-  typedef HeartbeatParams Reads;
+  typedef OutcomeCopy Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2815,8 +2646,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMine() const;
-  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getMine() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict() const;
+
+  inline bool hasResponse() const;
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2830,9 +2668,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder {
+class OutcomeCopy::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef OutcomeCopy Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2846,12 +2684,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMine();
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getMine();
-  inline void setMine( ::Tarragon::PeerRpc::Heartbeat::Reader value);
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initMine();
-  inline void adoptMine(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownMine();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::Tarragon::PeerRpc::Verdict getVerdict();
+  inline void setVerdict( ::Tarragon::PeerRpc::Verdict value);
+
+  inline bool hasResponse();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2863,15 +2714,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline {
+class OutcomeCopy::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef OutcomeCopy Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getMine();
+  inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2880,9 +2731,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader {
+class BackupRegistration::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef BackupRegistration Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2897,8 +2748,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTheirs() const;
-  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getTheirs() const;
+  inline bool hasPrimary() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
+
+  inline bool hasBackup() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBackup() const;
+
+  inline  ::uint64_t getFrom() const;
+
+  inline  ::uint64_t getCurrent() const;
+
+  inline  ::uint64_t getOldestServed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2912,9 +2772,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class BackupRegistration::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef BackupRegistration Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2928,12 +2788,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTheirs();
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getTheirs();
-  inline void setTheirs( ::Tarragon::PeerRpc::Heartbeat::Reader value);
-  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initTheirs();
-  inline void adoptTheirs(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownTheirs();
+  inline bool hasPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
+  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
+  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
+
+  inline bool hasBackup();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBackup();
+  inline void setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBackup();
+  inline void adoptBackup(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBackup();
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline  ::uint64_t getCurrent();
+  inline void setCurrent( ::uint64_t value);
+
+  inline  ::uint64_t getOldestServed();
+  inline void setOldestServed( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2945,15 +2821,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class BackupRegistration::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef BackupRegistration Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getTheirs();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBackup();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2962,9 +2839,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchHeadParams::Reader {
+class RegistrationAnswer::Reader {
 public:
-  typedef FetchHeadParams Reads;
+  typedef RegistrationAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2979,7 +2856,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNewerThan() const;
+  inline bool hasBackup() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getBackup() const;
+
+  inline bool hasPrimary() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getPrimary() const;
+
+  inline  ::uint64_t getFrom() const;
+
+  inline bool getAccepted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2993,9 +2878,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchHeadParams::Builder {
+class RegistrationAnswer::Builder {
 public:
-  typedef FetchHeadParams Builds;
+  typedef RegistrationAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3009,8 +2894,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNewerThan();
-  inline void setNewerThan( ::uint64_t value);
+  inline bool hasBackup();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getBackup();
+  inline void setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initBackup();
+  inline void adoptBackup(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownBackup();
+
+  inline bool hasPrimary();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getPrimary();
+  inline void setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initPrimary();
+  inline void adoptPrimary(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownPrimary();
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3022,14 +2924,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchHeadParams::Pipeline {
+class RegistrationAnswer::Pipeline {
 public:
-  typedef FetchHeadParams Pipelines;
+  typedef RegistrationAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getBackup();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getPrimary();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3038,9 +2942,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchHeadResults::Reader {
+class RegistryMessage::Reader {
 public:
-  typedef FetchHeadResults Reads;
+  typedef RegistryMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3055,10 +2959,42 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration() const;
+  inline Which which() const;
+  inline bool isClaim() const;
+  inline bool hasClaim() const;
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Reader getClaim() const;
 
-  inline bool hasHead() const;
-  inline  ::capnp::Text::Reader getHead() const;
+  inline bool isSettle() const;
+  inline bool hasSettle() const;
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Reader getSettle() const;
+
+  inline bool isClaimAnswer() const;
+  inline bool hasClaimAnswer() const;
+  inline  ::Tarragon::PeerRpc::ClaimAnswer::Reader getClaimAnswer() const;
+
+  inline bool isRecordOutcome() const;
+  inline bool hasRecordOutcome() const;
+  inline  ::Tarragon::PeerRpc::OutcomeReport::Reader getRecordOutcome() const;
+
+  inline bool isConfirm() const;
+  inline bool hasConfirm() const;
+  inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader getConfirm() const;
+
+  inline bool isConfirmAnswer() const;
+  inline bool hasConfirmAnswer() const;
+  inline  ::Tarragon::PeerRpc::ConfirmAnswer::Reader getConfirmAnswer() const;
+
+  inline bool isOutcomeCopy() const;
+  inline bool hasOutcomeCopy() const;
+  inline  ::Tarragon::PeerRpc::OutcomeCopy::Reader getOutcomeCopy() const;
+
+  inline bool isRegistration() const;
+  inline bool hasRegistration() const;
+  inline  ::Tarragon::PeerRpc::BackupRegistration::Reader getRegistration() const;
+
+  inline bool isRegistrationAnswer() const;
+  inline bool hasRegistrationAnswer() const;
+  inline  ::Tarragon::PeerRpc::RegistrationAnswer::Reader getRegistrationAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3072,9 +3008,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchHeadResults::Builder {
+class RegistryMessage::Builder {
 public:
-  typedef FetchHeadResults Builds;
+  typedef RegistryMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3088,15 +3024,78 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
-
-  inline bool hasHead();
-  inline  ::capnp::Text::Builder getHead();
-  inline void setHead( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHead(unsigned int size);
-  inline void adoptHead(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHead();
+  inline Which which();
+  inline bool isClaim();
+  inline bool hasClaim();
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder getClaim();
+  inline void setClaim( ::Tarragon::PeerRpc::ClaimRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> disownClaim();
+
+  inline bool isSettle();
+  inline bool hasSettle();
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder getSettle();
+  inline void setSettle( ::Tarragon::PeerRpc::ClaimRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder initSettle();
+  inline void adoptSettle(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> disownSettle();
+
+  inline bool isClaimAnswer();
+  inline bool hasClaimAnswer();
+  inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder getClaimAnswer();
+  inline void setClaimAnswer( ::Tarragon::PeerRpc::ClaimAnswer::Reader value);
+  inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder initClaimAnswer();
+  inline void adoptClaimAnswer(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer> disownClaimAnswer();
+
+  inline bool isRecordOutcome();
+  inline bool hasRecordOutcome();
+  inline  ::Tarragon::PeerRpc::OutcomeReport::Builder getRecordOutcome();
+  inline void setRecordOutcome( ::Tarragon::PeerRpc::OutcomeReport::Reader value);
+  inline  ::Tarragon::PeerRpc::OutcomeReport::Builder initRecordOutcome();
+  inline void adoptRecordOutcome(::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport> disownRecordOutcome();
+
+  inline bool isConfirm();
+  inline bool hasConfirm();
+  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder getConfirm();
+  inline void setConfirm( ::Tarragon::PeerRpc::ConfirmRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder initConfirm();
+  inline void adoptConfirm(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> disownConfirm();
+
+  inline bool isConfirmAnswer();
+  inline bool hasConfirmAnswer();
+  inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder getConfirmAnswer();
+  inline void setConfirmAnswer( ::Tarragon::PeerRpc::ConfirmAnswer::Reader value);
+  inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder initConfirmAnswer();
+  inline void adoptConfirmAnswer(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer> disownConfirmAnswer();
+
+  inline bool isOutcomeCopy();
+  inline bool hasOutcomeCopy();
+  inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder getOutcomeCopy();
+  inline void setOutcomeCopy( ::Tarragon::PeerRpc::OutcomeCopy::Reader value);
+  inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder initOutcomeCopy();
+  inline void adoptOutcomeCopy(::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy> disownOutcomeCopy();
+
+  inline bool isRegistration();
+  inline bool hasRegistration();
+  inline  ::Tarragon::PeerRpc::BackupRegistration::Builder getRegistration();
+  inline void setRegistration( ::Tarragon::PeerRpc::BackupRegistration::Reader value);
+  inline  ::Tarragon::PeerRpc::BackupRegistration::Builder initRegistration();
+  inline void adoptRegistration(::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration> disownRegistration();
+
+  inline bool isRegistrationAnswer();
+  inline bool hasRegistrationAnswer();
+  inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder getRegistrationAnswer();
+  inline void setRegistrationAnswer( ::Tarragon::PeerRpc::RegistrationAnswer::Reader value);
+  inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder initRegistrationAnswer();
+  inline void adoptRegistrationAnswer(::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer> disownRegistrationAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3108,9 +3107,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchHeadResults::Pipeline {
+class RegistryMessage::Pipeline {
 public:
-  typedef FetchHeadResults Pipelines;
+  typedef RegistryMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3124,9 +3123,104 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchSectionParams::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchSectionParams Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::HeartbeatParams,  ::Tarragon::PeerRpc::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchHeadParams,  ::Tarragon::PeerRpc::Peer::FetchHeadResults> fetchHeadRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchSectionParams,  ::Tarragon::PeerRpc::Peer::FetchSectionResults> fetchSectionRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::FetchPlanParams,  ::Tarragon::PeerRpc::Peer::FetchPlanResults> fetchPlanRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::OfferParams,  ::Tarragon::PeerRpc::Peer::OfferResults> offerRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RequestSlotsParams,  ::Tarragon::PeerRpc::Peer::RequestSlotsResults> requestSlotsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RegistryParams,  ::Tarragon::PeerRpc::Peer::RegistryResults> registryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::StatusParams,  ::Tarragon::PeerRpc::Peer::StatusResults> statusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::Tarragon::PeerRpc::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadParams FetchHeadParams;
+  typedef  ::Tarragon::PeerRpc::Peer::FetchHeadResults FetchHeadResults;
+  typedef ::capnp::CallContext<FetchHeadParams, FetchHeadResults> FetchHeadContext;
+  virtual ::kj::Promise<void> fetchHead(FetchHeadContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionParams FetchSectionParams;
+  typedef  ::Tarragon::PeerRpc::Peer::FetchSectionResults FetchSectionResults;
+  typedef ::capnp::CallContext<FetchSectionParams, FetchSectionResults> FetchSectionContext;
+  virtual ::kj::Promise<void> fetchSection(FetchSectionContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanParams FetchPlanParams;
+  typedef  ::Tarragon::PeerRpc::Peer::FetchPlanResults FetchPlanResults;
+  typedef ::capnp::CallContext<FetchPlanParams, FetchPlanResults> FetchPlanContext;
+  virtual ::kj::Promise<void> fetchPlan(FetchPlanContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::OfferParams OfferParams;
+  typedef  ::Tarragon::PeerRpc::Peer::OfferResults OfferResults;
+  typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
+  virtual ::kj::Promise<void> offer(OfferContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsParams RequestSlotsParams;
+  typedef  ::Tarragon::PeerRpc::Peer::RequestSlotsResults RequestSlotsResults;
+  typedef ::capnp::CallContext<RequestSlotsParams, RequestSlotsResults> RequestSlotsContext;
+  virtual ::kj::Promise<void> requestSlots(RequestSlotsContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::RegistryParams RegistryParams;
+  typedef  ::Tarragon::PeerRpc::Peer::RegistryResults RegistryResults;
+  typedef ::capnp::CallContext<RegistryParams, RegistryResults> RegistryContext;
+  virtual ::kj::Promise<void> registry(RegistryContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::StatusParams StatusParams;
+  typedef  ::Tarragon::PeerRpc::Peer::StatusResults StatusResults;
+  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
+  virtual ::kj::Promise<void> status(StatusContext context);
+
+  inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Tarragon::PeerRpc::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HeartbeatParams::Reader {
+public:
+  typedef HeartbeatParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3141,11 +3235,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline bool hasDigest() const;
-  inline  ::capnp::Text::Reader getDigest() const;
+  inline bool hasMine() const;
+  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getMine() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3159,9 +3250,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchSectionParams::Builder {
+class Peer::HeartbeatParams::Builder {
 public:
-  typedef FetchSectionParams Builds;
+  typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3175,19 +3266,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasDigest();
-  inline  ::capnp::Text::Builder getDigest();
-  inline void setDigest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDigest(unsigned int size);
-  inline void adoptDigest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDigest();
+  inline bool hasMine();
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getMine();
+  inline void setMine( ::Tarragon::PeerRpc::Heartbeat::Reader value);
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initMine();
+  inline void adoptMine(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownMine();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3199,14 +3283,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchSectionParams::Pipeline {
+class Peer::HeartbeatParams::Pipeline {
 public:
-  typedef FetchSectionParams Pipelines;
+  typedef HeartbeatParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getMine();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3215,9 +3300,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchSectionResults::Reader {
+class Peer::HeartbeatResults::Reader {
 public:
-  typedef FetchSectionResults Reads;
+  typedef HeartbeatResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3232,10 +3317,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound() const;
-
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
+  inline bool hasTheirs() const;
+  inline  ::Tarragon::PeerRpc::Heartbeat::Reader getTheirs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3249,9 +3332,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchSectionResults::Builder {
+class Peer::HeartbeatResults::Builder {
 public:
-  typedef FetchSectionResults Builds;
+  typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3265,15 +3348,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound();
-  inline void setFound(bool value);
-
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
+  inline bool hasTheirs();
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder getTheirs();
+  inline void setTheirs( ::Tarragon::PeerRpc::Heartbeat::Reader value);
+  inline  ::Tarragon::PeerRpc::Heartbeat::Builder initTheirs();
+  inline void adoptTheirs(::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Heartbeat> disownTheirs();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3285,14 +3365,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchSectionResults::Pipeline {
+class Peer::HeartbeatResults::Pipeline {
 public:
-  typedef FetchSectionResults Pipelines;
+  typedef HeartbeatResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::Heartbeat::Pipeline getTheirs();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3301,9 +3382,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchPlanParams::Reader {
+class Peer::FetchHeadParams::Reader {
 public:
-  typedef FetchPlanParams Reads;
+  typedef FetchHeadParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3332,9 +3413,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchPlanParams::Builder {
+class Peer::FetchHeadParams::Builder {
 public:
-  typedef FetchPlanParams Builds;
+  typedef FetchHeadParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3361,9 +3442,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchPlanParams::Pipeline {
+class Peer::FetchHeadParams::Pipeline {
 public:
-  typedef FetchPlanParams Pipelines;
+  typedef FetchHeadParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3377,9 +3458,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchPlanResults::Reader {
+class Peer::FetchHeadResults::Reader {
 public:
-  typedef FetchPlanResults Reads;
+  typedef FetchHeadResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3394,10 +3475,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPlanVersion() const;
+  inline  ::uint64_t getGeneration() const;
 
-  inline bool hasPlan() const;
-  inline  ::capnp::Text::Reader getPlan() const;
+  inline bool hasHead() const;
+  inline  ::capnp::Text::Reader getHead() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3411,9 +3492,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchPlanResults::Builder {
+class Peer::FetchHeadResults::Builder {
 public:
-  typedef FetchPlanResults Builds;
+  typedef FetchHeadResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3427,15 +3508,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPlanVersion();
-  inline void setPlanVersion( ::uint64_t value);
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
-  inline bool hasPlan();
-  inline  ::capnp::Text::Builder getPlan();
-  inline void setPlan( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPlan(unsigned int size);
-  inline void adoptPlan(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPlan();
+  inline bool hasHead();
+  inline  ::capnp::Text::Builder getHead();
+  inline void setHead( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHead(unsigned int size);
+  inline void adoptHead(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHead();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3447,9 +3528,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchPlanResults::Pipeline {
+class Peer::FetchHeadResults::Pipeline {
 public:
-  typedef FetchPlanResults Pipelines;
+  typedef FetchHeadResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3463,9 +3544,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferParams::Reader {
+class Peer::FetchSectionParams::Reader {
 public:
-  typedef OfferParams Reads;
+  typedef FetchSectionParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3480,12 +3561,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
-
-  inline  ::uint64_t getGeneration() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline  ::uint64_t getPlanVersion() const;
+  inline bool hasDigest() const;
+  inline  ::capnp::Text::Reader getDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3499,9 +3579,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferParams::Builder {
+class Peer::FetchSectionParams::Builder {
 public:
-  typedef OfferParams Builds;
+  typedef FetchSectionParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3515,18 +3595,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
-  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
-  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
-
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline  ::uint64_t getPlanVersion();
-  inline void setPlanVersion( ::uint64_t value);
+  inline bool hasDigest();
+  inline  ::capnp::Text::Builder getDigest();
+  inline void setDigest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDigest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3538,15 +3619,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferParams::Pipeline {
+class Peer::FetchSectionParams::Pipeline {
 public:
-  typedef OfferParams Pipelines;
+  typedef FetchSectionParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3555,9 +3635,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferResults::Reader {
+class Peer::FetchSectionResults::Reader {
 public:
-  typedef OfferResults Reads;
+  typedef FetchSectionResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3572,6 +3652,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getFound() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3584,9 +3669,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferResults::Builder {
+class Peer::FetchSectionResults::Builder {
 public:
-  typedef OfferResults Builds;
+  typedef FetchSectionResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3600,6 +3685,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getFound();
+  inline void setFound(bool value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3610,9 +3705,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferResults::Pipeline {
+class Peer::FetchSectionResults::Pipeline {
 public:
-  typedef OfferResults Pipelines;
+  typedef FetchSectionResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3626,9 +3721,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RequestSlotsParams::Reader {
+class Peer::FetchPlanParams::Reader {
 public:
-  typedef RequestSlotsParams Reads;
+  typedef FetchPlanParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3643,8 +3738,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::SlotRequest::Reader getRequest() const;
+  inline  ::uint64_t getNewerThan() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3658,9 +3752,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RequestSlotsParams::Builder {
+class Peer::FetchPlanParams::Builder {
 public:
-  typedef RequestSlotsParams Builds;
+  typedef FetchPlanParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3674,12 +3768,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::SlotRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::SlotRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::SlotRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest> disownRequest();
+  inline  ::uint64_t getNewerThan();
+  inline void setNewerThan( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3691,15 +3781,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RequestSlotsParams::Pipeline {
+class Peer::FetchPlanParams::Pipeline {
 public:
-  typedef RequestSlotsParams Pipelines;
+  typedef FetchPlanParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SlotRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3708,9 +3797,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RequestSlotsResults::Reader {
+class Peer::FetchPlanResults::Reader {
 public:
-  typedef RequestSlotsResults Reads;
+  typedef FetchPlanResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3725,8 +3814,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant() const;
-  inline  ::Tarragon::PeerRpc::SlotGrant::Reader getGrant() const;
+  inline  ::uint64_t getPlanVersion() const;
+
+  inline bool hasPlan() const;
+  inline  ::capnp::Text::Reader getPlan() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3740,9 +3831,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RequestSlotsResults::Builder {
+class Peer::FetchPlanResults::Builder {
 public:
-  typedef RequestSlotsResults Builds;
+  typedef FetchPlanResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3756,12 +3847,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant();
-  inline  ::Tarragon::PeerRpc::SlotGrant::Builder getGrant();
-  inline void setGrant( ::Tarragon::PeerRpc::SlotGrant::Reader value);
-  inline  ::Tarragon::PeerRpc::SlotGrant::Builder initGrant();
-  inline void adoptGrant(::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant> disownGrant();
+  inline  ::uint64_t getPlanVersion();
+  inline void setPlanVersion( ::uint64_t value);
+
+  inline bool hasPlan();
+  inline  ::capnp::Text::Builder getPlan();
+  inline void setPlan( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPlan(unsigned int size);
+  inline void adoptPlan(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPlan();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3773,15 +3867,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RequestSlotsResults::Pipeline {
+class Peer::FetchPlanResults::Pipeline {
 public:
-  typedef RequestSlotsResults Pipelines;
+  typedef FetchPlanResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SlotGrant::Pipeline getGrant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3790,9 +3883,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReturnSlotsParams::Reader {
+class Peer::OfferParams::Reader {
 public:
-  typedef ReturnSlotsParams Reads;
+  typedef OfferParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3807,8 +3900,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReturned() const;
-  inline  ::Tarragon::PeerRpc::SlotReturn::Reader getReturned() const;
+  inline bool hasSender() const;
+  inline  ::Tarragon::PeerRpc::InstanceRef::Reader getSender() const;
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline  ::uint64_t getPlanVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3822,9 +3919,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReturnSlotsParams::Builder {
+class Peer::OfferParams::Builder {
 public:
-  typedef ReturnSlotsParams Builds;
+  typedef OfferParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3838,12 +3935,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReturned();
-  inline  ::Tarragon::PeerRpc::SlotReturn::Builder getReturned();
-  inline void setReturned( ::Tarragon::PeerRpc::SlotReturn::Reader value);
-  inline  ::Tarragon::PeerRpc::SlotReturn::Builder initReturned();
-  inline void adoptReturned(::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn> disownReturned();
+  inline bool hasSender();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder getSender();
+  inline void setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value);
+  inline  ::Tarragon::PeerRpc::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> disownSender();
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline  ::uint64_t getPlanVersion();
+  inline void setPlanVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3855,15 +3958,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReturnSlotsParams::Pipeline {
+class Peer::OfferParams::Pipeline {
 public:
-  typedef ReturnSlotsParams Pipelines;
+  typedef OfferParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SlotReturn::Pipeline getReturned();
+  inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3872,9 +3975,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReturnSlotsResults::Reader {
+class Peer::OfferResults::Reader {
 public:
-  typedef ReturnSlotsResults Reads;
+  typedef OfferResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3901,9 +4004,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReturnSlotsResults::Builder {
+class Peer::OfferResults::Builder {
 public:
-  typedef ReturnSlotsResults Builds;
+  typedef OfferResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3927,9 +4030,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReturnSlotsResults::Pipeline {
+class Peer::OfferResults::Pipeline {
 public:
-  typedef ReturnSlotsResults Pipelines;
+  typedef OfferResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3943,9 +4046,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ClaimParams::Reader {
+class Peer::RequestSlotsParams::Reader {
 public:
-  typedef ClaimParams Reads;
+  typedef RequestSlotsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3961,7 +4064,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Reader getRequest() const;
+  inline  ::Tarragon::PeerRpc::SlotRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3975,9 +4078,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ClaimParams::Builder {
+class Peer::RequestSlotsParams::Builder {
 public:
-  typedef ClaimParams Builds;
+  typedef RequestSlotsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3992,11 +4095,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::ClaimRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> disownRequest();
+  inline  ::Tarragon::PeerRpc::SlotRequest::Builder getRequest();
+  inline void setRequest( ::Tarragon::PeerRpc::SlotRequest::Reader value);
+  inline  ::Tarragon::PeerRpc::SlotRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4008,15 +4111,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimParams::Pipeline {
+class Peer::RequestSlotsParams::Pipeline {
 public:
-  typedef ClaimParams Pipelines;
+  typedef RequestSlotsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimRequest::Pipeline getRequest();
+  inline  ::Tarragon::PeerRpc::SlotRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4025,9 +4128,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ClaimResults::Reader {
+class Peer::RequestSlotsResults::Reader {
 public:
-  typedef ClaimResults Reads;
+  typedef RequestSlotsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4042,8 +4145,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::Tarragon::PeerRpc::ClaimResult::Reader getResult() const;
+  inline bool hasResponse() const;
+  inline  ::Tarragon::PeerRpc::SlotResponse::Reader getResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4057,9 +4160,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ClaimResults::Builder {
+class Peer::RequestSlotsResults::Builder {
 public:
-  typedef ClaimResults Builds;
+  typedef RequestSlotsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4073,12 +4176,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::Tarragon::PeerRpc::ClaimResult::Builder getResult();
-  inline void setResult( ::Tarragon::PeerRpc::ClaimResult::Reader value);
-  inline  ::Tarragon::PeerRpc::ClaimResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult> disownResult();
+  inline bool hasResponse();
+  inline  ::Tarragon::PeerRpc::SlotResponse::Builder getResponse();
+  inline void setResponse( ::Tarragon::PeerRpc::SlotResponse::Reader value);
+  inline  ::Tarragon::PeerRpc::SlotResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse> disownResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4090,15 +4193,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimResults::Pipeline {
+class Peer::RequestSlotsResults::Pipeline {
 public:
-  typedef ClaimResults Pipelines;
+  typedef RequestSlotsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ClaimResult::Pipeline getResult();
+  inline  ::Tarragon::PeerRpc::SlotResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4107,9 +4210,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfirmParams::Reader {
+class Peer::RegistryParams::Reader {
 public:
-  typedef ConfirmParams Reads;
+  typedef RegistryParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4124,8 +4227,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader getRequest() const;
+  inline bool hasMessages() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader getMessages() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4139,9 +4242,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfirmParams::Builder {
+class Peer::RegistryParams::Builder {
 public:
-  typedef ConfirmParams Builds;
+  typedef RegistryParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4155,12 +4258,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::ConfirmRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> disownRequest();
+  inline bool hasMessages();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder getMessages();
+  inline void setMessages( ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder initMessages(unsigned int size);
+  inline void adoptMessages(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>> disownMessages();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4172,15 +4275,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfirmParams::Pipeline {
+class Peer::RegistryParams::Pipeline {
 public:
-  typedef ConfirmParams Pipelines;
+  typedef RegistryParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ConfirmRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4189,9 +4291,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfirmResults::Reader {
+class Peer::RegistryResults::Reader {
 public:
-  typedef ConfirmResults Reads;
+  typedef RegistryResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4206,9 +4308,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Reader getResult() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4221,9 +4320,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfirmResults::Builder {
+class Peer::RegistryResults::Builder {
 public:
-  typedef ConfirmResults Builds;
+  typedef RegistryResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4237,13 +4336,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Builder getResult();
-  inline void setResult( ::Tarragon::PeerRpc::ConfirmResult::Reader value);
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult> disownResult();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4254,15 +4346,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfirmResults::Pipeline {
+class Peer::RegistryResults::Pipeline {
 public:
-  typedef ConfirmResults Pipelines;
+  typedef RegistryResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::ConfirmResult::Pipeline getResult();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4271,9 +4362,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SettleParams::Reader {
+class Peer::StatusParams::Reader {
 public:
-  typedef SettleParams Reads;
+  typedef StatusParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4288,9 +4379,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Tarragon::PeerRpc::SettleRequest::Reader getRequest() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4303,9 +4391,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SettleParams::Builder {
+class Peer::StatusParams::Builder {
 public:
-  typedef SettleParams Builds;
+  typedef StatusParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4319,13 +4407,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Tarragon::PeerRpc::SettleRequest::Builder getRequest();
-  inline void setRequest( ::Tarragon::PeerRpc::SettleRequest::Reader value);
-  inline  ::Tarragon::PeerRpc::SettleRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest> disownRequest();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4336,15 +4417,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SettleParams::Pipeline {
+class Peer::StatusParams::Pipeline {
 public:
-  typedef SettleParams Pipelines;
+  typedef StatusParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SettleRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4353,9 +4433,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SettleResults::Reader {
+class Peer::StatusResults::Reader {
 public:
-  typedef SettleResults Reads;
+  typedef StatusResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4370,8 +4450,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::Tarragon::PeerRpc::SettleResult::Reader getResult() const;
+  inline bool hasStatus() const;
+  inline  ::Tarragon::PeerRpc::Status::Reader getStatus() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4385,9 +4465,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SettleResults::Builder {
+class Peer::StatusResults::Builder {
 public:
-  typedef SettleResults Builds;
+  typedef StatusResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4401,12 +4481,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::Tarragon::PeerRpc::SettleResult::Builder getResult();
-  inline void setResult( ::Tarragon::PeerRpc::SettleResult::Reader value);
-  inline  ::Tarragon::PeerRpc::SettleResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult> disownResult();
+  inline bool hasStatus();
+  inline  ::Tarragon::PeerRpc::Status::Builder getStatus();
+  inline void setStatus( ::Tarragon::PeerRpc::Status::Reader value);
+  inline  ::Tarragon::PeerRpc::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::Tarragon::PeerRpc::Status>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Status> disownStatus();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4418,15 +4498,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SettleResults::Pipeline {
+class Peer::StatusResults::Pipeline {
 public:
-  typedef SettleResults Pipelines;
+  typedef StatusResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Tarragon::PeerRpc::SettleResult::Pipeline getResult();
+  inline  ::Tarragon::PeerRpc::Status::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
