@@ -4435,2375 +4515,2858 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RecordOutcomeParams::Reader {
-public:
-  typedef RecordOutcomeParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRecord() const;
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Reader getRecord() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::RecordOutcomeParams::Builder {
-public:
-  typedef RecordOutcomeParams Builds;
+// =======================================================================================
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRecord();
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder getRecord();
-  inline void setRecord( ::Tarragon::PeerRpc::OutcomeRecord::Reader value);
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder initRecord();
-  inline void adoptRecord(::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord> disownRecord();
+inline bool InstanceRef::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRef::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRef::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-#if !CAPNP_LITE
-class Peer::RecordOutcomeParams::Pipeline {
-public:
-  typedef RecordOutcomeParams Pipelines;
+inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+inline bool ServiceLoad::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceLoad::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceLoad::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceLoad::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceLoad::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline  ::Tarragon::PeerRpc::OutcomeRecord::Pipeline getRecord();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+inline  ::uint32_t ServiceLoad::Reader::getRequestsInProgress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-class Peer::RecordOutcomeResults::Reader {
-public:
-  typedef RecordOutcomeResults Reads;
+inline  ::uint32_t ServiceLoad::Builder::getRequestsInProgress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setRequestsInProgress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+inline  ::uint32_t ServiceLoad::Reader::getRequestsQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+inline  ::uint32_t ServiceLoad::Builder::getRequestsQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setRequestsQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+inline  ::uint32_t ServiceLoad::Reader::getMilliRequestsPerSecond() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
 
-  inline bool getRecorded() const;
+inline  ::uint32_t ServiceLoad::Builder::getMilliRequestsPerSecond() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setMilliRequestsPerSecond( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
+inline  ::uint32_t ServiceLoad::Reader::getSlotsInUse() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
 
-class Peer::RecordOutcomeResults::Builder {
-public:
-  typedef RecordOutcomeResults Builds;
+inline  ::uint32_t ServiceLoad::Builder::getSlotsInUse() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setSlotsInUse( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+inline  ::uint32_t ServiceLoad::Reader::getSlotsTotal() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+inline  ::uint32_t ServiceLoad::Builder::getSlotsTotal() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setSlotsTotal( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
 
-  inline bool getRecorded();
-  inline void setRecorded(bool value);
+inline bool RegionWeight::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegionWeight::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RegionWeight::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RegionWeight::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegionWeight::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RegionWeight::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RegionWeight::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RegionWeight::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+inline  ::uint32_t RegionWeight::Reader::getPartsPerMillion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-#if !CAPNP_LITE
-class Peer::RecordOutcomeResults::Pipeline {
-public:
-  typedef RecordOutcomeResults Pipelines;
+inline  ::uint32_t RegionWeight::Builder::getPartsPerMillion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegionWeight::Builder::setPartsPerMillion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::LookupRecordParams::Reader {
-public:
-  typedef LookupRecordParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::LookupRecordParams::Builder {
-public:
-  typedef LookupRecordParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::LookupRecordParams::Pipeline {
-public:
-  typedef LookupRecordParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::LookupRecordResults::Reader {
-public:
-  typedef LookupRecordResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRecord() const;
-  inline  ::Tarragon::PeerRpc::RecordLookup::Reader getRecord() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::LookupRecordResults::Builder {
-public:
-  typedef LookupRecordResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRecord();
-  inline  ::Tarragon::PeerRpc::RecordLookup::Builder getRecord();
-  inline void setRecord( ::Tarragon::PeerRpc::RecordLookup::Reader value);
-  inline  ::Tarragon::PeerRpc::RecordLookup::Builder initRecord();
-  inline void adoptRecord(::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup> disownRecord();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::LookupRecordResults::Pipeline {
-public:
-  typedef LookupRecordResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::Tarragon::PeerRpc::RecordLookup::Pipeline getRecord();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::StatusParams::Reader {
-public:
-  typedef StatusParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::StatusParams::Builder {
-public:
-  typedef StatusParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::StatusParams::Pipeline {
-public:
-  typedef StatusParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::StatusResults::Reader {
-public:
-  typedef StatusResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasStatus() const;
-  inline  ::Tarragon::PeerRpc::Status::Reader getStatus() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::StatusResults::Builder {
-public:
-  typedef StatusResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasStatus();
-  inline  ::Tarragon::PeerRpc::Status::Builder getStatus();
-  inline void setStatus( ::Tarragon::PeerRpc::Status::Reader value);
-  inline  ::Tarragon::PeerRpc::Status::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::Tarragon::PeerRpc::Status>&& value);
-  inline ::capnp::Orphan< ::Tarragon::PeerRpc::Status> disownStatus();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::StatusResults::Pipeline {
-public:
-  typedef StatusResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+inline bool AppliedWeights::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AppliedWeights::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AppliedWeights::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AppliedWeights::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AppliedWeights::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AppliedWeights::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AppliedWeights::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline  ::Tarragon::PeerRpc::Status::Pipeline getStatus();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+inline bool AppliedWeights::Reader::hasCallerRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AppliedWeights::Builder::hasCallerRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AppliedWeights::Reader::getCallerRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AppliedWeights::Builder::getCallerRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AppliedWeights::Builder::setCallerRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AppliedWeights::Builder::initCallerRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AppliedWeights::Builder::adoptCallerRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownCallerRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
 
-// =======================================================================================
+inline bool AppliedWeights::Reader::hasWeights() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AppliedWeights::Builder::hasWeights() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader AppliedWeights::Reader::getWeights() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::getWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AppliedWeights::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::initWeights(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AppliedWeights::Builder::adoptWeights(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>> AppliedWeights::Builder::disownWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
 
-inline bool InstanceRef::Reader::hasInstance() const {
+inline bool Heartbeat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool InstanceRef::Builder::hasInstance() {
+inline bool Heartbeat::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader Heartbeat::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Heartbeat::Pipeline::getSender() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceRef::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptSender(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Heartbeat::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ServiceLoad::Reader::hasService() const {
+inline bool Heartbeat::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceLoad::Builder::hasService() {
+inline bool Heartbeat::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServiceLoad::Reader::getService() const {
+inline  ::capnp::Text::Reader Heartbeat::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServiceLoad::Builder::getService() {
+inline  ::capnp::Text::Builder Heartbeat::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServiceLoad::Builder::setService( ::capnp::Text::Reader value) {
+inline void Heartbeat::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServiceLoad::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder Heartbeat::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ServiceLoad::Builder::adoptService(
+inline void Heartbeat::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getRequestsInProgress() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Reader::getState() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getRequestsInProgress() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Builder::getState() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setRequestsInProgress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Heartbeat::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::InstanceState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getRequestsQueued() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getRequestsQueued() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setRequestsQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Heartbeat::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getMilliRequestsPerSecond() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Reader::getPlanVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getMilliRequestsPerSecond() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Builder::getPlanVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setMilliRequestsPerSecond( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Heartbeat::Builder::setPlanVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getSlotsInUse() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool Heartbeat::Reader::getStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setLoad( ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLoad(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptLoad(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getWeightsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceLoad::Builder::getSlotsInUse() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Heartbeat::Builder::getWeightsVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setSlotsInUse( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Heartbeat::Builder::setWeightsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getSlotsTotal() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool Heartbeat::Reader::hasWeights() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasWeights() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getWeights() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initWeights(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptWeights(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getWeightsVersionSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getWeightsVersionSeen() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
+inline void Heartbeat::Builder::setWeightsVersionSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getPlanVersionApplied() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
 
-inline  ::uint32_t ServiceLoad::Builder::getSlotsTotal() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Heartbeat::Builder::getPlanVersionApplied() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setSlotsTotal( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Heartbeat::Builder::setPlanVersionApplied( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegionWeight::Reader::hasRegion() const {
+inline bool Heartbeat::Reader::hasShares() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegionWeight::Builder::hasRegion() {
+inline bool Heartbeat::Builder::hasShares() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RegionWeight::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RegionWeight::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void RegionWeight::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::Tarragon::PeerRpc::ShareReport::Reader Heartbeat::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegionWeight::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void RegionWeight::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ShareReport::Pipeline Heartbeat::Pipeline::getShares() {
+  return  ::Tarragon::PeerRpc::ShareReport::Pipeline(_typeless.getPointerField(4));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegionWeight::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setShares( ::Tarragon::PeerRpc::ShareReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t RegionWeight::Reader::getPartsPerMillion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::ShareReport::Builder Heartbeat::Builder::initShares() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RegionWeight::Builder::getPartsPerMillion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Heartbeat::Builder::adoptShares(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RegionWeight::Builder::setPartsPerMillion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ShareReport> Heartbeat::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ShareReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool AppliedWeights::Reader::hasService() const {
+inline bool Status::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AppliedWeights::Builder::hasService() {
+inline bool Status::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AppliedWeights::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader Status::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AppliedWeights::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AppliedWeights::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Status::Pipeline::getSender() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Status::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AppliedWeights::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AppliedWeights::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Status::Builder::adoptSender(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Status::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AppliedWeights::Reader::hasCallerRegion() const {
+inline bool Status::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AppliedWeights::Builder::hasCallerRegion() {
+inline bool Status::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AppliedWeights::Reader::getCallerRegion() const {
+inline  ::capnp::Text::Reader Status::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AppliedWeights::Builder::getCallerRegion() {
+inline  ::capnp::Text::Builder Status::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AppliedWeights::Builder::setCallerRegion( ::capnp::Text::Reader value) {
+inline void Status::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AppliedWeights::Builder::initCallerRegion(unsigned int size) {
+inline  ::capnp::Text::Builder Status::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AppliedWeights::Builder::adoptCallerRegion(
+inline void Status::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AppliedWeights::Builder::disownCallerRegion() {
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AppliedWeights::Reader::hasWeights() const {
+inline  ::Tarragon::PeerRpc::InstanceState Status::Reader::getState() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::InstanceState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Tarragon::PeerRpc::InstanceState Status::Builder::getState() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::InstanceState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::InstanceState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Status::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Status::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Status::Reader::getPlanVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Status::Builder::getPlanVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setPlanVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Status::Reader::hasDetail() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AppliedWeights::Builder::hasWeights() {
+inline bool Status::Builder::hasDetail() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader AppliedWeights::Reader::getWeights() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Status::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::getWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Status::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AppliedWeights::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Status::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>::Builder AppliedWeights::Builder::initWeights(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Status::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AppliedWeights::Builder::adoptWeights(
-    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Status::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>> AppliedWeights::Builder::disownWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegionWeight,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasSender() const {
+inline bool SlotRequest::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasSender() {
+inline bool SlotRequest::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader Heartbeat::Reader::getSender() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotRequest::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Heartbeat::Pipeline::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotRequest::Pipeline::getSender() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void SlotRequest::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Heartbeat::Builder::initSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::adoptSender(
+inline void SlotRequest::Builder::adoptSender(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Heartbeat::Builder::disownSender() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotRequest::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasFailureDomain() const {
+inline bool SlotRequest::Reader::hasReceiver() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasFailureDomain() {
+inline bool SlotRequest::Builder::hasReceiver() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotRequest::Reader::getReceiver() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::getReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Heartbeat::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotRequest::Pipeline::getReceiver() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
 }
-inline void Heartbeat::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+#endif  // !CAPNP_LITE
+inline void SlotRequest::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::initReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Reader::getState() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::InstanceState>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::Tarragon::PeerRpc::InstanceState Heartbeat::Builder::getState() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::InstanceState>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::InstanceState>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Heartbeat::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Heartbeat::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Heartbeat::Reader::getPlanVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Heartbeat::Builder::getPlanVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void SlotRequest::Builder::adoptReceiver(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Heartbeat::Builder::setPlanVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotRequest::Builder::disownReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::getStoreReachable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SlotRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Heartbeat::Builder::getStoreReachable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SlotRequest::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setStoreReachable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void SlotRequest::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasLoad() const {
+inline bool SlotRequest::Reader::hasWanted() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasLoad() {
+inline bool SlotRequest::Builder::hasWanted() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SlotRequest::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotRequest::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setLoad( ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SlotRequest::Builder::setWanted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLoad(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void SlotRequest::Builder::setWanted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotRequest::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptLoad(
-    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SlotRequest::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SlotRequest::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getWeightsVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Heartbeat::Builder::getWeightsVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setWeightsVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Heartbeat::Reader::hasWeights() const {
+inline bool SlotRequest::Reader::hasRenewals() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasWeights() {
+inline bool SlotRequest::Builder::hasRenewals() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getWeights() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotRequest::Reader::getRenewals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::getRenewals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setWeights( ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SlotRequest::Builder::setRenewals( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initWeights(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void SlotRequest::Builder::setRenewals(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::initRenewals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptWeights(
-    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SlotRequest::Builder::adoptRenewals(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownWeights() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::AppliedWeights,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotRequest::Builder::disownRenewals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getWeightsVersionSeen() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool SlotRequest::Reader::hasReturns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Heartbeat::Builder::getWeightsVersionSeen() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool SlotRequest::Builder::hasReturns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setWeightsVersionSeen( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotRequest::Reader::getReturns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::getReturns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SlotRequest::Builder::setReturns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void SlotRequest::Builder::setReturns(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotRequest::Builder::initReturns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SlotRequest::Builder::adoptReturns(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotRequest::Builder::disownReturns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getPlanVersionApplied() const {
+inline  ::uint64_t SlotGrant::Reader::getGrant() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getPlanVersionApplied() {
+inline  ::uint64_t SlotGrant::Builder::getGrant() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setPlanVersionApplied( ::uint64_t value) {
+inline void SlotGrant::Builder::setGrant( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Status::Reader::hasSender() const {
+inline bool SlotGrant::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasSender() {
+inline bool SlotGrant::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader Status::Reader::getSender() const {
+inline  ::capnp::Text::Reader SlotGrant::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotGrant::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotGrant::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotGrant::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotGrant::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotGrant::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotResponse::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotResponse::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotResponse::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline Status::Pipeline::getSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotResponse::Pipeline::getSender() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Status::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void SlotResponse::Builder::setSender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder Status::Builder::initSender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::adoptSender(
+inline void SlotResponse::Builder::adoptSender(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> Status::Builder::disownSender() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotResponse::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Status::Reader::hasFailureDomain() const {
+inline bool SlotResponse::Reader::hasReceiver() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasFailureDomain() {
+inline bool SlotResponse::Builder::hasReceiver() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Status::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotResponse::Reader::getReceiver() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Status::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::getReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotResponse::Pipeline::getReceiver() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void SlotResponse::Builder::setReceiver( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Status::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotResponse::Builder::initReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SlotResponse::Builder::adoptReceiver(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotResponse::Builder::disownReceiver() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::InstanceState Status::Reader::getState() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::InstanceState>(
+inline  ::uint64_t SlotResponse::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::InstanceState Status::Builder::getState() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::InstanceState>(
+inline  ::uint64_t SlotResponse::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setState( ::Tarragon::PeerRpc::InstanceState value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::InstanceState>(
+inline void SlotResponse::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Status::Reader::getGeneration() const {
+inline  ::uint64_t SlotResponse::Reader::getDurationUs() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Status::Builder::getGeneration() {
+inline  ::uint64_t SlotResponse::Builder::getDurationUs() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setGeneration( ::uint64_t value) {
+inline void SlotResponse::Builder::setDurationUs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Status::Reader::getPlanVersion() const {
+inline bool SlotResponse::Reader::hasGranted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotResponse::Builder::hasGranted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader SlotResponse::Reader::getGranted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder SlotResponse::Builder::getGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SlotResponse::Builder::setGranted( ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>::Builder SlotResponse::Builder::initGranted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SlotResponse::Builder::adoptGranted(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>> SlotResponse::Builder::disownGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SlotGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool SlotResponse::Reader::hasRenewed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotResponse::Builder::hasRenewed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotResponse::Reader::getRenewed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotResponse::Builder::getRenewed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SlotResponse::Builder::setRenewed( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void SlotResponse::Builder::setRenewed(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotResponse::Builder::initRenewed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SlotResponse::Builder::adoptRenewed(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotResponse::Builder::disownRenewed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ShareReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ShareReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ShareReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ShareReport::Reader::getAdopted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ShareReport::Builder::getAdopted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ShareReport::Builder::setAdopted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ShareReport::Reader::getSettled() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Status::Builder::getPlanVersion() {
+inline  ::uint64_t ShareReport::Builder::getSettled() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setPlanVersion( ::uint64_t value) {
+inline void ShareReport::Builder::setSettled( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Status::Reader::hasDetail() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t ShareReport::Reader::getClosed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool Status::Builder::hasDetail() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t ShareReport::Builder::getClosed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader Status::Reader::getDetail() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void ShareReport::Builder::setClosed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Status::Builder::getDetail() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ShareReport::Reader::getEchoedIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setDetail( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t ShareReport::Builder::getEchoedIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Status::Builder::initDetail(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void ShareReport::Builder::setEchoedIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline void Status::Builder::adoptDetail(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t ShareReport::Reader::getEchoedSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownDetail() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ShareReport::Builder::getEchoedSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ShareReport::Builder::setEchoedSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SlotRequest::Reader::hasBorrower() const {
+inline bool HeaderField::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotRequest::Builder::hasBorrower() {
+inline bool HeaderField::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotRequest::Reader::getBorrower() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader HeaderField::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::getBorrower() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder HeaderField::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotRequest::Pipeline::getBorrower() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void SlotRequest::Builder::setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void HeaderField::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotRequest::Builder::initBorrower() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HeaderField::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SlotRequest::Builder::adoptBorrower(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void HeaderField::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotRequest::Builder::disownBorrower() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> HeaderField::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SlotRequest::Reader::hasService() const {
+inline bool HeaderField::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotRequest::Builder::hasService() {
+inline bool HeaderField::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotRequest::Reader::getService() const {
+inline  ::capnp::Text::Reader HeaderField::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::getService() {
+inline  ::capnp::Text::Builder HeaderField::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SlotRequest::Builder::setService( ::capnp::Text::Reader value) {
+inline void HeaderField::Builder::setValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder HeaderField::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SlotRequest::Builder::adoptService(
+inline void HeaderField::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> HeaderField::Builder::disownValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SlotRequest::Reader::hasTarget() const {
+inline  ::uint16_t FinishedResponse::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FinishedResponse::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FinishedResponse::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FinishedResponse::Reader::hasHeaders() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotRequest::Builder::hasTarget() {
+inline bool FinishedResponse::Builder::hasHeaders() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SlotRequest::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader FinishedResponse::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SlotRequest::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder FinishedResponse::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void FinishedResponse::Builder::setHeaders( ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void SlotRequest::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>::Builder FinishedResponse::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void FinishedResponse::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint32_t SlotRequest::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>> FinishedResponse::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::HeaderField,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SlotRequest::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool FinishedResponse::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void SlotRequest::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool FinishedResponse::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t SlotRequest::Reader::getRenewGrant() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Reader FinishedResponse::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t SlotRequest::Builder::getRenewGrant() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder FinishedResponse::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SlotRequest::Builder::setRenewGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void FinishedResponse::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t SlotGrant::Reader::getGrant() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder FinishedResponse::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t SlotGrant::Builder::getGrant() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void FinishedResponse::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void SlotGrant::Builder::setGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Data> FinishedResponse::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SlotGrant::Reader::hasLender() const {
+inline bool ClaimKey::Reader::hasRunner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotGrant::Builder::hasLender() {
+inline bool ClaimKey::Builder::hasRunner() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotGrant::Reader::getLender() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader ClaimKey::Reader::getRunner() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotGrant::Builder::getLender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::getRunner() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotGrant::Pipeline::getLender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ClaimKey::Pipeline::getRunner() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void SlotGrant::Builder::setLender( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void ClaimKey::Builder::setRunner( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotGrant::Builder::initLender() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimKey::Builder::initRunner() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SlotGrant::Builder::adoptLender(
+inline void ClaimKey::Builder::adoptRunner(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotGrant::Builder::disownLender() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ClaimKey::Builder::disownRunner() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SlotGrant::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ClaimKey::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SlotGrant::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ClaimKey::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotGrant::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ClaimKey::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimRequest::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimRequest::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimRequest::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimRequest::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimRequest::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimRequest::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClaimRequest::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimRequest::Reader::hasClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimRequest::Builder::hasClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ClaimRequest::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimRequest::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ClaimRequest::Pipeline::getClaim() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void ClaimRequest::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimRequest::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ClaimRequest::Builder::adoptClaim(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ClaimRequest::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SlotGrant::Reader::getDurationMs() const {
+inline  ::uint32_t ClaimRequest::Reader::getAttempt() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SlotGrant::Builder::getDurationMs() {
+inline  ::uint32_t ClaimRequest::Builder::getAttempt() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SlotGrant::Builder::setDurationMs( ::uint32_t value) {
+inline void ClaimRequest::Builder::setAttempt( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SlotReturn::Reader::hasBorrower() const {
+inline bool ClaimAnswer::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotReturn::Builder::hasBorrower() {
+inline bool ClaimAnswer::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SlotReturn::Reader::getBorrower() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ClaimAnswer::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotReturn::Builder::getBorrower() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ClaimAnswer::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SlotReturn::Pipeline::getBorrower() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void SlotReturn::Builder::setBorrower( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void ClaimAnswer::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SlotReturn::Builder::initBorrower() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimAnswer::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SlotReturn::Builder::adoptBorrower(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
+inline void ClaimAnswer::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SlotReturn::Builder::disownBorrower() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ClaimAnswer::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SlotReturn::Reader::hasService() const {
+inline bool ClaimAnswer::Reader::hasClaim() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotReturn::Builder::hasService() {
+inline bool ClaimAnswer::Builder::hasClaim() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotReturn::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ClaimAnswer::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotReturn::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SlotReturn::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ClaimAnswer::Pipeline::getClaim() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void ClaimAnswer::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SlotReturn::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SlotReturn::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ClaimAnswer::Builder::adoptClaim(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotReturn::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ClaimAnswer::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SlotReturn::Reader::hasTarget() const {
+inline  ::Tarragon::PeerRpc::ClaimOutcome ClaimAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::ClaimOutcome>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Tarragon::PeerRpc::ClaimOutcome ClaimAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::ClaimOutcome>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ClaimAnswer::Builder::setOutcome( ::Tarragon::PeerRpc::ClaimOutcome value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::ClaimOutcome>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimAnswer::Reader::getFromBackup() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool ClaimAnswer::Builder::getFromBackup() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void ClaimAnswer::Builder::setFromBackup(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimAnswer::Reader::hasHolder() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotReturn::Builder::hasTarget() {
+inline bool ClaimAnswer::Builder::hasHolder() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotReturn::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ClaimAnswer::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotReturn::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SlotReturn::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SlotReturn::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ClaimAnswer::Pipeline::getHolder() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(2));
 }
-inline void SlotReturn::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+#endif  // !CAPNP_LITE
+inline void ClaimAnswer::Builder::setHolder( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotReturn::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ClaimAnswer::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t SlotReturn::Reader::getGrant() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SlotReturn::Builder::getGrant() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void ClaimAnswer::Builder::adoptHolder(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void SlotReturn::Builder::setGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ClaimAnswer::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SlotReturn::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::Tarragon::PeerRpc::Verdict ClaimAnswer::Reader::getVerdict() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SlotReturn::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::Tarragon::PeerRpc::Verdict ClaimAnswer::Builder::getVerdict() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SlotReturn::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void ClaimAnswer::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t StoredResponse::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ClaimAnswer::Reader::hasResponse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t StoredResponse::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ClaimAnswer::Builder::hasResponse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void StoredResponse::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader ClaimAnswer::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder ClaimAnswer::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline ClaimAnswer::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void ClaimAnswer::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder ClaimAnswer::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ClaimAnswer::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> ClaimAnswer::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool StoredResponse::Reader::hasHeaders() const {
+inline bool OutcomeReport::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredResponse::Builder::hasHeaders() {
+inline bool OutcomeReport::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredResponse::Reader::getHeaders() const {
+inline  ::capnp::Text::Reader OutcomeReport::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredResponse::Builder::getHeaders() {
+inline  ::capnp::Text::Builder OutcomeReport::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredResponse::Builder::setHeaders( ::capnp::Text::Reader value) {
+inline void OutcomeReport::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredResponse::Builder::initHeaders(unsigned int size) {
+inline  ::capnp::Text::Builder OutcomeReport::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoredResponse::Builder::adoptHeaders(
+inline void OutcomeReport::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredResponse::Builder::disownHeaders() {
+inline ::capnp::Orphan< ::capnp::Text> OutcomeReport::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredResponse::Reader::hasBody() const {
+inline bool OutcomeReport::Reader::hasClaim() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredResponse::Builder::hasBody() {
+inline bool OutcomeReport::Builder::hasClaim() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader StoredResponse::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader OutcomeReport::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder StoredResponse::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder OutcomeReport::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StoredResponse::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline OutcomeReport::Pipeline::getClaim() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void OutcomeReport::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder StoredResponse::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder OutcomeReport::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StoredResponse::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void OutcomeReport::Builder::adoptClaim(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> StoredResponse::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> OutcomeReport::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StoredResponse::Reader::getBodyDropped() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::Verdict OutcomeReport::Reader::getVerdict() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool StoredResponse::Builder::getBodyDropped() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::Verdict OutcomeReport::Builder::getVerdict() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StoredResponse::Builder::setBodyDropped(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void OutcomeReport::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OutcomeReport::Reader::hasResponse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool OutcomeReport::Builder::hasResponse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader OutcomeReport::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeReport::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline OutcomeReport::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void OutcomeReport::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeReport::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void OutcomeReport::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> OutcomeReport::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::hasRequestId() const {
+inline bool ConfirmRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasRequestId() {
+inline bool ConfirmRequest::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader ConfirmRequest::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getRequestId() {
+inline  ::capnp::Text::Builder ConfirmRequest::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void ConfirmRequest::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder ConfirmRequest::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptRequestId(
+inline void ConfirmRequest::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> ConfirmRequest::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::hasService() const {
+inline bool ConfirmRequest::Reader::hasClaim() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasService() {
+inline bool ConfirmRequest::Builder::hasClaim() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Reader ConfirmRequest::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void ClaimRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ConfirmRequest::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool ClaimRequest::Reader::hasClaimant() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool ClaimRequest::Builder::hasClaimant() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ClaimRequest::Reader::getClaimant() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimRequest::Builder::getClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ClaimRequest::Pipeline::getClaimant() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(2));
+inline  ::Tarragon::PeerRpc::ClaimKey::Pipeline ConfirmRequest::Pipeline::getClaim() {
+  return  ::Tarragon::PeerRpc::ClaimKey::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void ClaimRequest::Builder::setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ClaimRequest::Builder::initClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void ClaimRequest::Builder::adoptClaimant(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ClaimRequest::Builder::disownClaimant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void ConfirmRequest::Builder::setClaim( ::Tarragon::PeerRpc::ClaimKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline bool ClaimRequest::Reader::getFirstAttempt() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::ClaimKey::Builder ConfirmRequest::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool ClaimRequest::Builder::getFirstAttempt() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void ConfirmRequest::Builder::adoptClaim(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ClaimRequest::Builder::setFirstAttempt(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimKey> ConfirmRequest::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::ClaimDecision ClaimResult::Reader::getDecision() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::ClaimDecision>(
+inline  ::uint32_t ConfirmRequest::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::ClaimDecision ClaimResult::Builder::getDecision() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::ClaimDecision>(
+inline  ::uint32_t ConfirmRequest::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimResult::Builder::setDecision( ::Tarragon::PeerRpc::ClaimDecision value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::ClaimDecision>(
+inline void ConfirmRequest::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict ClaimResult::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::Tarragon::PeerRpc::Verdict ClaimResult::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void ClaimResult::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ClaimResult::Reader::getClaim() const {
+inline  ::uint64_t ConfirmRequest::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ClaimResult::Builder::getClaim() {
+inline  ::uint64_t ConfirmRequest::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ClaimResult::Builder::setClaim( ::uint64_t value) {
+inline void ConfirmRequest::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ClaimResult::Reader::getValidMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfirmRequest::Reader::getOldestServed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ClaimResult::Builder::getValidMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfirmRequest::Builder::getOldestServed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ClaimResult::Builder::setValidMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ConfirmRequest::Builder::setOldestServed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimResult::Reader::hasResponse() const {
+inline bool ConfirmAnswer::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimResult::Builder::hasResponse() {
+inline bool ConfirmAnswer::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader ClaimResult::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ConfirmAnswer::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder ClaimResult::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ConfirmAnswer::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline ClaimResult::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void ClaimResult::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
+inline void ConfirmAnswer::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder ClaimResult::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ConfirmAnswer::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimResult::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
+inline void ConfirmAnswer::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> ClaimResult::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ConfirmAnswer::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConfirmRequest::Reader::hasRequestId() const {
+inline  ::uint64_t ConfirmAnswer::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfirmAnswer::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfirmAnswer::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Tarragon::PeerRpc::ConfirmOutcome ConfirmAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::ConfirmOutcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Tarragon::PeerRpc::ConfirmOutcome ConfirmAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::ConfirmOutcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ConfirmAnswer::Builder::setOutcome( ::Tarragon::PeerRpc::ConfirmOutcome value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::ConfirmOutcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OutcomeCopy::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfirmRequest::Builder::hasRequestId() {
+inline bool OutcomeCopy::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfirmRequest::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader OutcomeCopy::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfirmRequest::Builder::getRequestId() {
+inline  ::capnp::Text::Builder OutcomeCopy::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfirmRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void OutcomeCopy::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfirmRequest::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder OutcomeCopy::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfirmRequest::Builder::adoptRequestId(
+inline void OutcomeCopy::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfirmRequest::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> OutcomeCopy::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConfirmRequest::Reader::hasPrimary() const {
+inline  ::uint64_t OutcomeCopy::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OutcomeCopy::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OutcomeCopy::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Tarragon::PeerRpc::Verdict OutcomeCopy::Reader::getVerdict() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Tarragon::PeerRpc::Verdict OutcomeCopy::Builder::getVerdict() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void OutcomeCopy::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OutcomeCopy::Reader::hasResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfirmRequest::Builder::hasPrimary() {
+inline bool OutcomeCopy::Builder::hasResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ConfirmRequest::Reader::getPrimary() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::FinishedResponse::Reader OutcomeCopy::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::getPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeCopy::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ConfirmRequest::Pipeline::getPrimary() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+inline  ::Tarragon::PeerRpc::FinishedResponse::Pipeline OutcomeCopy::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::FinishedResponse::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void ConfirmRequest::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+inline void OutcomeCopy::Builder::setResponse( ::Tarragon::PeerRpc::FinishedResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::initPrimary() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::FinishedResponse::Builder OutcomeCopy::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OutcomeCopy::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::FinishedResponse> OutcomeCopy::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::FinishedResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfirmRequest::Builder::adoptPrimary(
+
+inline bool BackupRegistration::Reader::hasPrimary() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackupRegistration::Builder::hasPrimary() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader BackupRegistration::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline BackupRegistration::Pipeline::getPrimary() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void BackupRegistration::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::initPrimary() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BackupRegistration::Builder::adoptPrimary(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ConfirmRequest::Builder::disownPrimary() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> BackupRegistration::Builder::disownPrimary() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConfirmRequest::Reader::hasClaimant() const {
+inline bool BackupRegistration::Reader::hasBackup() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfirmRequest::Builder::hasClaimant() {
+inline bool BackupRegistration::Builder::hasBackup() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader ConfirmRequest::Reader::getClaimant() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader BackupRegistration::Reader::getBackup() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::getClaimant() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::getBackup() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline ConfirmRequest::Pipeline::getClaimant() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(2));
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline BackupRegistration::Pipeline::getBackup() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void ConfirmRequest::Builder::setClaimant( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void BackupRegistration::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder ConfirmRequest::Builder::initClaimant() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder BackupRegistration::Builder::initBackup() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfirmRequest::Builder::adoptClaimant(
+inline void BackupRegistration::Builder::adoptBackup(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> ConfirmRequest::Builder::disownClaimant() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> BackupRegistration::Builder::disownBackup() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfirmRequest::Reader::getClaim() const {
+inline  ::uint64_t BackupRegistration::Reader::getFrom() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfirmRequest::Builder::getClaim() {
+inline  ::uint64_t BackupRegistration::Builder::getFrom() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfirmRequest::Builder::setClaim( ::uint64_t value) {
+inline void BackupRegistration::Builder::setFrom( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfirmResult::Reader::getConfirmed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool ConfirmResult::Builder::getConfirmed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ConfirmResult::Builder::setConfirmed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::Tarragon::PeerRpc::Verdict ConfirmResult::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
+inline  ::uint64_t BackupRegistration::Reader::getCurrent() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict ConfirmResult::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
+inline  ::uint64_t BackupRegistration::Builder::getCurrent() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ConfirmResult::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
+inline void BackupRegistration::Builder::setCurrent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ConfirmResult::Reader::getValidMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t BackupRegistration::Reader::getOldestServed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ConfirmResult::Builder::getValidMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t BackupRegistration::Builder::getOldestServed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConfirmResult::Builder::setValidMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void BackupRegistration::Builder::setOldestServed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SettleRequest::Reader::hasRequestId() const {
+inline bool RegistrationAnswer::Reader::hasBackup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleRequest::Builder::hasRequestId() {
+inline bool RegistrationAnswer::Builder::hasBackup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SettleRequest::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistrationAnswer::Reader::getBackup() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SettleRequest::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::getBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettleRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistrationAnswer::Pipeline::getBackup() {
+  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RegistrationAnswer::Builder::setBackup( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SettleRequest::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::initBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettleRequest::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RegistrationAnswer::Builder::adoptBackup(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SettleRequest::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistrationAnswer::Builder::disownBackup() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SettleRequest::Reader::hasAsker() const {
+inline bool RegistrationAnswer::Reader::hasPrimary() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleRequest::Builder::hasAsker() {
+inline bool RegistrationAnswer::Builder::hasPrimary() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader SettleRequest::Reader::getAsker() const {
+inline  ::Tarragon::PeerRpc::InstanceRef::Reader RegistrationAnswer::Reader::getPrimary() const {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SettleRequest::Builder::getAsker() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::getPrimary() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline SettleRequest::Pipeline::getAsker() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline RegistrationAnswer::Pipeline::getPrimary() {
   return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void SettleRequest::Builder::setAsker( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
+inline void RegistrationAnswer::Builder::setPrimary( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder SettleRequest::Builder::initAsker() {
+inline  ::Tarragon::PeerRpc::InstanceRef::Builder RegistrationAnswer::Builder::initPrimary() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SettleRequest::Builder::adoptAsker(
+inline void RegistrationAnswer::Builder::adoptPrimary(
     ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
   ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> SettleRequest::Builder::disownAsker() {
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> RegistrationAnswer::Builder::disownPrimary() {
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SettleRequest::Reader::getFirstAttempt() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t RegistrationAnswer::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool SettleRequest::Builder::getFirstAttempt() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t RegistrationAnswer::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SettleRequest::Builder::setFirstAttempt(bool value) {
-  _builder.setDataField<bool>(
+inline void RegistrationAnswer::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict SettleResult::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistrationAnswer::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Tarragon::PeerRpc::Verdict SettleResult::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistrationAnswer::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void SettleResult::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RegistrationAnswer::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SettleResult::Reader::getFinal() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::Tarragon::PeerRpc::RegistryMessage::Which RegistryMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool SettleResult::Builder::getFinal() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isClaim() const {
+  return which() == RegistryMessage::CLAIM;
 }
-inline void SettleResult::Builder::setFinal(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline bool RegistryMessage::Builder::isClaim() {
+  return which() == RegistryMessage::CLAIM;
 }
-
-inline bool SettleResult::Reader::hasResponse() const {
+inline bool RegistryMessage::Reader::hasClaim() const {
+  if (which() != RegistryMessage::CLAIM) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SettleResult::Builder::hasResponse() {
+inline bool RegistryMessage::Builder::hasClaim() {
+  if (which() != RegistryMessage::CLAIM) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader SettleResult::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimRequest::Reader RegistryMessage::Reader::getClaim() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder SettleResult::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::getClaim() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline SettleResult::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void SettleResult::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
+inline void RegistryMessage::Builder::setClaim( ::Tarragon::PeerRpc::ClaimRequest::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder SettleResult::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::initClaim() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SettleResult::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Builder::adoptClaim(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> SettleResult::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> RegistryMessage::Builder::disownClaim() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OutcomeRecord::Reader::hasRequestId() const {
+inline bool RegistryMessage::Reader::isSettle() const {
+  return which() == RegistryMessage::SETTLE;
+}
+inline bool RegistryMessage::Builder::isSettle() {
+  return which() == RegistryMessage::SETTLE;
+}
+inline bool RegistryMessage::Reader::hasSettle() const {
+  if (which() != RegistryMessage::SETTLE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OutcomeRecord::Builder::hasRequestId() {
+inline bool RegistryMessage::Builder::hasSettle() {
+  if (which() != RegistryMessage::SETTLE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader OutcomeRecord::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimRequest::Reader RegistryMessage::Reader::getSettle() const {
+  KJ_IREQUIRE((which() == RegistryMessage::SETTLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder OutcomeRecord::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::getSettle() {
+  KJ_IREQUIRE((which() == RegistryMessage::SETTLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OutcomeRecord::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void RegistryMessage::Builder::setSettle( ::Tarragon::PeerRpc::ClaimRequest::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::SETTLE);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder OutcomeRecord::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Tarragon::PeerRpc::ClaimRequest::Builder RegistryMessage::Builder::initSettle() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::SETTLE);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OutcomeRecord::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Builder::adoptSettle(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::SETTLE);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> OutcomeRecord::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> RegistryMessage::Builder::disownSettle() {
+  KJ_IREQUIRE((which() == RegistryMessage::SETTLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t OutcomeRecord::Reader::getClaim() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isClaimAnswer() const {
+  return which() == RegistryMessage::CLAIM_ANSWER;
 }
-
-inline  ::uint64_t OutcomeRecord::Builder::getClaim() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Builder::isClaimAnswer() {
+  return which() == RegistryMessage::CLAIM_ANSWER;
 }
-inline void OutcomeRecord::Builder::setClaim( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool RegistryMessage::Reader::hasClaimAnswer() const {
+  if (which() != RegistryMessage::CLAIM_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::Builder::hasClaimAnswer() {
+  if (which() != RegistryMessage::CLAIM_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::ClaimAnswer::Reader RegistryMessage::Reader::getClaimAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder RegistryMessage::Builder::getClaimAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::setClaimAnswer( ::Tarragon::PeerRpc::ClaimAnswer::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::ClaimAnswer::Builder RegistryMessage::Builder::initClaimAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::adoptClaimAnswer(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CLAIM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimAnswer> RegistryMessage::Builder::disownClaimAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CLAIM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OutcomeRecord::Reader::hasRecorder() const {
+inline bool RegistryMessage::Reader::isRecordOutcome() const {
+  return which() == RegistryMessage::RECORD_OUTCOME;
+}
+inline bool RegistryMessage::Builder::isRecordOutcome() {
+  return which() == RegistryMessage::RECORD_OUTCOME;
+}
+inline bool RegistryMessage::Reader::hasRecordOutcome() const {
+  if (which() != RegistryMessage::RECORD_OUTCOME) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OutcomeRecord::Builder::hasRecorder() {
+inline bool RegistryMessage::Builder::hasRecordOutcome() {
+  if (which() != RegistryMessage::RECORD_OUTCOME) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::InstanceRef::Reader OutcomeRecord::Reader::getRecorder() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder OutcomeRecord::Builder::getRecorder() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::OutcomeReport::Reader RegistryMessage::Reader::getRecordOutcome() const {
+  KJ_IREQUIRE((which() == RegistryMessage::RECORD_OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::InstanceRef::Pipeline OutcomeRecord::Pipeline::getRecorder() {
-  return  ::Tarragon::PeerRpc::InstanceRef::Pipeline(_typeless.getPointerField(1));
+inline  ::Tarragon::PeerRpc::OutcomeReport::Builder RegistryMessage::Builder::getRecordOutcome() {
+  KJ_IREQUIRE((which() == RegistryMessage::RECORD_OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void OutcomeRecord::Builder::setRecorder( ::Tarragon::PeerRpc::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
