+inline void RegistryMessage::Builder::setRecordOutcome( ::Tarragon::PeerRpc::OutcomeReport::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::RECORD_OUTCOME);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::InstanceRef::Builder OutcomeRecord::Builder::initRecorder() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::OutcomeReport::Builder RegistryMessage::Builder::initRecordOutcome() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::RECORD_OUTCOME);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OutcomeRecord::Builder::adoptRecorder(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void RegistryMessage::Builder::adoptRecordOutcome(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::RECORD_OUTCOME);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::InstanceRef> OutcomeRecord::Builder::disownRecorder() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeReport> RegistryMessage::Builder::disownRecordOutcome() {
+  KJ_IREQUIRE((which() == RegistryMessage::RECORD_OUTCOME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::Verdict OutcomeRecord::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isConfirm() const {
+  return which() == RegistryMessage::CONFIRM;
 }
-
-inline  ::Tarragon::PeerRpc::Verdict OutcomeRecord::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Builder::isConfirm() {
+  return which() == RegistryMessage::CONFIRM;
 }
-inline void OutcomeRecord::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool RegistryMessage::Reader::hasConfirm() const {
+  if (which() != RegistryMessage::CONFIRM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::Builder::hasConfirm() {
+  if (which() != RegistryMessage::CONFIRM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader RegistryMessage::Reader::getConfirm() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder RegistryMessage::Builder::getConfirm() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::setConfirm( ::Tarragon::PeerRpc::ConfirmRequest::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder RegistryMessage::Builder::initConfirm() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::adoptConfirm(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> RegistryMessage::Builder::disownConfirm() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OutcomeRecord::Reader::hasResponse() const {
+inline bool RegistryMessage::Reader::isConfirmAnswer() const {
+  return which() == RegistryMessage::CONFIRM_ANSWER;
+}
+inline bool RegistryMessage::Builder::isConfirmAnswer() {
+  return which() == RegistryMessage::CONFIRM_ANSWER;
+}
+inline bool RegistryMessage::Reader::hasConfirmAnswer() const {
+  if (which() != RegistryMessage::CONFIRM_ANSWER) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OutcomeRecord::Builder::hasResponse() {
+inline bool RegistryMessage::Builder::hasConfirmAnswer() {
+  if (which() != RegistryMessage::CONFIRM_ANSWER) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader OutcomeRecord::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder OutcomeRecord::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::ConfirmAnswer::Reader RegistryMessage::Reader::getConfirmAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline OutcomeRecord::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(2));
+inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder RegistryMessage::Builder::getConfirmAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void OutcomeRecord::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void RegistryMessage::Builder::setConfirmAnswer( ::Tarragon::PeerRpc::ConfirmAnswer::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder OutcomeRecord::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::ConfirmAnswer::Builder RegistryMessage::Builder::initConfirmAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OutcomeRecord::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void RegistryMessage::Builder::adoptConfirmAnswer(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::CONFIRM_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> OutcomeRecord::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmAnswer> RegistryMessage::Builder::disownConfirmAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::CONFIRM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RecordLookup::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isOutcomeCopy() const {
+  return which() == RegistryMessage::OUTCOME_COPY;
+}
+inline bool RegistryMessage::Builder::isOutcomeCopy() {
+  return which() == RegistryMessage::OUTCOME_COPY;
+}
+inline bool RegistryMessage::Reader::hasOutcomeCopy() const {
+  if (which() != RegistryMessage::OUTCOME_COPY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::Builder::hasOutcomeCopy() {
+  if (which() != RegistryMessage::OUTCOME_COPY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::OutcomeCopy::Reader RegistryMessage::Reader::getOutcomeCopy() const {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder RegistryMessage::Builder::getOutcomeCopy() {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::setOutcomeCopy( ::Tarragon::PeerRpc::OutcomeCopy::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::OutcomeCopy::Builder RegistryMessage::Builder::initOutcomeCopy() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegistryMessage::Builder::adoptOutcomeCopy(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::OUTCOME_COPY);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeCopy> RegistryMessage::Builder::disownOutcomeCopy() {
+  KJ_IREQUIRE((which() == RegistryMessage::OUTCOME_COPY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeCopy>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RecordLookup::Builder::getKnown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isRegistration() const {
+  return which() == RegistryMessage::REGISTRATION;
+}
+inline bool RegistryMessage::Builder::isRegistration() {
+  return which() == RegistryMessage::REGISTRATION;
+}
+inline bool RegistryMessage::Reader::hasRegistration() const {
+  if (which() != RegistryMessage::REGISTRATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegistryMessage::Builder::hasRegistration() {
+  if (which() != RegistryMessage::REGISTRATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::BackupRegistration::Reader RegistryMessage::Reader::getRegistration() const {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordLookup::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::Tarragon::PeerRpc::BackupRegistration::Builder RegistryMessage::Builder::getRegistration() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool RecordLookup::Reader::getSettled() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void RegistryMessage::Builder::setRegistration( ::Tarragon::PeerRpc::BackupRegistration::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool RecordLookup::Builder::getSettled() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::Tarragon::PeerRpc::BackupRegistration::Builder RegistryMessage::Builder::initRegistration() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordLookup::Builder::setSettled(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RegistryMessage::Builder::adoptRegistration(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::Tarragon::PeerRpc::Verdict RecordLookup::Reader::getVerdict() const {
-  return _reader.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::BackupRegistration> RegistryMessage::Builder::disownRegistration() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::BackupRegistration>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::Tarragon::PeerRpc::Verdict RecordLookup::Builder::getVerdict() {
-  return _builder.getDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RegistryMessage::Reader::isRegistrationAnswer() const {
+  return which() == RegistryMessage::REGISTRATION_ANSWER;
 }
-inline void RecordLookup::Builder::setVerdict( ::Tarragon::PeerRpc::Verdict value) {
-  _builder.setDataField< ::Tarragon::PeerRpc::Verdict>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool RegistryMessage::Builder::isRegistrationAnswer() {
+  return which() == RegistryMessage::REGISTRATION_ANSWER;
 }
-
-inline bool RecordLookup::Reader::hasResponse() const {
+inline bool RegistryMessage::Reader::hasRegistrationAnswer() const {
+  if (which() != RegistryMessage::REGISTRATION_ANSWER) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RecordLookup::Builder::hasResponse() {
+inline bool RegistryMessage::Builder::hasRegistrationAnswer() {
+  if (which() != RegistryMessage::REGISTRATION_ANSWER) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Reader RecordLookup::Reader::getResponse() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::RegistrationAnswer::Reader RegistryMessage::Reader::getRegistrationAnswer() const {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder RecordLookup::Builder::getResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder RegistryMessage::Builder::getRegistrationAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::StoredResponse::Pipeline RecordLookup::Pipeline::getResponse() {
-  return  ::Tarragon::PeerRpc::StoredResponse::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RecordLookup::Builder::setResponse( ::Tarragon::PeerRpc::StoredResponse::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::set(_builder.getPointerField(
+inline void RegistryMessage::Builder::setRegistrationAnswer( ::Tarragon::PeerRpc::RegistrationAnswer::Reader value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::StoredResponse::Builder RecordLookup::Builder::initResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::RegistrationAnswer::Builder RegistryMessage::Builder::initRegistrationAnswer() {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordLookup::Builder::adoptResponse(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::adopt(_builder.getPointerField(
+inline void RegistryMessage::Builder::adoptRegistrationAnswer(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer>&& value) {
+  _builder.setDataField<RegistryMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RegistryMessage::REGISTRATION_ANSWER);
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::StoredResponse> RecordLookup::Builder::disownResponse() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::StoredResponse>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::RegistrationAnswer> RegistryMessage::Builder::disownRegistrationAnswer() {
+  KJ_IREQUIRE((which() == RegistryMessage::REGISTRATION_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RegistrationAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -7255,441 +7818,76 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::RequestSlotsResults::Reader::hasGrant() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RequestSlotsResults::Builder::hasGrant() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SlotGrant::Reader Peer::RequestSlotsResults::Reader::getGrant() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SlotGrant::Builder Peer::RequestSlotsResults::Builder::getGrant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SlotGrant::Pipeline Peer::RequestSlotsResults::Pipeline::getGrant() {
-  return  ::Tarragon::PeerRpc::SlotGrant::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::RequestSlotsResults::Builder::setGrant( ::Tarragon::PeerRpc::SlotGrant::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SlotGrant::Builder Peer::RequestSlotsResults::Builder::initGrant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RequestSlotsResults::Builder::adoptGrant(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotGrant> Peer::RequestSlotsResults::Builder::disownGrant() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotGrant>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ReturnSlotsParams::Reader::hasReturned() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ReturnSlotsParams::Builder::hasReturned() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SlotReturn::Reader Peer::ReturnSlotsParams::Reader::getReturned() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SlotReturn::Builder Peer::ReturnSlotsParams::Builder::getReturned() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SlotReturn::Pipeline Peer::ReturnSlotsParams::Pipeline::getReturned() {
-  return  ::Tarragon::PeerRpc::SlotReturn::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ReturnSlotsParams::Builder::setReturned( ::Tarragon::PeerRpc::SlotReturn::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SlotReturn::Builder Peer::ReturnSlotsParams::Builder::initReturned() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ReturnSlotsParams::Builder::adoptReturned(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotReturn> Peer::ReturnSlotsParams::Builder::disownReturned() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotReturn>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ClaimParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ClaimParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::ClaimRequest::Reader Peer::ClaimParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::ClaimRequest::Builder Peer::ClaimParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimRequest::Pipeline Peer::ClaimParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::ClaimRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ClaimParams::Builder::setRequest( ::Tarragon::PeerRpc::ClaimRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::ClaimRequest::Builder Peer::ClaimParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ClaimParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimRequest> Peer::ClaimParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ClaimResults::Reader::hasResult() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ClaimResults::Builder::hasResult() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::ClaimResult::Reader Peer::ClaimResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::ClaimResult::Builder Peer::ClaimResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ClaimResult::Pipeline Peer::ClaimResults::Pipeline::getResult() {
-  return  ::Tarragon::PeerRpc::ClaimResult::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ClaimResults::Builder::setResult( ::Tarragon::PeerRpc::ClaimResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::ClaimResult::Builder Peer::ClaimResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ClaimResults::Builder::adoptResult(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ClaimResult> Peer::ClaimResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ClaimResult>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ConfirmParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ConfirmParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Reader Peer::ConfirmParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder Peer::ConfirmParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Pipeline Peer::ConfirmParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::ConfirmRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ConfirmParams::Builder::setRequest( ::Tarragon::PeerRpc::ConfirmRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::ConfirmRequest::Builder Peer::ConfirmParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ConfirmParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmRequest> Peer::ConfirmParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ConfirmResults::Reader::hasResult() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ConfirmResults::Builder::hasResult() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::ConfirmResult::Reader Peer::ConfirmResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::ConfirmResult::Builder Peer::ConfirmResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::ConfirmResult::Pipeline Peer::ConfirmResults::Pipeline::getResult() {
-  return  ::Tarragon::PeerRpc::ConfirmResult::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ConfirmResults::Builder::setResult( ::Tarragon::PeerRpc::ConfirmResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::ConfirmResult::Builder Peer::ConfirmResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ConfirmResults::Builder::adoptResult(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::ConfirmResult> Peer::ConfirmResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ConfirmResult>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::SettleParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SettleParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SettleRequest::Reader Peer::SettleParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SettleRequest::Builder Peer::SettleParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SettleRequest::Pipeline Peer::SettleParams::Pipeline::getRequest() {
-  return  ::Tarragon::PeerRpc::SettleRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::SettleParams::Builder::setRequest( ::Tarragon::PeerRpc::SettleRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SettleRequest::Builder Peer::SettleParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::SettleParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleRequest> Peer::SettleParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::SettleResults::Reader::hasResult() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SettleResults::Builder::hasResult() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::SettleResult::Reader Peer::SettleResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::SettleResult::Builder Peer::SettleResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::SettleResult::Pipeline Peer::SettleResults::Pipeline::getResult() {
-  return  ::Tarragon::PeerRpc::SettleResult::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::SettleResults::Builder::setResult( ::Tarragon::PeerRpc::SettleResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::SettleResult::Builder Peer::SettleResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::SettleResults::Builder::adoptResult(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::SettleResult> Peer::SettleResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SettleResult>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RecordOutcomeParams::Reader::hasRecord() const {
+inline bool Peer::RequestSlotsResults::Reader::hasResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::RecordOutcomeParams::Builder::hasRecord() {
+inline bool Peer::RequestSlotsResults::Builder::hasResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Reader Peer::RecordOutcomeParams::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::get(_reader.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotResponse::Reader Peer::RequestSlotsResults::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder Peer::RecordOutcomeParams::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::get(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotResponse::Builder Peer::RequestSlotsResults::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Pipeline Peer::RecordOutcomeParams::Pipeline::getRecord() {
-  return  ::Tarragon::PeerRpc::OutcomeRecord::Pipeline(_typeless.getPointerField(0));
+inline  ::Tarragon::PeerRpc::SlotResponse::Pipeline Peer::RequestSlotsResults::Pipeline::getResponse() {
+  return  ::Tarragon::PeerRpc::SlotResponse::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::RecordOutcomeParams::Builder::setRecord( ::Tarragon::PeerRpc::OutcomeRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::set(_builder.getPointerField(
+inline void Peer::RequestSlotsResults::Builder::setResponse( ::Tarragon::PeerRpc::SlotResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Tarragon::PeerRpc::OutcomeRecord::Builder Peer::RecordOutcomeParams::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::init(_builder.getPointerField(
+inline  ::Tarragon::PeerRpc::SlotResponse::Builder Peer::RequestSlotsResults::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::RecordOutcomeParams::Builder::adoptRecord(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::adopt(_builder.getPointerField(
+inline void Peer::RequestSlotsResults::Builder::adoptResponse(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::OutcomeRecord> Peer::RecordOutcomeParams::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::OutcomeRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::SlotResponse> Peer::RequestSlotsResults::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SlotResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::RecordOutcomeResults::Reader::getRecorded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Peer::RecordOutcomeResults::Builder::getRecorded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::RecordOutcomeResults::Builder::setRecorded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::LookupRecordParams::Reader::hasRequestId() const {
+inline bool Peer::RegistryParams::Reader::hasMessages() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::LookupRecordParams::Builder::hasRequestId() {
+inline bool Peer::RegistryParams::Builder::hasMessages() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::LookupRecordParams::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader Peer::RegistryParams::Reader::getMessages() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::LookupRecordParams::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::RegistryParams::Builder::getMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::LookupRecordParams::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Peer::RegistryParams::Builder::setMessages( ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::LookupRecordParams::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>::Builder Peer::RegistryParams::Builder::initMessages(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::LookupRecordParams::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::LookupRecordParams::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::LookupRecordResults::Reader::hasRecord() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::LookupRecordResults::Builder::hasRecord() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Tarragon::PeerRpc::RecordLookup::Reader Peer::LookupRecordResults::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Tarragon::PeerRpc::RecordLookup::Builder Peer::LookupRecordResults::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::RecordLookup::Pipeline Peer::LookupRecordResults::Pipeline::getRecord() {
-  return  ::Tarragon::PeerRpc::RecordLookup::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::LookupRecordResults::Builder::setRecord( ::Tarragon::PeerRpc::RecordLookup::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Tarragon::PeerRpc::RecordLookup::Builder Peer::LookupRecordResults::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::LookupRecordResults::Builder::adoptRecord(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::adopt(_builder.getPointerField(
+inline void Peer::RegistryParams::Builder::adoptMessages(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::RecordLookup> Peer::LookupRecordResults::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::RecordLookup>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>> Peer::RegistryParams::Builder::disownMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RegistryMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- /dev/null
+++ b/Source/peer/PeerHandlers.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "peer/Peer.capnp.h"
+
+#include <sigc++/sigc++.h>
+
+namespace Tarragon {
+
+/// What a PeerServer does for each call. The arguments are valid during the call only. A handler
+/// that is not set, or that throws, fails the call at the caller.
+struct PeerHandlers
+{
+    sigc::slot<void(PeerRpc::Heartbeat::Reader mine, PeerRpc::Heartbeat::Builder theirs)> heartbeat;
+    sigc::slot<void(PeerRpc::Peer::FetchHeadParams::Reader,
+                    PeerRpc::Peer::FetchHeadResults::Builder)>
+            fetchHead;
+    sigc::slot<void(PeerRpc::Peer::FetchSectionParams::Reader,
+                    PeerRpc::Peer::FetchSectionResults::Builder)>
+            fetchSection;
+    sigc::slot<void(PeerRpc::Peer::FetchPlanParams::Reader,
+                    PeerRpc::Peer::FetchPlanResults::Builder)>
+            fetchPlan;
+    sigc::slot<void(PeerRpc::Peer::OfferParams::Reader)> offer;
+    sigc::slot<void(PeerRpc::SlotRequest::Reader, PeerRpc::SlotResponse::Builder)> requestSlots;
+    sigc::slot<void(capnp::List<PeerRpc::RegistryMessage>::Reader)> registry;
+    sigc::slot<void(PeerRpc::Status::Builder)> status;
+};
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/peer/PeerServer.cpp
@@ -0,0 +1,107 @@
+#include "peer/PeerServer.h"
+
+#include <log4cplus/loggingmacros.h>
+
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+log4cplus::Logger logger()
+{
+    return log4cplus::Logger::getInstance("peer");
+}
+
+/// Runs a handler; nothing but kj's exceptions may pass into kj.
+template<typename Slot, typename... Arguments>
+kj::Promise<void> handle(const Slot &slot, Arguments... arguments)
+{
+    if (slot.empty())
+        return KJ_EXCEPTION(UNIMPLEMENTED, "the call is not served");
+    try {
+        slot(arguments...);
+    } catch (const std::exception &error) {
+        return KJ_EXCEPTION(FAILED, "the handler failed", error.what());
+    }
+    return kj::READY_NOW;
+}
+
+class PeerService final : public PeerRpc::Peer::Server
+{
+public:
+    explicit PeerService(std::shared_ptr<const PeerHandlers> handlers)
+        : m_handlers(std::move(handlers))
+    {}
+
+protected:
+    kj::Promise<void> heartbeat(HeartbeatContext context) override
+    {
+        return handle(m_handlers->heartbeat, context.getParams().getMine(),
+                      context.getResults().initTheirs());
+    }
+    kj::Promise<void> fetchHead(FetchHeadContext context) override
+    {
+        return handle(m_handlers->fetchHead, context.getParams(), context.getResults());
+    }
+    kj::Promise<void> fetchSection(FetchSectionContext context) override
+    {
+        return handle(m_handlers->fetchSection, context.getParams(), context.getResults());
+    }
+    kj::Promise<void> fetchPlan(FetchPlanContext context) override
+    {
+        return handle(m_handlers->fetchPlan, context.getParams(), context.getResults());
+    }
+    kj::Promise<void> offer(OfferContext context) override
+    {
+        return handle(m_handlers->offer, context.getParams());
+    }
+    kj::Promise<void> requestSlots(RequestSlotsContext context) override
+    {
+        return handle(m_handlers->requestSlots, context.getParams().getRequest(),
+                      context.getResults().initResponse());
+    }
+    kj::Promise<void> registry(RegistryContext context) override
+    {
+        return handle(m_handlers->registry, context.getParams().getMessages());
+    }
+    kj::Promise<void> status(StatusContext context) override
+    {
+        return handle(m_handlers->status, context.getResults().initStatus());
+    }
+
+private:
+    std::shared_ptr<const PeerHandlers> m_handlers;
+};
+
+} // namespace
+
+PeerServer::PeerServer(EventLoop &loop, const std::string &address, std::uint16_t port,
+                       PeerHandlers handlers)
+    : m_handlers(std::make_shared<const PeerHandlers>(std::move(handlers)))
+    , m_sessions(*this)
+    , m_listener(loop, address, port, sigc::mem_fun(*this, &PeerServer::onConnection))
+{}
+
+PeerServer::~PeerServer() noexcept = default;
+
+void PeerServer::onConnection(kj::Own<RpcStream> &stream)
+{
+    if (*m_connections >= MaxConnections) {
+        LOG4CPLUS_WARN(logger(), "peer: Connection refused. connections=" << *m_connections);
+        return;
+    }
+    ++*m_connections;
+    kj::Own<RpcSession> session =
+            kj::heap<RpcSession>(kj::mv(stream), kj::heap<PeerService>(m_handlers));
+    kj::Promise<void> ended = session->onDisconnect();
+    m_sessions.add(ended.attach(kj::mv(session),
+                                kj::defer([connections = m_connections] { --*connections; })));
+}
+
+void PeerServer::taskFailed(kj::Exception &&exception)
+{
+    LOG4CPLUS_DEBUG(logger(), "peer: Session failed. reason=" << exception.getDescription().cStr());
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Tests/peer/PeerRpcTest.cpp
@@ -0,0 +1,158 @@
+#include "base/Error.h"
+#include "net/RpcRuntime.h"
+#include "net/SocketAddress.h"
+#include "peer/PeerClient.h"
+#include "peer/PeerServer.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Tarragon {
+namespace {
+
+constexpr microseconds CallTimeout{ 5'000'000 };
+/// Longest time that a test lets sockets of its own process work.
+constexpr microseconds WatchdogTime{ 20'000'000 };
+
+class PeerRpcTest : public testing::Test
+{
+protected:
+    PeerRpcTest()
+        : m_runtime(m_loop.base())
+    {
+        m_watchdog = m_loop.schedule(WatchdogTime, [this] {
+            ADD_FAILURE() << "nothing happened";
+            m_runtime.stop();
+        });
+    }
+    ~PeerRpcTest() noexcept override = default;
+
+    void serve(std::uint16_t port = 0)
+    {
+        PeerHandlers handlers;
+        handlers.heartbeat = [](PeerRpc::Heartbeat::Reader mine,
+                                PeerRpc::Heartbeat::Builder theirs) {
+            theirs.setGeneration(mine.getGeneration() + 1);
+        };
+        handlers.fetchPlan = [](PeerRpc::Peer::FetchPlanParams::Reader,
+                                PeerRpc::Peer::FetchPlanResults::Builder) {
+            throw Error("no plan");
+        };
+        m_server = std::make_unique<PeerServer>(m_loop, "127.0.0.1", port, handlers);
+        m_port = m_server->port();
+    }
+
+    void connect()
+    {
+        m_client = std::make_unique<PeerClient>(m_loop, "127.0.0.1", m_port, 1);
+        awaitConnection();
+    }
+
+    void awaitConnection()
+    {
+        const sigc::connection connection =
+                m_client->connected().connect([this] { m_runtime.stop(); });
+        m_runtime.run();
+        sigc::connection(connection).disconnect();
+    }
+
+    /// The outcome of a heartbeat, and the answered generation if there is one.
+    std::pair<PeerOutcome, std::uint64_t> heartbeat(std::uint64_t generation,
+                                                    microseconds timeout = CallTimeout)
+    {
+        std::pair<PeerOutcome, std::uint64_t> result{ PeerOutcome::NotSent, 0 };
+        m_client->call(
+                &PeerRpc::Peer::Client::heartbeatRequest, timeout,
+                [generation](PeerRpc::Peer::HeartbeatParams::Builder params) {
+                    params.initMine().setGeneration(generation);
+                },
+                [&](PeerOutcome outcome, const PeerRpc::Peer::HeartbeatResults::Reader *results) {
+                    result.first = outcome;
+                    if (results != nullptr)
+                        result.second = results->getTheirs().getGeneration();
+                    m_runtime.stop();
+                });
+        m_runtime.run();
+        return result;
+    }
+
+    EventLoop m_loop;
+    RpcRuntime m_runtime;
+    Timer m_watchdog;
+    std::unique_ptr<PeerServer> m_server;
+    std::unique_ptr<PeerClient> m_client;
+    std::uint16_t m_port = 0;
+};
+
+TEST_F(PeerRpcTest, AnswersACall)
+{
+    serve();
+    connect();
+    EXPECT_EQ(heartbeat(7), std::pair(PeerOutcome::Done, std::uint64_t{ 8 }));
+}
+
+// A caller that is told NotSent may send a booking elsewhere.
+TEST_F(PeerRpcTest, TellsNotSentWithoutAConnection)
+{
+    serve();
+    m_client = std::make_unique<PeerClient>(m_loop, "127.0.0.1", m_port, 1);
+    EXPECT_EQ(heartbeat(7).first, PeerOutcome::NotSent);
+}
+
+TEST_F(PeerRpcTest, AThrowingHandlerFailsItsCallOnly)
+{
+    serve();
+    connect();
+    std::optional<PeerOutcome> outcome;
+    m_client->call(
+            &PeerRpc::Peer::Client::fetchPlanRequest, CallTimeout,
+            [](PeerRpc::Peer::FetchPlanParams::Builder) {},
+            [&](PeerOutcome result, const PeerRpc::Peer::FetchPlanResults::Reader *) {
+                outcome = result;
+                m_runtime.stop();
+            });
+    m_runtime.run();
+    EXPECT_EQ(outcome, PeerOutcome::Unknown);
+    EXPECT_EQ(heartbeat(1).first, PeerOutcome::Done);
+}
+
+TEST_F(PeerRpcTest, ReconnectsToARestartedPeer)
+{
+    serve();
+    connect();
+    ASSERT_EQ(heartbeat(1).first, PeerOutcome::Done);
+    const std::uint16_t port = m_port;
+    m_server.reset();
+    serve(port);
+    awaitConnection();
+    EXPECT_EQ(heartbeat(2).first, PeerOutcome::Done);
+}
+
+// A peer that sends garbage must not disturb the calls of others.
+TEST_F(PeerRpcTest, GarbageCostsItsSenderTheConnectionOnly)
+{
+    serve();
+    connect();
+    const std::string garbage(4096, '\xff');
+    kj::Own<RpcStream> stream;
+    RpcConnector connector(m_loop, "127.0.0.1", m_port, {}, 1, [&](kj::Own<RpcStream> &made) {
+        stream = kj::mv(made);
+        m_runtime.stop();
+    });
+    m_runtime.run();
+    stream->write(garbage.data(), garbage.size()).wait(m_runtime.waitScope());
+    // The server may send an abort message first; then its end closes.
+    std::string answer(65536, '\0');
+    kj::runCatchingExceptions([&] {
+        while (stream->tryRead(answer.data(), 1, answer.size()).wait(m_runtime.waitScope()) > 0) {
+        }
+    });
+    EXPECT_EQ(heartbeat(3).first, PeerOutcome::Done);
+    EXPECT_EQ(m_server->connections(), 1U);
+}
+
+} // namespace
+} // namespace Tarragon
