--- a/Source/net/RpcListener.cpp
+++ b/Source/net/RpcListener.cpp
@@ -54,9 +54,10 @@
                                          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE
                                                  | LEV_OPT_CLOSE_ON_EXEC,
                                          Backlog, at->data(), static_cast<int>(at->length));
-    if (m_listener == nullptr)
+    if (m_listener == nullptr) {
         throw Error("RPC: cannot listen on " + address + ":" + std::to_string(port) + ": "
                     + std::strerror(errno));
+    }
     evconnlistener_set_error_cb(m_listener, &Callbacks::failed);
     SocketAddress bound;
     bound.length = sizeof(bound.storage);
--- a/Source/peer/ConfigurationFeed.cpp
+++ b/Source/peer/ConfigurationFeed.cpp
@@ -94,6 +94,7 @@
 {
     m_network.setPeers(peers);
     std::vector<PeerIdentity> identities;
+    identities.reserve(peers.size());
     for (const PeerEndpoint &peer : peers)
         identities.push_back(peer.identity);
     m_dissemination.setPeers(identities);
@@ -209,10 +210,11 @@
                     if (!*alive)
                         return;
                     FetchedItem item;
-                    if (outcome == PeerOutcome::Done && results->getGeneration() == 0)
+                    if (outcome == PeerOutcome::Done && results->getGeneration() == 0) {
                         item.ok = true;
-                    else if (outcome == PeerOutcome::Done)
+                    } else if (outcome == PeerOutcome::Done) {
                         item = fetchedHead(text(results->getHead()), action.newerThan);
+                    }
                     onItem(action.number, item);
                 });
         return;
@@ -227,9 +229,10 @@
                 if (!*alive)
                     return;
                 FetchedItem item;
-                if (outcome == PeerOutcome::Done)
+                if (outcome == PeerOutcome::Done) {
                     item = fetchedPlan(text(results->getPlan()), results->getPlanVersion(),
                                        action.newerThan);
+                }
                 onItem(action.number, item);
             });
 }
@@ -330,12 +333,13 @@
 void ConfigurationFeed::onStoredItem(const FetchItem &action, const StoredObject &object)
 {
     FetchedItem item;
-    if (object.outcome == StoreOutcome::NotFound)
+    if (object.outcome == StoreOutcome::NotFound) {
         item.ok = true;
-    else if (object.outcome == StoreOutcome::Done && action.item == FeedItem::Configuration)
+    } else if (object.outcome == StoreOutcome::Done && action.item == FeedItem::Configuration) {
         item = fetchedHead(object.value, action.newerThan);
-    else if (object.outcome == StoreOutcome::Done)
+    } else if (object.outcome == StoreOutcome::Done) {
         item = fetchedPlan(object.value, object.version.value(), action.newerThan);
+    }
     onItem(action.number, item);
 }
 
