--- a/Source/steering/LookupDecider.cpp
+++ b/Source/steering/LookupDecider.cpp
@@ -1,5 +1,6 @@
 #include "steering/LookupDecider.h"
 
+#include "base/Digest.h"
 #include "base/Error.h"
 #include "steering/Rendezvous.h"
 
--- a/Source/steering/Rendezvous.h
+++ b/Source/steering/Rendezvous.h
@@ -1,20 +1,19 @@
 #pragma once
 
-#include "base/Digest.h"
+// A decision ranks about a hundred candidates, so the library is compiled inline here.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include <cmath>
 #include <cstdint>
-#include <cstring>
-#include <string_view>
 
 namespace Tarragon {
 
-/// Hash of a key for one of several candidates, of which the user takes the one ranked first.
+/// Hash of a key for one of several candidates, of which the user takes the one ranked first. The
+/// same as stableHash() of the key's bytes with the candidate as seed.
 inline std::uint64_t rendezvousHash(std::uint64_t key, std::uint64_t candidate)
 {
-    char bytes[sizeof key];
-    std::memcpy(bytes, &key, sizeof key);
-    return stableHash(std::string_view(bytes, sizeof bytes), candidate);
+    return XXH3_64bits_withSeed(&key, sizeof key, candidate);
 }
 
 /// Score of a candidate of the given weight, above 0; the lowest score wins. Candidates win with
--- a/Tests/steering/LookupDeciderTest.cpp
+++ b/Tests/steering/LookupDeciderTest.cpp
@@ -1,6 +1,7 @@
 #include "steering/LookupDecider.h"
 
 #include "SteeringFixture.h"
+#include "base/Digest.h"
 #include "steering/Rendezvous.h"
 
 #include <gmock/gmock.h>
--- a/Tests/steering/WeightMovesTest.cpp
+++ b/Tests/steering/WeightMovesTest.cpp
@@ -1,5 +1,6 @@
 #include "steering/WeightMoves.h"
 
+#include "base/Digest.h"
 #include "steering/Rendezvous.h"
 
 #include <gtest/gtest.h>
