--- a/Source/peer/ConfigurationFeed.cpp
+++ b/Source/peer/ConfigurationFeed.cpp
@@ -48,7 +48,7 @@
             item.head = std::move(head);
         }
     } catch (const Error &error) {
-        LOG4CPLUS_WARN(logger(), "feed: Head refused. reason=" << error.what());
+        LOG4CPLUS_WARN(logger(), "Head refused. reason=" << error.what());
     }
     return item;
 }
@@ -280,7 +280,7 @@
     std::optional<Configuration> parsed = parseDocument(action.texts, "", findings);
     if (!parsed) {
         // Accepted sets are valid, so the instance that accepted it must run another version.
-        LOG4CPLUS_ERROR(logger(), "feed: Accepted document not understood. generation="
+        LOG4CPLUS_ERROR(logger(), "Accepted document not understood. generation="
                                           << action.head.generation << " finding=\""
                                           << (findings.empty() ? "" : toString(findings.front()))
                                           << "\"");
@@ -289,13 +289,13 @@
     parsed->generation = action.head.generation;
     m_configuration = std::make_shared<const Configuration>(std::move(*parsed));
     setPeers(peerEndpoints(m_configuration->topology));
-    LOG4CPLUS_INFO(logger(), "feed: Configuration in force. generation=" << action.head.generation);
+    LOG4CPLUS_INFO(logger(), "Configuration in force. generation=" << action.head.generation);
     m_adopted.emit(m_configuration, action.head, action.texts);
 }
 
 void ConfigurationFeed::carryOut(const AdoptPlan &action)
 {
-    LOG4CPLUS_INFO(logger(), "feed: Plan in force. version=" << action.version);
+    LOG4CPLUS_INFO(logger(), "Plan in force. version=" << action.version);
     m_planAdopted.emit(action.json, action.version);
 }
 
