--- a/Source/ctl/Command.cpp
+++ b/Source/ctl/Command.cpp
@@ -76,7 +76,7 @@
 
 std::string requiredArgument(const cxxopts::ParseResult &arguments, const std::string &name)
 {
-    const std::string text = textOption(arguments, name);
+    std::string text = textOption(arguments, name);
     if (text.empty()) {
         throw UsageError("found no " + name + ", expected one");
     }
--- a/Source/ctl/StatusCommand.cpp
+++ b/Source/ctl/StatusCommand.cpp
@@ -31,12 +31,14 @@
         return;
     }
     std::vector<std::string> headings;
+    headings.reserve(columns.size());
     for (const auto &[name, heading] : columns) {
         headings.emplace_back(heading);
     }
     std::vector<std::vector<std::string>> rows;
     for (const json &it : jsonArray(object, key)) {
         std::vector<std::string> row;
+        row.reserve(columns.size());
         for (const auto &[name, heading] : columns) {
             row.push_back(cell(it, name));
         }
