--- a/Source/steering/SlotLedger.cpp
+++ b/Source/steering/SlotLedger.cpp
@@ -49,10 +49,17 @@
     if (!m_history.empty() && shares.generation <= current()) {
         return;
     }
+    if (!m_fresh && shares.previous > current()) {
+        becomeFresh(now);
+    }
     if (m_fresh) {
         // What others may act on is unknown anyway, so that older documents tell nothing.
         m_history.clear();
-        m_others.clear();
+        for (auto &[id, other] : m_others) {
+            other.since = Generation();
+        }
+        // Others need time to adopt this document, too.
+        m_freshSince = now;
     }
     Document document{ shares.seats, {} };
     const auto seat = std::find(shares.seats.begin(), shares.seats.end(), m_self);
@@ -63,6 +70,11 @@
         document.shares[it.id] = staticShare(it.id, it.slots, own, seats).value;
     }
     m_history.emplace(shares.generation, std::move(document));
+    for (auto &[id, other] : m_others) {
+        if (other.report && other.report->settled <= current()) {
+            other.settled = std::max(other.settled, other.report->settled);
+        }
+    }
     trackOthers(now);
     updateSettled(now);
     dropPast(now);
@@ -70,9 +82,10 @@
 
 void SlotLedger::setLeaving(const TargetId &target, bool leaving)
 {
-    const auto found = m_targets.find(target);
-    if (found != m_targets.end()) {
-        found->second.leaving = leaving;
+    if (leaving) {
+        m_leaving.insert(target);
+    } else {
+        m_leaving.erase(target);
     }
 }
 
@@ -90,7 +103,7 @@
 {
     observe(now);
     const auto found = m_targets.find(target);
-    if (found == m_targets.end() || found->second.leaving || found->second.weight <= 0) {
+    if (found == m_targets.end() || m_leaving.contains(target) || found->second.weight <= 0) {
         return SlotRefusal::NoTarget;
     }
     return take(target, found->second, now, deadline, needed);
@@ -105,7 +118,7 @@
         const TargetState &state = it.second;
         const bool known =
                 !m_history.empty() && m_history.rbegin()->second.shares.contains(it.first);
-        if (known && state.service == service && !state.leaving && state.weight > 0
+        if (known && state.service == service && !m_leaving.contains(it.first) && state.weight > 0
             && !excluded.contains(it.first)) {
             candidates.push_back(&it);
         }
@@ -165,7 +178,7 @@
         permit.runUntil = std::min(deadline, best->expiry);
         best->permit = permit.id;
     }
-    m_permits.emplace(permit.id, Permit{ target, m_epoch });
+    m_permits.emplace(permit.id, Permit{ target, m_epoch, std::nullopt });
     ++m_nextPermit;
     return permit;
 }
@@ -178,16 +191,22 @@
 bool SlotLedger::mayStart(const SlotPermit &permit, MonotonicTime now) const
 {
     const auto found = m_permits.find(permit.id);
-    if (found == m_permits.end() || found->second.epoch != m_epoch || isFenced(now)) {
+    if (found == m_permits.end() || found->second.releaseAt || found->second.epoch != m_epoch
+        || isFenced(now)) {
         return false;
     }
     const auto state = m_targets.find(permit.target);
-    return state != m_targets.end() && !state->second.leaving && now < permit.runUntil;
+    return state != m_targets.end() && !m_leaving.contains(permit.target) && now < permit.runUntil;
 }
 
 void SlotLedger::release(std::uint64_t permitId, MonotonicTime now)
 {
     observe(now);
+    giveBack(permitId, now);
+}
+
+void SlotLedger::giveBack(std::uint64_t permitId, MonotonicTime now)
+{
     const auto found = m_permits.find(permitId);
     if (found == m_permits.end()) {
         return;
@@ -207,6 +226,15 @@
     updateSettled(now);
 }
 
+void SlotLedger::abort(std::uint64_t permitId, MonotonicTime now)
+{
+    observe(now);
+    const auto found = m_permits.find(permitId);
+    if (found != m_permits.end() && !found->second.releaseAt) {
+        found->second.releaseAt = now + m_options.transitMargin;
+    }
+}
+
 std::vector<GrantRequest> SlotLedger::requestsToSend(MonotonicTime now)
 {
     observe(now);
@@ -220,14 +248,14 @@
     for (auto &[target, state] : m_targets) {
         for (auto it = state.borrowed.begin(); it != state.borrowed.end();) {
             const bool idle = it->permit == 0 && now - it->idleSince > m_options.returnIdleAfter;
-            if (it->permit == 0 && (idle || state.leaving)) {
+            if (it->permit == 0 && (idle || m_leaving.contains(target))) {
                 requestTo(it->lender, it->lenderIncarnation).returns.push_back(it->id);
                 it = state.borrowed.erase(it);
                 continue;
             }
             const bool due =
                     it->expiry > now && it->expiry - now < m_options.grantDuration / 2
-                    && !state.leaving
+                    && !m_leaving.contains(target)
                     && (!it->renewalSentAt || now - *it->renewalSentAt > m_options.requestTimeout);
             if (due) {
                 requestTo(it->lender, it->lenderIncarnation).renewals.push_back(it->id);
@@ -246,7 +274,7 @@
         ++m_nextNeighbour;
         for (auto &[target, state] : m_targets) {
             const bool wanted =
-                    !state.leaving && state.weight > 0 && state.lastShortage
+                    !m_leaving.contains(target) && state.weight > 0 && state.lastShortage
                     && now - *state.lastShortage < ShortageLife
                     && (!state.lastWanted || now - *state.lastWanted > m_options.requestTimeout);
             if (wanted) {
@@ -294,7 +322,7 @@
                         && std::find(request.renewals.begin(), request.renewals.end(), it.id)
                                    != request.renewals.end();
                 // A lent slot beyond the allowance has to come back for the document to settle.
-                if (asked && it.heldUntil > now && mayLend(state, now)
+                if (asked && it.heldUntil > now && mayLend(target, state, now)
                     && ownUse(state, now) <= usable(target, state, now)) {
                     it.heldUntil = now + m_options.lenderHold();
                     response.renewed.push_back(it.id);
@@ -304,7 +332,7 @@
     }
     for (const TargetId &it : request.wanted) {
         const auto found = m_targets.find(it);
-        if (found == m_targets.end() || !mayLend(found->second, now)
+        if (found == m_targets.end() || !mayLend(it, found->second, now)
             || lendable(it, found->second, now) <= 0) {
             continue;
         }
@@ -351,6 +379,16 @@
     }
 }
 
+std::vector<InstanceId> SlotLedger::others() const
+{
+    std::vector<InstanceId> ids;
+    ids.reserve(m_others.size());
+    for (const auto &it : m_others) {
+        ids.push_back(it.first);
+    }
+    return ids;
+}
+
 ShareReport SlotLedger::reportFor(const InstanceId &to, MonotonicTime now)
 {
     observe(now);
@@ -374,9 +412,14 @@
 void SlotLedger::onShareReport(const ShareReport &report, MonotonicTime now)
 {
     observe(now);
-    const auto found = m_others.find(report.from);
+    auto found = m_others.find(report.from);
     if (found == m_others.end()) {
-        return;
+        // An entry that this entry's documents do not name may act on one that names it, or wait
+        // for a report from here.
+        if (report.from == m_self) {
+            return;
+        }
+        found = m_others.emplace(report.from, OtherState()).first;
     }
     OtherState &other = found->second;
     if (other.report && other.report->fromIncarnation != report.fromIncarnation) {
@@ -386,12 +429,16 @@
         other.replaced = other.report->fromIncarnation;
         other.replacedUntil = now + ReplacedReportLife;
         other.report.reset();
+        other.settled = Generation();
     }
     if (other.report && report.sequence <= other.report->sequence) {
         return;
     }
     other.report = report;
     other.heard = now;
+    if (report.settled <= current()) {
+        other.settled = std::max(other.settled, report.settled);
+    }
     endFreshIfKnown(now);
     dropPast(now);
 }
@@ -441,7 +488,7 @@
 {
     int sum = 0;
     for (const auto &[target, state] : m_targets) {
-        if (state.service == service && !state.leaving && state.weight > 0) {
+        if (state.service == service && !m_leaving.contains(target) && state.weight > 0) {
             sum += std::max(0, usable(target, state, now) - ownUse(state, now));
         }
     }
@@ -459,6 +506,15 @@
         becomeFresh(now);
     }
     endFreshIfKnown(now);
+    std::vector<std::uint64_t> aborted;
+    for (const auto &[id, permit] : m_permits) {
+        if (permit.releaseAt && *permit.releaseAt <= now) {
+            aborted.push_back(id);
+        }
+    }
+    for (const std::uint64_t it : aborted) {
+        giveBack(it, now);
+    }
     for (auto &[target, state] : m_targets) {
         std::erase_if(state.lent, [now](const Lent &it) { return it.heldUntil <= now; });
         std::erase_if(state.borrowed,
@@ -479,6 +535,7 @@
     m_lastReport = now;
     for (auto &[id, other] : m_others) {
         other.report.reset();
+        other.settled = Generation();
         other.heard = now;
     }
 }
@@ -513,7 +570,7 @@
     // the time in which it adopts that document.
     const bool cold =
             (anyHeard || m_others.empty())
-            && now - m_freshSince > std::max(m_options.lenderHold(), m_options.fenceAfter);
+            && now - m_freshSince > std::max(m_options.lenderHold(), m_options.coldStartHold);
     if (historyKnown || cold || everythingOver) {
         m_fresh = false;
     }
@@ -544,10 +601,11 @@
         m_history.erase(m_history.begin());
     }
     std::erase_if(m_others, [&](const auto &other) {
-        return std::none_of(m_history.begin(), m_history.end(), [&](const auto &it) {
-            const std::vector<InstanceId> &seats = it.second.seats;
-            return std::find(seats.begin(), seats.end(), other.first) != seats.end();
-        });
+        return isSilent(other.second, now)
+               && std::none_of(m_history.begin(), m_history.end(), [&](const auto &it) {
+                      const std::vector<InstanceId> &seats = it.second.seats;
+                      return std::find(seats.begin(), seats.end(), other.first) != seats.end();
+                  });
     });
     std::erase_if(m_targets, [&](const auto &target) {
         const TargetState &state = target.second;
@@ -575,7 +633,7 @@
 
 Generation SlotLedger::settledOf(const OtherState &other) const
 {
-    return other.report ? std::max(other.report->settled, other.since) : other.since;
+    return std::max(other.settled, other.since);
 }
 
 Generation SlotLedger::oldestInUse(MonotonicTime now, const InstanceId *except) const
@@ -643,11 +701,11 @@
             }));
 }
 
-bool SlotLedger::mayLend(const TargetState &state, MonotonicTime now) const
+bool SlotLedger::mayLend(const TargetId &target, const TargetState &state, MonotonicTime now) const
 {
     const bool shortNow =
             state.lastShortage && now - *state.lastShortage < m_options.lendAfterShortage;
-    return !m_fresh && !state.leaving && !shortNow;
+    return !m_fresh && !m_leaving.contains(target) && !shortNow;
 }
 
 Generation SlotLedger::settled(MonotonicTime now) const
@@ -656,14 +714,22 @@
     if (now - m_startedAt < m_options.lenderHold()) {
         return Generation();
     }
+    // After a missed document, requests from before it fit no document that others know.
+    const bool idle = std::all_of(m_targets.begin(), m_targets.end(),
+                                  [&](const auto &it) { return ownUse(it.second, now) == 0; });
+    if (m_fresh && !idle) {
+        return m_settled;
+    }
     Generation result = m_settled;
     const Generation from = std::min(oldestInUse(now, nullptr), current());
-    for (const auto &[generation, document] : m_history) {
+    for (const auto &document : m_history) {
+        const Generation generation = document.first;
         if (generation <= result) {
             continue;
         }
         const bool fits = std::all_of(m_targets.begin(), m_targets.end(), [&](const auto &it) {
-            return ownUse(it.second, now) <= leastShare(it.first, from, generation);
+            return ownUse(it.second, now)
+                   <= leastShare(it.first, std::min(from, generation), generation);
         });
         if (!fits) {
             break;
--- a/Source/steering/SlotShares.cpp
+++ b/Source/steering/SlotShares.cpp
@@ -8,7 +8,7 @@
 
 SlotShares slotSharesOf(const Configuration &configuration, const FailureDomainId &domain)
 {
-    SlotShares shares{ configuration.generation, {}, {} };
+    SlotShares shares{ configuration.generation, Generation(), {}, {} };
     const auto found = configuration.topology.domains.find(domain);
     if (found == configuration.topology.domains.end()) {
         return shares;
--- a/Tests/StandIns/caller/CallerOptions.cpp
+++ b/Tests/StandIns/caller/CallerOptions.cpp
@@ -1,4 +1,4 @@
-#include "CallerOptions.h"
+#include "StandIns/caller/CallerOptions.h"
 
 #include "base/Error.h"
 
--- a/Tests/StandIns/caller/CallerOutcome.cpp
+++ b/Tests/StandIns/caller/CallerOutcome.cpp
@@ -1,4 +1,4 @@
-#include "CallerOutcome.h"
+#include "StandIns/caller/CallerOutcome.h"
 
 namespace Tarragon {
 
--- a/Tests/StandIns/caller/CallerRequest.cpp
+++ b/Tests/StandIns/caller/CallerRequest.cpp
@@ -1,4 +1,4 @@
-#include "CallerRequest.h"
+#include "StandIns/caller/CallerRequest.h"
 
 #include <algorithm>
 #include <utility>
--- a/Tests/StandIns/caller/CallerRequest.h
+++ b/Tests/StandIns/caller/CallerRequest.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "CallerOptions.h"
-#include "CallerOutcome.h"
-#include "LookupCache.h"
+#include "StandIns/caller/CallerOptions.h"
+#include "StandIns/caller/CallerOutcome.h"
+#include "StandIns/caller/LookupCache.h"
 
 #include "base/Verdict.h"
 #include "net/HttpClient.h"
--- a/Tests/StandIns/caller/JournalAudit.cpp
+++ b/Tests/StandIns/caller/JournalAudit.cpp
@@ -1,4 +1,4 @@
-#include "JournalAudit.h"
+#include "StandIns/caller/JournalAudit.h"
 
 #include "base/Error.h"
 
--- a/Tests/StandIns/caller/LoadRun.h
+++ b/Tests/StandIns/caller/LoadRun.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "CallerOptions.h"
-#include "CallerOutcome.h"
-#include "CallerRequest.h"
-#include "LookupCache.h"
+#include "StandIns/caller/CallerOptions.h"
+#include "StandIns/caller/CallerOutcome.h"
+#include "StandIns/caller/CallerRequest.h"
+#include "StandIns/caller/LookupCache.h"
 
 #include <cstdio>
 #include <map>
--- a/Tests/StandIns/caller/LookupCache.cpp
+++ b/Tests/StandIns/caller/LookupCache.cpp
@@ -1,4 +1,4 @@
-#include "LookupCache.h"
+#include "StandIns/caller/LookupCache.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Tests/StandIns/caller/LookupCache.h
+++ b/Tests/StandIns/caller/LookupCache.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "CallerOptions.h"
+#include "StandIns/caller/CallerOptions.h"
 
 #include "net/HttpClient.h"
 
--- a/Tests/StandIns/target/TargetServer.h
+++ b/Tests/StandIns/target/TargetServer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Journal.h"
+#include "StandIns/target/Journal.h"
 
 #include "net/EventLoop.h"
 #include "net/HttpServer.h"
--- a/Tests/steering/LookupDeciderTest.cpp
+++ b/Tests/steering/LookupDeciderTest.cpp
@@ -1,6 +1,7 @@
 #include "steering/LookupDecider.h"
 
 #include "SteeringFixture.h"
+#include "base/Digest.h"
 #include "steering/Rendezvous.h"
 
 #include <gmock/gmock.h>
@@ -12,18 +13,13 @@
 namespace Tarragon {
 namespace {
 
+using Testing::row;
+
 constexpr std::uint32_t CallerInA = 10U << 24U | 7;
 constexpr int CallerCount = 20'000;
 
 const ServiceId catalog("catalog");
 
-WeightRow row(std::int64_t a, std::int64_t b, std::int64_t c)
-{
-    return { { RegionId("a"), Share{ a } },
-             { RegionId("b"), Share{ b } },
-             { RegionId("c"), Share{ c } } };
-}
-
 struct LookupCase
 {
     explicit LookupCase(const WeightRow &weights = {})
