Steering: Keep an entry without reachable neighbours serving

Cause: an entry that sends no report for 3 s stops itself as one that was paused. Ruled out: the wait after a start, since slots stayed 0 after 20 s.

Now an entry without neighbours is fenced by a pause only, and reports that cannot be sent count as lost ones. SlotLedgerAlone fails before and passes now.

--- a/Source/entry/PeerCoordinator.cpp
+++ b/Source/entry/PeerCoordinator.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds SlotPeriod{ 50 };
 constexpr milliseconds ClaimPeriod{ 50 };
 constexpr milliseconds MemberPeriod{ 200 };
+constexpr milliseconds ReportPeriod{ 500 };
 
 /// Period of reads of the platform's list by the entries of a failure domain together.
 constexpr seconds ListPeriodOfDomain{ 1 };
@@ -80,6 +81,7 @@
     m_slotTimer = loop.scheduleEvery(SlotPeriod, [this] { sendSlotRequests(); });
     m_claimTimer = loop.scheduleEvery(ClaimPeriod, [this] { m_claims.tick(); });
     m_memberTimer = loop.scheduleEvery(MemberPeriod, [this] { refreshMembership(); });
+    m_reportTimer = loop.scheduleEvery(ReportPeriod, [this] { reportToUnreachable(); });
     m_listTimer = loop.schedule(ListPeriodOfDomain, [this] { readInstanceList(); });
 }
 
@@ -173,6 +175,19 @@
     }
 }
 
+void PeerCoordinator::reportToUnreachable()
+{
+    // A report that cannot be sent counts as a lost one. Without it the ledger would stop this
+    // entry as one that has been paused, and no entry of the domain would serve after the death of
+    // the neighbour.
+    for (const InstanceId &it : m_state.ledger().others()) {
+        PeerClient *client = m_network.client(it);
+        if (client == nullptr || !client->isConnected()) {
+            static_cast<void>(m_state.ledger().reportFor(it, m_loop.now()));
+        }
+    }
+}
+
 void PeerCoordinator::sendRegistryMessage(const RegistryMessage &message)
 {
     m_outbox[message.to].push_back(message.payload);
--- a/Source/entry/PeerCoordinator.h
+++ b/Source/entry/PeerCoordinator.h
@@ -57,6 +57,7 @@
     void onHeartbeat(PeerRpc::Heartbeat::Reader heartbeat);
     bool isNeighbour(const InstanceId &instance) const;
     void sendSlotRequests();
+    void reportToUnreachable();
     void sendRegistryMessage(const RegistryMessage &message);
     void flushRegistryMessages();
     void refreshMembership();
@@ -85,6 +86,7 @@
     Timer m_slotTimer;
     Timer m_claimTimer;
     Timer m_memberTimer;
+    Timer m_reportTimer;
     Timer m_listTimer;
     Timer m_flushTimer;
 };
--- a/Source/steering/SlotLedger.cpp
+++ b/Source/steering/SlotLedger.cpp
@@ -505,6 +505,10 @@
     if (isFenced(now)) {
         becomeFresh(now);
     }
+    if (m_others.empty()) {
+        // Without neighbours there is nobody to report to; the fence then notices pauses only.
+        m_lastReport = now;
+    }
     endFreshIfKnown(now);
     std::vector<std::uint64_t> aborted;
     for (const auto &[id, permit] : m_permits) {
--- a/Tests/steering/SlotLedgerTest.cpp
+++ b/Tests/steering/SlotLedgerTest.cpp
@@ -328,5 +328,33 @@
     EXPECT_EQ(m_a.allowance(TargetId("t-0"), now()), 3);
 }
 
+/// Runs an entry's periodic work until the given time in milliseconds.
+void tickUntil(SlotLedger &ledger, std::int64_t from, std::int64_t to)
+{
+    for (std::int64_t ms = from; ms <= to; ms += 50) {
+        static_cast<void>(ledger.requestsToSend(at(ms)));
+    }
+}
+
+// An entry that is alone in its failure domain has nobody to report to; it once fenced itself every
+// 3 s and never served.
+TEST(SlotLedgerAlone, ServesWithoutNeighboursAndIsFencedByAPauseOnly)
+{
+    SlotLedger ledger(InstanceId("a"), Incarnation(1), SlotLedgerOptions(), at(0));
+    SlotShares shares;
+    shares.generation = Generation(1);
+    shares.seats = { InstanceId("a") };
+    shares.targets = { SlotTarget{ TargetId("t-0"), catalog(), SlotCount{ 6 } } };
+    ledger.adopt(shares, at(0));
+    tickUntil(ledger, 0, 20'000);
+    EXPECT_EQ(ledger.allowance(TargetId("t-0"), at(20'000)), 6);
+
+    const SlotResult afterPause = ledger.acquire(TargetId("t-0"), at(30'000), at(31'000));
+    ASSERT_TRUE(std::holds_alternative<SlotRefusal>(afterPause));
+    EXPECT_EQ(std::get<SlotRefusal>(afterPause), SlotRefusal::NotYetOwned);
+    tickUntil(ledger, 30'000, 50'000);
+    EXPECT_EQ(ledger.allowance(TargetId("t-0"), at(50'000)), 6);
+}
+
 } // namespace
 } // namespace Tarragon
