Entry: Take the states of all entries at once

Cause: each of n entries rebuilt the table of n states five times a second, which grows with the square of the fleet: 28 million look-ups in maps a second at 2,392 entries, by count, not measured. The states are now taken whole.

--- a/Source/entry/Daemon.cpp
+++ b/Source/entry/Daemon.cpp
@@ -21,6 +21,9 @@
 
 constexpr seconds ShutdownLogPeriod{ 2 };
 
+/// A section of the largest size takes up to 6 MB as a JSON string.
+constexpr ByteCount MaxAdminBody{ 8 * 1024 * 1024 };
+
 /// Period of attempts to make the first document of an empty store.
 constexpr seconds SeedPeriod{ 2 };
 
@@ -59,7 +62,7 @@
             [this](const ConfigurationPtr &configuration, const Head &head,
                    const SectionTexts &texts) { adopt(configuration, head, texts); });
     HttpServerLimits limits;
-    limits.bodyBytes = settings.maxBody;
+    limits.bodyBytes = std::max(settings.maxBody, MaxAdminBody);
     m_server = std::make_unique<HttpServer>(
             loop, settings.http.address, settings.http.port, limits,
             [this](const HttpExchangePtr &exchange) { route(exchange); });
@@ -215,7 +218,6 @@
     m_refuseFrom = now + longestTtl;
     m_shutdownDeadline = now + m_settings.stopDeadline;
     m_nextShutdownLog = now;
-    m_state.setEntryState(m_settings.instance, EntryState::Leaving);
     m_peers.announceLeaving();
     LOG4CPLUS_INFO(logger(), "Leaving. acceptsForMs=" << longestTtl.count() << " deadlineSeconds="
                                                       << m_settings.stopDeadline.count());
--- a/Source/entry/PeerCoordinator.cpp
+++ b/Source/entry/PeerCoordinator.cpp
@@ -90,6 +90,12 @@
     *m_isAlive = false;
 }
 
+void PeerCoordinator::announceLeaving()
+{
+    m_isLeaving = true;
+    refreshMembership();
+}
+
 std::vector<PeerEndpoint> PeerCoordinator::endpointsOf(const Settings &settings)
 {
     std::vector<PeerEndpoint> endpoints;
@@ -226,28 +232,37 @@
         return;
     }
     const MonotonicTime now = m_loop.now();
+    std::map<InstanceId, EntryState> states;
     for (const auto &[id, domain] : configuration->topology.domains) {
         for (const EntrySeat &it : domain.entries) {
-            if (it.id == m_settings.instance) {
-                m_state.setEntryState(it.id, m_isLeaving ? EntryState::Leaving : EntryState::Live);
-                continue;
-            }
-            const MemberState state = m_membership.state(it.id, now);
-            EntryState entryState = EntryState::Live;
-            if (state == MemberState::Leaving) {
-                entryState = EntryState::Leaving;
-            } else if (state == MemberState::Gone
-                       || (state == MemberState::Suspect && id == m_settings.domain)) {
-                // Entries of other domains are heard through few relays only, so that silence says
-                // little about them.
-                entryState = EntryState::Unreachable;
-            }
-            m_state.setEntryState(it.id, entryState);
+            states[it.id] = entryState(it.id, id, now);
         }
     }
+    m_state.setEntryStates(std::move(states));
     chooseBackup();
 }
 
+EntryState PeerCoordinator::entryState(const InstanceId &instance, const FailureDomainId &domain,
+                                       MonotonicTime now) const
+{
+    if (instance == m_settings.instance) {
+        return m_isLeaving ? EntryState::Leaving : EntryState::Live;
+    }
+    switch (m_membership.state(instance, now)) {
+    case MemberState::Live:
+        return EntryState::Live;
+    case MemberState::Leaving:
+        return EntryState::Leaving;
+    case MemberState::Gone:
+        return EntryState::Unreachable;
+    case MemberState::Suspect:
+        break;
+    }
+    // Entries of other domains are heard through few relays only, so that silence says little about
+    // them.
+    return domain == m_settings.domain ? EntryState::Unreachable : EntryState::Live;
+}
+
 void PeerCoordinator::chooseBackup()
 {
     const MonotonicTime now = m_loop.now();
--- a/Source/entry/PeerCoordinator.h
+++ b/Source/entry/PeerCoordinator.h
@@ -36,7 +36,7 @@
     Membership &membership() { return m_membership; }
     ClaimService &claims() { return m_claims; }
     /// Tells the others in heartbeats that this entry takes no new callers.
-    void announceLeaving() { m_isLeaving = true; }
+    void announceLeaving();
     /// What is known of another entry, for the status.
     struct PeerReport
     {
@@ -61,6 +61,8 @@
     void sendRegistryMessage(const RegistryMessage &message);
     void flushRegistryMessages();
     void refreshMembership();
+    EntryState entryState(const InstanceId &instance, const FailureDomainId &domain,
+                          MonotonicTime now) const;
     void chooseBackup();
     void readInstanceList();
     void onInstanceList(const InstanceListing &listing);
--- a/Source/entry/RequestProxy.cpp
+++ b/Source/entry/RequestProxy.cpp
@@ -67,6 +67,16 @@
                          head.requestId.value());
         return;
     }
+    const std::uint64_t maxBody = m_context.settings.maxBody.value;
+    if (exchange->body().size() > maxBody) {
+        replyWithFailure(*exchange,
+                         Failure{ 413, "body-too-large", Verdict::NotRun,
+                                  "found " + std::to_string(exchange->body().size())
+                                          + " bytes, expected at most " + std::to_string(maxBody),
+                                  milliseconds(0) },
+                         head.requestId.value());
+        return;
+    }
     const std::uint64_t number = m_next++;
     const std::shared_ptr<ProxiedRequest> request = std::make_shared<ProxiedRequest>(
             m_context, m_callbacks, number, exchange, std::move(head), *service);
--- a/Source/entry/ServingState.cpp
+++ b/Source/entry/ServingState.cpp
@@ -75,9 +75,9 @@
     return it == m_servicesOfTargets.end() ? nullptr : it->second;
 }
 
-void ServingState::setEntryState(const InstanceId &instance, EntryState state)
+void ServingState::setEntryStates(std::map<InstanceId, EntryState> states)
 {
-    m_reportedStates[instance] = state;
+    m_reportedStates = std::move(states);
     refreshEntryStates();
 }
 
--- a/Source/entry/ServingState.h
+++ b/Source/entry/ServingState.h
@@ -39,8 +39,9 @@
     /// Null until the first configuration.
     LookupDecider *decider() { return m_decider.get(); }
 
-    /// Records whether an entry can be reached and whether it is leaving.
-    void setEntryState(const InstanceId &instance, EntryState state);
+    /// Records which entries can be reached and which are leaving. Taken whole, because the table
+    /// for lookups is built anew from all of them.
+    void setEntryStates(std::map<InstanceId, EntryState> states);
     /// State of each entry in the order of the decider.
     const LookupDecider::EntryStates &entryStates() const { return m_entryStates; }
     EntryState entryState(const InstanceId &instance) const;
