Entry: Apply the configured weights and adopt plans

Cause: lookups used the nearest region whatever the document's weights were. Entries now start from the configured weights, adopt plans that the feed brings and move their weights as AppliedWeights allows.

--- a/Source/entry/Daemon.cpp
+++ b/Source/entry/Daemon.cpp
@@ -21,6 +21,8 @@
 
 constexpr seconds ShutdownLogPeriod{ 2 };
 
+constexpr milliseconds WeightPeriod{ 500 };
+
 /// A section of the largest size takes up to 6 MB as a JSON string.
 constexpr ByteCount MaxAdminBody{ 8 * 1024 * 1024 };
 
@@ -61,6 +63,8 @@
     m_peers.feed().adopted().connect(
             [this](const ConfigurationPtr &configuration, const Head &head,
                    const SectionTexts &texts) { adopt(configuration, head, texts); });
+    m_peers.feed().planAdopted().connect(
+            [this](const std::string &json, PlanVersion version) { adoptPlan(json, version); });
     HttpServerLimits limits;
     limits.bodyBytes = std::max(settings.maxBody, MaxAdminBody);
     m_server = std::make_unique<HttpServer>(
@@ -68,6 +72,8 @@
             [this](const HttpExchangePtr &exchange) { route(exchange); });
     m_tick = loop.scheduleEvery(TickPeriod, [this] { tick(); });
     m_probeTimer = loop.scheduleEvery(TargetProber::ProbePeriod, [this] { m_prober.probe(); });
+    m_weightTimer =
+            loop.scheduleEvery(WeightPeriod, [this] { m_state.advanceWeights(m_loop.now()); });
     m_seedTimer = loop.schedule(microseconds(0), [this] { seedStore(); });
     LOG4CPLUS_INFO(logger(), "Listening. instance=" << settings.instance
                                                     << " failureDomain=" << settings.domain
@@ -184,6 +190,17 @@
     checkPlannedStop();
 }
 
+void Daemon::adoptPlan(const std::string &json, PlanVersion version)
+{
+    try {
+        m_state.adoptPlan(std::make_shared<const Plan>(parsePlan(json)));
+        m_metrics.setPlanVersion(version.value());
+    } catch (const Error &error) {
+        LOG4CPLUS_ERROR(logger(), "Plan refused. version=" << version << " reason=\""
+                                                           << error.what() << "\"");
+    }
+}
+
 void Daemon::checkPlannedStop()
 {
     // A stop of the instance, its domain or its region makes the process leave; it ends when its
--- a/Source/entry/Daemon.h
+++ b/Source/entry/Daemon.h
@@ -43,6 +43,7 @@
     void route(const HttpExchangePtr &exchange);
     void tick();
     void adopt(const ConfigurationPtr &configuration, const Head &head, const SectionTexts &texts);
+    void adoptPlan(const std::string &json, PlanVersion version);
     void seedStore();
     void checkPlannedStop();
     void checkShutdown();
@@ -71,6 +72,7 @@
     MonotonicTime m_nextShutdownLog;
     Timer m_tick;
     Timer m_probeTimer;
+    Timer m_weightTimer;
     Timer m_seedTimer;
 };
 
--- a/Source/entry/ServingState.cpp
+++ b/Source/entry/ServingState.cpp
@@ -1,6 +1,7 @@
 #include "entry/ServingState.h"
 
 #include "base/Digest.h"
+#include "steering/ConfiguredWeights.h"
 
 #include <arpa/inet.h>
 
@@ -20,11 +21,41 @@
     m_decider = std::make_unique<LookupDecider>(
             configuration, LookupDecider::indexBlocks(configuration->topology));
     m_ledger.adopt(slotSharesOf(*configuration, m_settings.domain), now);
+    adoptWeights(now);
     adoptTargets(now);
     refreshEntryStates();
     return true;
 }
 
+void ServingState::adoptWeights(MonotonicTime now)
+{
+    if (m_weights.has_value()) {
+        m_weights->setConfiguration(m_configuration);
+    } else {
+        m_weights.emplace(m_configuration);
+        m_weights->start(configuredWeights(*m_configuration), RegionId(), now);
+        if (m_pendingPlan != nullptr) {
+            m_weights->setPlan(m_pendingPlan);
+        }
+    }
+    m_decider->setWeights(m_weights->weights(), m_weights->fullyApplied());
+}
+
+void ServingState::adoptPlan(const PlanPtr &plan)
+{
+    m_pendingPlan = plan;
+    if (m_weights.has_value()) {
+        m_weights->setPlan(plan);
+    }
+}
+
+void ServingState::advanceWeights(MonotonicTime now)
+{
+    if (m_weights.has_value() && m_weights->advance(now)) {
+        m_decider->setWeights(m_weights->weights(), m_weights->fullyApplied());
+    }
+}
+
 void ServingState::adoptTargets(MonotonicTime now)
 {
     m_targets.clear();
--- a/Source/entry/ServingState.h
+++ b/Source/entry/ServingState.h
@@ -5,7 +5,9 @@
 #include "document/Configuration.h"
 #include "entry/Settings.h"
 #include "steering/AdmissionControl.h"
+#include "steering/AppliedWeights.h"
 #include "steering/LookupDecider.h"
+#include "steering/Plan.h"
 #include "steering/RetryBudget.h"
 #include "steering/SlotLedger.h"
 #include "steering/TargetHealth.h"
@@ -36,6 +38,10 @@
     const std::map<TargetId, const Target *> &ownTargets() const { return m_targets; }
     /// The service of a target of the own failure domain; null for others.
     const ServiceConfiguration *serviceOf(const TargetId &target) const;
+    /// Takes a plan that has come into force; its weights are applied as fast as the caps allow.
+    void adoptPlan(const PlanPtr &plan);
+    /// Moves the applied weights; to be called at least every second.
+    void advanceWeights(MonotonicTime now);
     /// Null until the first configuration.
     LookupDecider *decider() { return m_decider.get(); }
 
@@ -64,11 +70,16 @@
 
 private:
     void adoptTargets(MonotonicTime now);
+    void adoptWeights(MonotonicTime now);
     void refreshEntryStates();
 
     const Settings &m_settings;
     ConfigurationPtr m_configuration;
     std::unique_ptr<LookupDecider> m_decider;
+    /// Kept over configurations, because caps count what was applied before.
+    std::optional<AppliedWeights> m_weights;
+    /// A plan that came before the first configuration.
+    PlanPtr m_pendingPlan;
     LookupDecider::EntryStates m_entryStates;
     std::map<InstanceId, EntryState> m_reportedStates;
     std::map<TargetId, const Target *> m_targets;
