Entry: Do not call a refused later attempt not-run

Cause: an entry that refused a request before it knew the service, such as one that had just started, always said not-run, although an earlier attempt under the same id may have run at another entry. It also raised the verdict of a booking without an id, which nothing can have run, to may-have-run. Found by sending bad requests to the running entries.

Before: attempt 2 at a fresh entry was told not-run. After: may-have-run; first attempts and ids without a seed are told not-run, the latter with 400. RequestProxyTest has these and the cuts, resets, deadlines and refusals of a target over real sockets.

--- a/Source/entry/ProxiedRequest.cpp
+++ b/Source/entry/ProxiedRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Digest.h"
 #include "steering/AtMostOnceRunner.h"
+#include "steering/RequestIdSeed.h"
 
 #include <nlohmann/json.hpp>
 
@@ -64,12 +65,14 @@
 
 void ProxiedRequest::start()
 {
-    if (!m_rule.idempotent && m_head.requestId.isEmpty()) {
-        fail(Failure{
-                400, "bad-request", Verdict::NotRun,
-                std::string(RequestIdHeader)
-                        + ": found nothing, expected an id, since the request is not idempotent",
-                milliseconds(0) });
+    if (!m_rule.idempotent && !parseRequestId(m_head.requestId.value()).has_value()) {
+        // Nothing runs under such an id, at any entry.
+        m_isVerdictSettled = true;
+        fail(Failure{ 400, "bad-request", Verdict::NotRun,
+                      std::string(RequestIdHeader) + ": found \"" + m_head.requestId.value()
+                              + "\", expected the seed of a lookup, a dot and a part of the"
+                                " caller's own, since the request is not idempotent",
+                      milliseconds(0) });
         return;
     }
     if (m_head.requestId.isEmpty()) {
--- a/Source/entry/RequestHead.cpp
+++ b/Source/entry/RequestHead.cpp
@@ -20,6 +20,12 @@
     return Failure{ 400, "bad-request", Verdict::NotRun, detail, milliseconds(0) };
 }
 
+/// Whether the method only reads, so that running it twice does no harm.
+bool isSafe(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
 bool isRequestIdCharacter(char c)
 {
     return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' || c == '-' || c == '_';
@@ -118,6 +124,14 @@
     return head;
 }
 
+Verdict verdictOfEarlyRefusal(const HttpExchange &exchange)
+{
+    const bool mayBeRepeated =
+            isSafe(exchange.method()) || !exchange.headers().find(RequestIdHeader).has_value();
+    const bool isFirst = exchange.headers().find(AttemptHeader) == "1";
+    return mayBeRepeated || isFirst ? Verdict::NotRun : Verdict::MayHaveRun;
+}
+
 RequestRule ruleOf(const ServiceConfiguration &service, const std::string &method,
                    const std::string &targetUri)
 {
@@ -127,8 +141,8 @@
             return it;
         }
     }
-    const bool isSafe = method == "GET" || method == "HEAD" || method == "OPTIONS";
-    return RequestRule{ method, "", isSafe ? RequestClass::Lookup : RequestClass::Booking, isSafe };
+    const bool safe = isSafe(method);
+    return RequestRule{ method, "", safe ? RequestClass::Lookup : RequestClass::Booking, safe };
 }
 
 bool isConnectionHeader(std::string_view name)
--- a/Source/entry/RequestHead.h
+++ b/Source/entry/RequestHead.h
@@ -39,6 +39,10 @@
 /// malformed.
 std::variant<RequestHead, Failure> parseRequestHead(const HttpExchange &exchange);
 
+/// Verdict of a request that is refused before its service is known. A later attempt under an id
+/// may follow one that has run elsewhere, so that only a first attempt is known not to have run.
+Verdict verdictOfEarlyRefusal(const HttpExchange &exchange);
+
 /// Rule for a request; without a matching rule GET, HEAD and OPTIONS are idempotent lookups, and
 /// everything else is a booking that is not idempotent.
 RequestRule ruleOf(const ServiceConfiguration &service, const std::string &method,
--- a/Source/entry/RequestProxy.cpp
+++ b/Source/entry/RequestProxy.cpp
@@ -6,6 +6,12 @@
 
 constexpr milliseconds RetryAfterStart{ 1'000 };
 
+void refuseEarly(HttpExchange &exchange, Failure failure, const std::string &requestId)
+{
+    failure.verdict = verdictOfEarlyRefusal(exchange);
+    replyWithFailure(exchange, failure, requestId);
+}
+
 } // namespace
 
 RequestProxy::RequestProxy(ProxyContext &context)
@@ -47,34 +53,34 @@
 {
     std::variant<RequestHead, Failure> parsed = parseRequestHead(*exchange);
     if (const Failure *failure = std::get_if<Failure>(&parsed)) {
-        replyWithFailure(*exchange, *failure, "");
+        refuseEarly(*exchange, *failure, "");
         return;
     }
     RequestHead &head = std::get<RequestHead>(parsed);
     if (m_context.state.configuration() == nullptr) {
-        replyWithFailure(*exchange,
-                         Failure{ 503, "no-configuration", Verdict::NotRun,
-                                  "this entry has no configuration yet", RetryAfterStart },
-                         head.requestId.value());
+        refuseEarly(*exchange,
+                    Failure{ 503, "no-configuration", Verdict::NotRun,
+                             "this entry has no configuration yet", RetryAfterStart },
+                    head.requestId.value());
         return;
     }
     const ServiceConfiguration *service = m_context.state.findService(head.service);
     if (service == nullptr) {
-        replyWithFailure(*exchange,
-                         Failure{ 404, "unknown-service", Verdict::NotRun,
-                                  "the document names no service \"" + head.service.value() + "\"",
-                                  milliseconds(0) },
-                         head.requestId.value());
+        refuseEarly(*exchange,
+                    Failure{ 404, "unknown-service", Verdict::NotRun,
+                             "the document names no service \"" + head.service.value() + "\"",
+                             milliseconds(0) },
+                    head.requestId.value());
         return;
     }
     const std::uint64_t maxBody = m_context.settings.maxBody.value;
     if (exchange->body().size() > maxBody) {
-        replyWithFailure(*exchange,
-                         Failure{ 413, "body-too-large", Verdict::NotRun,
-                                  "found " + std::to_string(exchange->body().size())
-                                          + " bytes, expected at most " + std::to_string(maxBody),
-                                  milliseconds(0) },
-                         head.requestId.value());
+        refuseEarly(*exchange,
+                    Failure{ 413, "body-too-large", Verdict::NotRun,
+                             "found " + std::to_string(exchange->body().size())
+                                     + " bytes, expected at most " + std::to_string(maxBody),
+                             milliseconds(0) },
+                    head.requestId.value());
         return;
     }
     const std::uint64_t number = m_next++;
--- a/Tests/StandIns/caller/CallerRequest.cpp
+++ b/Tests/StandIns/caller/CallerRequest.cpp
@@ -85,9 +85,8 @@
     request.headers.set("Tarragon-Request-Id", m_outcome.requestId);
     request.headers.set("Tarragon-Deadline-Ms", std::to_string(m_options.deadline.count()));
     request.headers.set("Tarragon-Caller", m_options.callerAddress);
-    if (takesNewId) {
-        request.headers.set("Tarragon-Attempt", "1");
-    }
+    m_attemptOfId = takesNewId ? 1 : m_attemptOfId + 1;
+    request.headers.set("Tarragon-Attempt", std::to_string(m_attemptOfId));
     m_head = {};
     m_bodyStart.clear();
     m_bodyBytes = 0;
--- a/Tests/StandIns/caller/CallerRequest.h
+++ b/Tests/StandIns/caller/CallerRequest.h
@@ -43,6 +43,8 @@
     std::string m_uniquePart;
     Callback m_callback;
     CallerOutcome m_outcome;
+    /// Number of the attempt under the present id, from 1.
+    int m_attemptOfId = 0;
     /// What is known of all attempts under the present id.
     Verdict m_verdict = Verdict::NotRun;
     bool m_heardFromEntry = false;
--- /dev/null
+++ b/Tests/entry/RequestProxyTest.cpp
@@ -0,0 +1,226 @@
+#include "entry/RequestProxy.h"
+
+#include "StandIns/target/TargetServer.h"
+#include "Support/LoopTest.h"
+#include "Support/RawListener.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Tarragon {
+namespace {
+
+/// How a call through the proxy ended.
+struct CallResult
+{
+    std::optional<HttpResponse> response;
+    std::optional<HttpFailure> failure;
+
+    std::string header(const char *name) const
+    {
+        return response.has_value() ? response->head.headers.find(name).value_or("") : "";
+    }
+};
+
+/// An entry that is alone in its failure domain, with one target of two slots, over real sockets in
+/// one process.
+class RequestProxyTest : public LoopTest
+{
+protected:
+    RequestProxyTest()
+    {
+        m_settings.instance = InstanceId("e1");
+        m_settings.domain = FailureDomainId("d1");
+        m_settings.region = RegionId("r1");
+        const MonotonicTime started = m_loop.now() - seconds(60);
+        m_state = std::make_unique<ServingState>(m_settings, Incarnation(1), started);
+        m_context = std::make_unique<ProxyContext>(ProxyContext{
+                m_loop, m_client, m_settings, *m_state, m_metrics, m_drain, {}, {}, {} });
+        m_proxy = std::make_unique<RequestProxy>(*m_context);
+        m_server = std::make_unique<HttpServer>(
+                m_loop, "127.0.0.1", 0, HttpServerLimits{},
+                [this](const HttpExchangePtr &exchange) { m_proxy->handle(exchange); });
+        m_started = started;
+    }
+
+    /// Puts a document in force with a target on the given port, and lets the time pass in which a
+    /// new entry waits for its predecessor.
+    void configure(std::uint16_t targetPort)
+    {
+        Configuration configuration;
+        configuration.generation = Generation(1);
+        configuration.topology.regions[RegionId("r1")] =
+                Region{ RegionId("r1"), { FailureDomainId("d1") } };
+        FailureDomain domain;
+        domain.id = FailureDomainId("d1");
+        domain.region = RegionId("r1");
+        domain.entries = { EntrySeat{ InstanceId("e1"), 0, Endpoint{ "127.0.0.1", 1 },
+                                      Endpoint{ "127.0.0.1", 2 } } };
+        configuration.topology.domains[domain.id] = domain;
+        configuration.topology.defaultRegion = RegionId("r1");
+        ServiceConfiguration service;
+        service.id = ServiceId("catalog");
+        service.targets = { Target{ TargetId("t1"), domain.id, Endpoint{ "127.0.0.1", targetPort },
+                                    SlotCount{ 2 } } };
+        configuration.services[service.id] = service;
+        m_state->adopt(std::make_shared<const Configuration>(std::move(configuration)), m_started);
+        for (MonotonicTime now = m_started; now < m_loop.now(); now += milliseconds(50)) {
+            static_cast<void>(m_state->ledger().requestsToSend(now));
+        }
+        m_state->setEntryStates({ { InstanceId("e1"), EntryState::Live } });
+    }
+
+    void startTarget(const TargetBehaviour &behaviour)
+    {
+        m_target =
+                std::make_unique<TargetServer>(m_loop, m_journal, "t1", "127.0.0.1", 0, behaviour);
+        configure(m_target->port());
+    }
+
+    CallResult call(const std::string &method, const std::string &uri, const HttpHeaders &headers)
+    {
+        HttpRequest request;
+        request.address = "127.0.0.1";
+        request.port = m_server->port();
+        request.method = method;
+        request.uri = uri;
+        request.headers = headers;
+        CallResult result;
+        const HttpCallPtr call = m_client.fetch(
+                request, ByteCount{ 1'000'000 },
+                [&result](const HttpResponse &response) { result.response = response; },
+                [&result](const HttpFailure &failure) { result.failure = failure; });
+        runUntil([&result] { return result.response.has_value() || result.failure.has_value(); });
+        return result;
+    }
+
+    static HttpHeaders headersOf(std::initializer_list<HttpHeaders::Field> fields)
+    {
+        HttpHeaders headers;
+        for (const HttpHeaders::Field &it : fields) {
+            headers.set(it.first, it.second);
+        }
+        return headers;
+    }
+
+    Settings m_settings;
+    Metrics m_metrics;
+    HttpClient m_client{ m_loop };
+    DrainState m_drain;
+    Journal m_journal{ "" };
+    MonotonicTime m_started;
+    std::unique_ptr<ServingState> m_state;
+    std::unique_ptr<ProxyContext> m_context;
+    std::unique_ptr<RequestProxy> m_proxy;
+    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<TargetServer> m_target;
+};
+
+TEST_F(RequestProxyTest, CarriesARequestAndItsWholeResponse)
+{
+    startTarget({});
+    const CallResult result = call("GET", "/s/catalog/parts?bytes=50000", {});
+    ASSERT_TRUE(result.response.has_value());
+    EXPECT_EQ(result.response->head.status, 200);
+    EXPECT_EQ(result.response->body.size(), 50'000U);
+    EXPECT_EQ(result.header(VerdictHeader), "ran");
+}
+
+// An entry that has just started knows nothing of earlier attempts, which may have run elsewhere.
+TEST_F(RequestProxyTest, AnEarlyRefusalOfALaterAttemptDoesNotClaimNotRun)
+{
+    const CallResult later =
+            call("POST", "/s/catalog/bookings",
+                 headersOf({ { RequestIdHeader, "a.b" }, { AttemptHeader, "2" } }));
+    EXPECT_EQ(later.header(ErrorHeader), "no-configuration");
+    EXPECT_EQ(later.header(VerdictHeader), "may-have-run");
+    const CallResult first =
+            call("POST", "/s/catalog/bookings",
+                 headersOf({ { RequestIdHeader, "a.b" }, { AttemptHeader, "1" } }));
+    EXPECT_EQ(first.header(VerdictHeader), "not-run");
+}
+
+// A response that is cut short must not look complete to the caller.
+TEST_F(RequestProxyTest, AResponseThatIsCutShortBreaksTheCallersConnection)
+{
+    RawListener target(m_loop);
+    target.accepted().connect([](RawSocket &socket) {
+        socket.dataReceived().connect([&socket] {
+            socket.send("HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\nonly a part");
+            socket.closeAfterSending();
+        });
+    });
+    configure(target.port());
+    const CallResult result = call("GET", "/s/catalog/parts", {});
+    ASSERT_TRUE(result.failure.has_value());
+    // The entry resets the connection, and the reset may overtake the head that it had sent.
+    EXPECT_GE(result.failure->stage, HttpStage::AwaitHeaders);
+}
+
+// A target that resets the connection before the head of its response was read may have run the
+// request, and a retry that finds no other target must not hide that.
+TEST_F(RequestProxyTest, AResetBeforeTheResponseMayHaveRun)
+{
+    TargetBehaviour behaviour;
+    behaviour.truncateAfter = 1'000;
+    startTarget(behaviour);
+    const CallResult result = call("GET", "/s/catalog/parts?bytes=50000", {});
+    ASSERT_TRUE(result.response.has_value());
+    EXPECT_GE(result.response->head.status, 500);
+    EXPECT_EQ(result.header(VerdictHeader), "may-have-run");
+}
+
+// A request that was given up on gets its answer at once, and the target had started it.
+TEST_F(RequestProxyTest, APassedDeadlineIsAnsweredAsMayHaveRun)
+{
+    TargetBehaviour behaviour;
+    behaviour.hangs = true;
+    startTarget(behaviour);
+    const CallResult result =
+            call("GET", "/s/catalog/parts", headersOf({ { DeadlineHeader, "50" } }));
+    EXPECT_EQ(result.response->head.status, 504);
+    EXPECT_EQ(result.header(VerdictHeader), "may-have-run");
+}
+
+TEST_F(RequestProxyTest, ARefusalByTheTargetIsNotRun)
+{
+    TargetBehaviour behaviour;
+    behaviour.draining = true;
+    startTarget(behaviour);
+    const CallResult result = call("GET", "/s/catalog/parts", {});
+    EXPECT_EQ(result.response->head.status, 503);
+    EXPECT_EQ(result.header(VerdictHeader), "not-run");
+    EXPECT_NE(result.header("Retry-After"), "");
+}
+
+TEST_F(RequestProxyTest, ATargetThatCannotBeConnectedIsNotRun)
+{
+    std::uint16_t closedPort = 0;
+    {
+        const HttpServer unused(m_loop, "127.0.0.1", 0, HttpServerLimits{},
+                                [](const HttpExchangePtr &) {});
+        closedPort = unused.port();
+    }
+    configure(closedPort);
+    const CallResult result = call("GET", "/s/catalog/parts", {});
+    EXPECT_GE(result.response->head.status, 500);
+    EXPECT_EQ(result.header(VerdictHeader), "not-run");
+}
+
+// An id that no lookup gave has no record anywhere and so can never be allowed to run.
+TEST_F(RequestProxyTest, ABookingWithoutASeedIsRefused)
+{
+    startTarget({});
+    const CallResult result =
+            call("POST", "/s/catalog/bookings",
+                 headersOf({ { RequestIdHeader, "abc" }, { AttemptHeader, "1" } }));
+    EXPECT_EQ(result.response->head.status, 400);
+    EXPECT_EQ(result.header(VerdictHeader), "not-run");
+}
+
+} // namespace
+} // namespace Tarragon
