--- a/Source/entry/Daemon.cpp
+++ b/Source/entry/Daemon.cpp
@@ -111,10 +111,9 @@
     };
 }
 
-std::string Daemon::status() const
+std::string Daemon::status()
 {
-    Daemon &self = const_cast<Daemon &>(*this);
-    return statusBody(StatusSources{ m_settings, m_incarnation, self.m_state, self.m_peers, m_drain,
+    return statusBody(StatusSources{ m_settings, m_incarnation, m_state, m_peers, m_drain,
                                      m_refuseFrom.has_value() },
                       m_loop.now());
 }
--- a/Source/entry/Daemon.h
+++ b/Source/entry/Daemon.h
@@ -47,7 +47,7 @@
     void seedStore();
     void checkPlannedStop();
     void checkShutdown();
-    std::string status() const;
+    std::string status();
 
     EventLoop &m_loop;
     const Settings &m_settings;
--- a/Tests/entry/EditSessionTest.cpp
+++ b/Tests/entry/EditSessionTest.cpp
@@ -50,7 +50,7 @@
     std::shared_ptr<Running> begin(EditSession::Prepare prepare,
                                    const std::string &proposalId = "seed")
     {
-        const std::shared_ptr<Running> running = std::make_shared<Running>();
+        std::shared_ptr<Running> running = std::make_shared<Running>();
         std::make_shared<EditSession>(
                 m_loop, m_store, m_texts, std::move(prepare), proposalId,
                 [running](const EditOutcome &outcome) { running->outcome = outcome; })
