--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -55,16 +55,22 @@
 # Demonstration token of a team; see the README of the deployment.
 token() { echo "kinisi-$1-demo"; }
 
+# Whether entries of all three regions serve reads and bookings.
 serves_bookings() {
-  ctl status | grep -q serving
   local entry
   for entry in 127.0.1.1:8080 127.0.3.2:8085 127.0.5.1:8088; do
-    $bin/caller-standin --entry "$entry" --service catalog --caller 10.10.0.1 --attempts 1 \
-      | grep -q '"whole":1'
-    $bin/tarragonctl why checkout 10.20.0.1 --server "$entry"
+    try_once "$entry" --service catalog || return 1
+    try_once "$entry" --service checkout --method POST --path /bookings || return 1
   done
 }
 
+try_once() {
+  local entry=$1
+  shift
+  $bin/caller-standin --entry "$entry" --caller 10.10.0.1 --attempts 1 --id-prefix ready "$@" \
+    | grep -q '"whole":1'
+}
+
 # Starts everything and waits until it serves.
 start_deployment() {
   start platform $bin/platform-standin --address 127.0.0.10 --port 7000
