Entry: Report a call that ran out of time as a passed deadline

Cause: the time of a call is rounded down to milliseconds, so that it ended up to 1 ms before the request's deadline and the caller got 502 target-failed in place of 504 deadline; the verdict was right.

--- a/Source/entry/ProxiedRequest.cpp
+++ b/Source/entry/ProxiedRequest.cpp
@@ -423,7 +423,10 @@
     if (!m_isForwarding) {
         m_context.state.health().onFailure(m_permit->target, m_context.loop.now());
     }
-    const bool isDeadline = m_context.loop.now() >= m_deadline;
+    // The call's time is rounded down to milliseconds, so that it ends a little before the
+    // deadline.
+    const bool isDeadline = m_context.loop.now() >= m_deadline
+                            || (failure.timedOut && failure.stage != HttpStage::Connect);
     attemptFailed(verdict, isDeadline ? "deadline" : "target-failed", isDeadline ? 504 : 502,
                   detail);
 }
