Source: Use one piece of code where the same logic stood twice

Membership decided twice whether a member is gone or leaving; the peer coordinator looked up its own failure domain twice and copied the targets before a loop that does not change them; the feed had its own spellings of the store's keys beside those of Head.h; the target stand-in and the edit test read files by themselves beside readTextFile().

--- a/Source/entry/PeerCoordinator.cpp
+++ b/Source/entry/PeerCoordinator.cpp
@@ -141,20 +141,25 @@
     }
 }
 
-bool PeerCoordinator::isNeighbour(const InstanceId &instance) const
+const FailureDomain *PeerCoordinator::ownDomain() const
 {
-    if (m_state.configuration() == nullptr || instance == m_settings.instance) {
-        return false;
+    if (m_state.configuration() == nullptr) {
+        return nullptr;
     }
     const std::map<FailureDomainId, FailureDomain> &domains =
             m_state.configuration()->topology.domains;
-    const std::map<FailureDomainId, FailureDomain>::const_iterator domain =
+    const std::map<FailureDomainId, FailureDomain>::const_iterator it =
             domains.find(m_settings.domain);
-    if (domain == domains.end()) {
+    return it == domains.end() ? nullptr : &it->second;
+}
+
+bool PeerCoordinator::isNeighbour(const InstanceId &instance) const
+{
+    const FailureDomain *domain = ownDomain();
+    if (domain == nullptr || instance == m_settings.instance) {
         return false;
     }
-    const std::vector<EntrySeat> &entries = domain->second.entries;
-    return std::any_of(entries.begin(), entries.end(),
+    return std::any_of(domain->entries.begin(), domain->entries.end(),
                        [&instance](const EntrySeat &it) { return it.id == instance; });
 }
 
@@ -288,14 +293,9 @@
 
 void PeerCoordinator::readInstanceList()
 {
-    std::size_t entries = 1;
-    if (m_state.configuration() != nullptr) {
-        const std::map<FailureDomainId, FailureDomain> &domains =
-                m_state.configuration()->topology.domains;
-        const std::map<FailureDomainId, FailureDomain>::const_iterator it =
-                domains.find(m_settings.domain);
-        entries = it == domains.end() ? 1 : std::max<std::size_t>(it->second.entries.size(), 1);
-    }
+    const FailureDomain *domain = ownDomain();
+    const std::size_t entries =
+            domain == nullptr ? 1 : std::max<std::size_t>(domain->entries.size(), 1);
     m_listTimer = m_loop.schedule(ListPeriodOfDomain * static_cast<std::int64_t>(entries),
                                   [this] { readInstanceList(); });
     m_store.instances([this, alive = m_isAlive](const InstanceListing &listing) {
@@ -312,13 +312,9 @@
     }
     const MonotonicTime now = m_loop.now();
     m_membership.onList(listing.instances, now);
-    std::vector<TargetId> targets;
     for (const auto &[id, target] : m_state.ownTargets()) {
-        targets.push_back(id);
-    }
-    for (const TargetId &it : targets) {
-        const MemberState state = m_membership.state(it, now);
-        m_state.setListedLeaving(it, state == MemberState::Leaving || state == MemberState::Gone);
+        const MemberState state = m_membership.state(id, now);
+        m_state.setListedLeaving(id, state == MemberState::Leaving || state == MemberState::Gone);
     }
 }
 
--- a/Source/entry/PeerCoordinator.h
+++ b/Source/entry/PeerCoordinator.h
@@ -55,6 +55,9 @@
     void onAdopted(const ConfigurationPtr &configuration);
     void fillHeartbeat(PeerRpc::Heartbeat::Builder heartbeat, const InstanceId &to);
     void onHeartbeat(PeerRpc::Heartbeat::Reader heartbeat);
+    /// The own failure domain; null before the first configuration, or if the document does not
+    /// name it.
+    const FailureDomain *ownDomain() const;
     bool isNeighbour(const InstanceId &instance) const;
     void sendSlotRequests();
     void reportToUnreachable();
--- a/Source/peer/ConfigurationFeed.cpp
+++ b/Source/peer/ConfigurationFeed.cpp
@@ -12,9 +12,7 @@
 
 namespace {
 
-const std::string HeadKey = "config/head";
-const std::string PlanKey = "plan/current";
-const std::string SectionPrefix = "config/section/";
+constexpr const char *PlanKey = "plan/current";
 
 log4cplus::Logger logger()
 {
@@ -31,7 +29,7 @@
     return { value.c_str(), value.size() };
 }
 
-const std::string &keyOf(FeedItem item)
+const char *keyOf(FeedItem item)
 {
     return item == FeedItem::Configuration ? HeadKey : PlanKey;
 }
@@ -241,7 +239,7 @@
 {
     if (!action.from) {
         ++m_storeCalls;
-        m_store.get(SectionPrefix + action.name.value() + "/" + action.digest,
+        m_store.get(sectionObjectKey(action.name, action.digest),
                     [this, alive = m_isAlive, action](const StoredObject &object) {
                         if (!*alive)
                             return;
--- a/Source/steering/Membership.cpp
+++ b/Source/steering/Membership.cpp
@@ -162,13 +162,8 @@
         return MemberState::Gone;
     }
     const Member &member = found->second;
-    if (!isReached(member, now) && isUnlisted(member, now)) {
-        return MemberState::Gone;
-    }
-    if (isLeaving(member)) {
-        return MemberState::Leaving;
-    }
-    return isReached(member, now) ? MemberState::Live : MemberState::Suspect;
+    return departure(member, now)
+            .value_or(isReached(member, now) ? MemberState::Live : MemberState::Suspect);
 }
 
 MemberState Membership::state(const TargetId &target, MonotonicTime now) const
@@ -177,15 +172,19 @@
     if (found == m_targets.end()) {
         return MemberState::Gone;
     }
-    const Member &member = found->second;
+    // A target that gets no requests gives no responses; only the list tells of it.
+    return departure(found->second, now).value_or(MemberState::Live);
+}
+
+std::optional<MemberState> Membership::departure(const Member &member, MonotonicTime now) const
+{
     if (!isReached(member, now) && isUnlisted(member, now)) {
         return MemberState::Gone;
     }
     if (isLeaving(member)) {
         return MemberState::Leaving;
     }
-    // A target that gets no requests gives no responses; only the list tells of it.
-    return MemberState::Live;
+    return std::nullopt;
 }
 
 std::optional<Incarnation> Membership::incarnation(const InstanceId &entry) const
--- a/Source/steering/Membership.h
+++ b/Source/steering/Membership.h
@@ -96,6 +96,8 @@
 
     void takeListed(Member &member, bool isEntry, const ListedInstance &listed, MonotonicTime now);
     void holdBursts(MonotonicTime now);
+    /// The state of a member that is gone or leaving; nothing for others.
+    std::optional<MemberState> departure(const Member &member, MonotonicTime now) const;
     bool isReached(const Member &member, MonotonicTime now) const;
     bool isUnlisted(const Member &member, MonotonicTime now) const;
     static bool isLeaving(const Member &member);
--- a/Tests/StandIns/target/main.cpp
+++ b/Tests/StandIns/target/main.cpp
@@ -3,16 +3,15 @@
 
 #include "base/Error.h"
 #include "document/DocumentParser.h"
+#include "document/TextFile.h"
 #include "net/EventLoop.h"
 #include "net/Logging.h"
 
 #include <cxxopts.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <sstream>
 #include <vector>
 
 namespace {
@@ -21,15 +20,9 @@
 
 Configuration readDocument(const std::string &path)
 {
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        throw Error("cannot read the document \"" + path + "\"");
-    }
     Findings findings;
-    const SectionTexts sections = splitDocument(text.str(), path, findings);
-    const std::optional<Configuration> configuration = parseDocument(sections, path, findings);
+    const std::optional<Configuration> configuration =
+            parseWholeDocument(readTextFile(path), path, findings);
     if (!configuration.has_value()) {
         for (const Finding &it : findings) {
             std::cerr << toString(it) << '\n';
--- a/Tests/entry/EditSessionTest.cpp
+++ b/Tests/entry/EditSessionTest.cpp
@@ -4,13 +4,12 @@
 #include "Support/LoopTest.h"
 #include "base/Digest.h"
 #include "document/DocumentParser.h"
+#include "document/TextFile.h"
 
 #include <gtest/gtest.h>
 
-#include <fstream>
 #include <memory>
 #include <optional>
-#include <sstream>
 
 namespace Tarragon {
 namespace {
@@ -18,14 +17,6 @@
 const char *const StopOfFirst = "- { kind: target, id: catalog-01, deadline: 60s, reason: one }\n";
 const char *const StopOfSecond = "- { kind: target, id: catalog-02, deadline: 60s, reason: two }\n";
 
-std::string readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// Edits of the Kinisi document in the platform stand-in, with its faults.
 class EditSessionTest : public LoopTest
 {
@@ -33,9 +24,9 @@
     EditSessionTest()
     {
         Findings findings;
-        m_texts = splitDocument(
-                readFile(std::string(TARRAGON_SOURCE_DIR) + "/Deployments/kinisi/document.yaml"),
-                "document.yaml", findings);
+        m_texts = splitDocument(readTextFile(std::string(TARRAGON_SOURCE_DIR)
+                                             + "/Deployments/kinisi/document.yaml"),
+                                "document.yaml", findings);
         EXPECT_TRUE(findings.empty());
         const EditOutcome seeded =
                 run([this](const CurrentDocument &) { return prepareSeed(m_texts, "seed", 0); });
