--- a/Source/daemon/main.cpp
+++ b/Source/daemon/main.cpp
@@ -1,8 +1,11 @@
 #include "document/Finding.h"
 #include "entry/Daemon.h"
 #include "entry/Settings.h"
+#include "gateway/GatewayDaemon.h"
+#include "gateway/GatewaySettings.h"
 #include "net/EventLoop.h"
 #include "net/Logging.h"
+#include "platform/SettingsLocation.h"
 
 #include <cxxopts.hpp>
 
@@ -32,15 +35,69 @@
     return ExitDone;
 }
 
+int runGateway(const GatewaySettings &settings, const std::string &file)
+{
+    initializeLogging(settings.logLevel);
+    EventLoop loop;
+    GatewayDaemon daemon(loop, settings);
+    loop.onSignal(SIGTERM, [&daemon] { daemon.leave(); });
+    loop.onSignal(SIGINT, [&daemon] { daemon.leave(); });
+    loop.onSignal(SIGHUP, [&daemon, &file] { daemon.reload(file); });
+    daemon.run();
+    return ExitDone;
+}
+
+void print(const Findings &findings)
+{
+    for (const Finding &it : findings) {
+        std::cerr << toString(it) << '\n';
+    }
+}
+
+int startEntry(const std::string &file, bool checkOnly)
+{
+    Findings findings;
+    const std::optional<Settings> settings = readSettings(file, findings);
+    print(findings);
+    if (!settings.has_value()) {
+        return ExitBadSettings;
+    }
+    if (checkOnly) {
+        std::cout << "settings are valid\n";
+        return ExitDone;
+    }
+    return run(*settings);
+}
+
+int startGateway(const std::string &file, bool checkOnly)
+{
+    Findings findings;
+    const std::optional<GatewaySettings> settings = readGatewaySettings(file, findings);
+    print(findings);
+    if (!settings.has_value()) {
+        return ExitBadSettings;
+    }
+    if (checkOnly) {
+        std::cout << "settings are valid\n";
+        return ExitDone;
+    }
+    return runGateway(*settings, file);
+}
+
 int runFromArguments(int argc, char **argv)
 {
     cxxopts::Options options("tarragonstage",
                              "Entry instance: answers lookups and carries requests to targets");
     cxxopts::OptionAdder add = options.add_options();
-    add("s,settings", "settings file in YAML", cxxopts::value<std::string>());
+    add("role", "entry: services of the document; gateway: hosted routes of the platform",
+        cxxopts::value<std::string>()->default_value("entry"));
+    add("s,settings", "settings file in YAML; the gateway takes the platform's by default",
+        cxxopts::value<std::string>());
     add("check-settings", "check the settings file and exit");
     add("version", "print the version and exit");
     add("h,help", "print this help and exit");
+    options.parse_positional({ "role" });
+    options.positional_help("[entry|gateway]");
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     if (arguments.count("help") != 0) {
         std::cout << options.help();
@@ -50,24 +107,25 @@
         std::cout << "tarragonstage " << TARRAGON_VERSION << '\n';
         return ExitDone;
     }
-    if (arguments.count("settings") == 0) {
-        std::cerr << "tarragonstage: found no --settings FILE, expected one; see --help\n";
+    const std::string role = arguments["role"].as<std::string>();
+    const bool isGateway = role == "gateway";
+    if (!isGateway && role != "entry") {
+        std::cerr << "tarragonstage: found the role \"" << role
+                  << "\", expected \"entry\" or \"gateway\"\n";
         return ExitUsage;
     }
-    Findings findings;
-    const std::optional<Settings> settings =
-            readSettings(arguments["settings"].as<std::string>(), findings);
-    for (const Finding &it : findings) {
-        std::cerr << toString(it) << '\n';
-    }
-    if (!settings.has_value()) {
-        return ExitBadSettings;
+    std::string file;
+    if (arguments.count("settings") != 0) {
+        file = arguments["settings"].as<std::string>();
+    } else if (isGateway) {
+        file = Platform::settingsPathFromEnvironment();
     }
-    if (arguments.count("check-settings") != 0) {
-        std::cout << "settings are valid\n";
-        return ExitDone;
+    if (file.empty()) {
+        std::cerr << "tarragonstage: found no --settings FILE, expected one; see --help\n";
+        return ExitUsage;
     }
-    return run(*settings);
+    const bool checkOnly = arguments.count("check-settings") != 0;
+    return isGateway ? startGateway(file, checkOnly) : startEntry(file, checkOnly);
 }
 
 } // namespace
--- /dev/null
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -0,0 +1,365 @@
+#include "gateway/GatewayDaemon.h"
+
+#include "base/Digest.h"
+#include "base/Error.h"
+#include "gateway/RoutedRequest.h"
+#include "net/LogLine.h"
+#include "platform/LookupCodec.h"
+#include "platform/RegistryDecoder.h"
+#include "platform/RouteTableDecoder.h"
+#include "routing/EntryChoice.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+/// Period of everything that is looked at again and again: held targets, counts, shutdown.
+constexpr milliseconds TickPeriod{ 100 };
+/// Time that callers may keep a lookup's answer. Longer answers cost fewer lookups, shorter ones
+/// move callers away from an entry that stops.
+constexpr milliseconds LookupTtl{ 3'000 };
+/// Time after the signal to stop in which new connections are still accepted, as callers keep
+/// lookups' answers; at most this part of the grace time.
+constexpr double AcceptShareOfGrace = 0.5;
+/// The process ends this long before it would be killed.
+constexpr milliseconds StopMargin{ 300 };
+
+constexpr int OkStatus = 200;
+constexpr int NotFoundStatus = 404;
+constexpr int UnavailableStatus = 503;
+
+const log4cplus::Logger &logger()
+{
+    static const log4cplus::Logger instance = log4cplus::Logger::getInstance("gateway");
+    return instance;
+}
+
+EntryRecord recordOf(const GatewaySettings &settings, Incarnation incarnation)
+{
+    return EntryRecord{ settings.instance, settings.domain, settings.region,
+                        incarnation,       settings.front,  settings.rpc };
+}
+
+} // namespace
+
+GatewayDaemon::GatewayDaemon(EventLoop &loop, const GatewaySettings &settings)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_bounds(settings.bounds)
+    , m_incarnation(strongRandom() >> 1U)
+    , m_rpc(loop.base())
+    , m_client(loop)
+    , m_store(m_client, settings.store)
+    , m_state(settings, m_bounds)
+    , m_context{ loop, m_client, m_state, m_metrics }
+    , m_roster(recordOf(settings, m_incarnation), m_incarnation.value())
+    , m_registration(loop, m_store, m_roster, m_incarnation.value())
+    , m_exchange(loop, m_roster, settings.rpc, m_incarnation.value())
+{
+    m_health.lost().connect(sigc::mem_fun(*this, &GatewayDaemon::onStoreLost));
+    m_health.regained().connect(sigc::mem_fun(*this, &GatewayDaemon::onStoreRegained));
+    m_registration.changed().connect([this] { m_exchange.setRecords(m_registration.records()); });
+    listen();
+    followStore();
+    m_registration.start();
+    m_tick = loop.scheduleEvery(TickPeriod, [this] { tick(); });
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "started")
+                                     .add("instance", settings.instance)
+                                     .add("failureDomain", settings.domain)
+                                     .add("region", settings.region)
+                                     .add("incarnation", m_incarnation)
+                                     .text());
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+void GatewayDaemon::listen()
+{
+    m_front = std::make_unique<HttpServer>(
+            m_loop, m_settings.front.address, m_settings.front.port, HttpServerLimits{},
+            [this](const HttpExchangePtr &exchange) { RoutedRequest::begin(m_context, exchange); });
+    m_readiness = std::make_unique<HttpServer>(
+            m_loop, m_settings.readiness.address, m_settings.readiness.port, HttpServerLimits{},
+            [this](const HttpExchangePtr &exchange) { answerReadiness(exchange); });
+    m_lookup = std::make_unique<HttpServer>(
+            m_loop, m_settings.lookup.address, m_settings.lookup.port, HttpServerLimits{},
+            [this](const HttpExchangePtr &exchange) { answerLookup(exchange); });
+    m_metricsServer = std::make_unique<HttpServer>(
+            m_loop, m_settings.metrics.address, m_settings.metrics.port, HttpServerLimits{},
+            [this](const HttpExchangePtr &exchange) {
+                HttpHeaders headers;
+                headers.add("Content-Type", "text/plain; version=0.0.4");
+                exchange->reply(OkStatus, headers, m_metrics.text());
+            });
+}
+
+std::unique_ptr<KindFollower> GatewayDaemon::follow(const std::string &kind,
+                                                    KindFollower::Handlers handlers)
+{
+    return std::make_unique<KindFollower>(m_loop, m_store, m_health, kind, std::move(handlers),
+                                          m_incarnation.value() ^ stableHash(kind));
+}
+
+void GatewayDaemon::followStore()
+{
+    m_routeFollower = follow(Platform::DesiredStateKind,
+                             { [this](const std::vector<Platform::StoredItem> &items) {
+                                  std::for_each(items.begin(), items.end(),
+                                                sigc::mem_fun(*this, &GatewayDaemon::onRouteTable));
+                              },
+                               [this](const std::vector<Platform::StoredChange> &changes) {
+                                   for (const Platform::StoredChange &it : changes) {
+                                       if (!it.isRemoval) {
+                                           onRouteTable(it.item);
+                                       }
+                                   }
+                               } });
+    m_targetFollower =
+            follow(Platform::TargetKind, { sigc::mem_fun(*this, &GatewayDaemon::onTargets),
+                                           sigc::mem_fun(*this, &GatewayDaemon::onTargetChanges) });
+    m_evacuationFollower = follow(Platform::EvacuationKind,
+                                  { [this](const std::vector<Platform::StoredItem> &items) {
+                                       m_evacuated.clear();
+                                       for (const Platform::StoredItem &it : items) {
+                                           m_evacuated.insert(FailureDomainId(it.name));
+                                       }
+                                       onEvacuations();
+                                   },
+                                    [this](const std::vector<Platform::StoredChange> &changes) {
+                                        for (const Platform::StoredChange &it : changes) {
+                                            const FailureDomainId domain(it.item.name);
+                                            if (it.isRemoval) {
+                                                m_evacuated.erase(domain);
+                                            } else {
+                                                m_evacuated.insert(domain);
+                                            }
+                                        }
+                                        onEvacuations();
+                                    } });
+    m_entryFollower = follow(Platform::EntryKind,
+                             { sigc::mem_fun(m_registration, &EntryRegistration::onSnapshot),
+                               sigc::mem_fun(m_registration, &EntryRegistration::onChanges) });
+    m_routeFollower->start();
+    m_targetFollower->start();
+    m_evacuationFollower->start();
+    m_entryFollower->start();
+}
+
+void GatewayDaemon::onStoreLost(const std::string &reason)
+{
+    LOG4CPLUS_WARN(logger(), LogLine("gateway", "store-lost").add("reason", reason).text());
+    m_metrics.setStoreLost(true);
+    m_state.registry().onStoreLost();
+}
+
+void GatewayDaemon::onStoreRegained()
+{
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "store-regained").text());
+    m_metrics.setStoreLost(false);
+    m_state.registry().onStoreBack(m_loop.now());
+}
+
+void GatewayDaemon::onRouteTable(const Platform::StoredItem &item)
+{
+    if (item.name != Platform::DesiredStateName) {
+        return;
+    }
+    try {
+        if (!m_state.adopt(Platform::decodeRouteTable(item.spec))) {
+            return;
+        }
+    } catch (const std::exception &error) {
+        LOG4CPLUS_ERROR(logger(), LogLine("gateway", "route-table-refused")
+                                          .add("revision", item.revision)
+                                          .add("reason", error.what())
+                                          .text());
+        return;
+    }
+    const RouteTable &table = *m_state.table();
+    m_state.refreshTargets(m_loop.now());
+    m_front->setRequestLimits(table.limits.headerBytes, table.limits.bodyBytes);
+    m_metrics.setRouteVersion(table.version.value());
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "route-table-adopted")
+                                     .add("version", table.version)
+                                     .add("revision", item.revision)
+                                     .add("routes", table.routes.size())
+                                     .text());
+}
+
+void GatewayDaemon::onTargets(const std::vector<Platform::StoredItem> &items)
+{
+    std::vector<DiscoveredTarget> targets;
+    for (const Platform::StoredItem &it : items) {
+        try {
+            targets.push_back(Platform::decodeTarget(it));
+        } catch (const std::exception &error) {
+            LOG4CPLUS_WARN(logger(), LogLine("gateway", "target-ignored")
+                                             .add("target", it.name)
+                                             .add("reason", error.what())
+                                             .text());
+        }
+    }
+    m_state.registry().replaceAll(targets, m_loop.now());
+    afterTargetChange();
+}
+
+void GatewayDaemon::onTargetChanges(const std::vector<Platform::StoredChange> &changes)
+{
+    const MonotonicTime now = m_loop.now();
+    for (const Platform::StoredChange &it : changes) {
+        const TargetId id(it.item.name);
+        if (it.isRemoval) {
+            m_state.registry().remove(id, now);
+            continue;
+        }
+        try {
+            m_state.registry().set(Platform::decodeTarget(it.item), now);
+        } catch (const std::exception &error) {
+            // The entry names no target to use any more.
+            m_state.registry().remove(id, now);
+            LOG4CPLUS_WARN(logger(), LogLine("gateway", "target-ignored")
+                                             .add("target", id)
+                                             .add("reason", error.what())
+                                             .text());
+        }
+    }
+    afterTargetChange();
+}
+
+void GatewayDaemon::onEvacuations()
+{
+    m_state.registry().setEvacuated(m_evacuated, m_loop.now());
+    afterTargetChange();
+}
+
+void GatewayDaemon::afterTargetChange()
+{
+    m_state.refreshTargets(m_loop.now());
+    for (const TargetChange &it : m_state.registry().takeChanges()) {
+        LOG4CPLUS_INFO(logger(), LogLine("gateway", "target")
+                                         .add("target", it.target)
+                                         .add("service", it.service)
+                                         .add("change", it.what)
+                                         .text());
+    }
+    m_metrics.setReadyTargets(m_state.readyTargets());
+}
+
+void GatewayDaemon::answerLookup(const HttpExchangePtr &exchange)
+{
+    if (!Platform::isLookup(*exchange)) {
+        exchange->reply(NotFoundStatus, {}, "");
+        return;
+    }
+    const Platform::LookupQuestion question = Platform::decodeLookup(*exchange);
+    std::vector<EntryRecord> entries;
+    if (m_state.table() != nullptr) {
+        entries = chooseEntries(m_roster, *m_state.table(), question.host, question.region,
+                                m_loop.now());
+    }
+    if (entries.empty()) {
+        exchange->reply(UnavailableStatus, Platform::encodeOwnAnswer({}, LookupTtl), "");
+        return;
+    }
+    std::vector<Endpoint> addresses;
+    addresses.reserve(entries.size());
+    for (const EntryRecord &it : entries) {
+        addresses.push_back(it.front);
+    }
+    const milliseconds ttl = std::min(LookupTtl, m_bounds.longestLookupTtl);
+    exchange->reply(OkStatus, Platform::encodeOwnAnswer({}, milliseconds(0)),
+                    Platform::encodeLookupAnswer(addresses, ttl));
+}
+
+void GatewayDaemon::answerReadiness(const HttpExchangePtr &exchange)
+{
+    if (!Platform::isReadinessCheck(*exchange)) {
+        exchange->reply(NotFoundStatus, {}, "");
+        return;
+    }
+    exchange->reply(isReady() ? OkStatus : UnavailableStatus, {}, "");
+}
+
+bool GatewayDaemon::isReady() const
+{
+    return m_state.canServe() && !m_leavingSince.has_value();
+}
+
+void GatewayDaemon::run()
+{
+    m_rpc.run();
+}
+
+void GatewayDaemon::leave()
+{
+    if (m_leavingSince.has_value()) {
+        return;
+    }
+    m_leavingSince = m_loop.now();
+    m_front->closeAfterResponses();
+    m_roster.setServing(false);
+    m_exchange.announce();
+    m_registration.withdraw();
+    LOG4CPLUS_INFO(
+            logger(),
+            LogLine("gateway", "leaving").add("inProgress", m_front->exchangesInProgress()).text());
+}
+
+void GatewayDaemon::reload(const std::string &file)
+{
+    Findings findings;
+    const std::optional<GatewaySettings> settings = readGatewaySettings(file, findings);
+    for (const Finding &it : findings) {
+        LOG4CPLUS_ERROR(logger(),
+                        LogLine("gateway", "settings-refused").add("finding", toString(it)).text());
+    }
+    if (!settings.has_value()) {
+        return;
+    }
+    m_bounds = settings->bounds;
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "reloaded").text());
+}
+
+void GatewayDaemon::tick()
+{
+    const MonotonicTime now = m_loop.now();
+    if (m_state.registry().expire(now)) {
+        afterTargetChange();
+    }
+    if (m_entryFollower->hasSnapshot()) {
+        m_state.setEntryCount(m_roster.others().size() + 1, now);
+    }
+    m_roster.setServing(isReady());
+    m_metrics.setLiveEntries(m_roster.liveCount(now));
+    m_metrics.setRequestsInProgress(m_front->exchangesInProgress());
+    checkShutdown();
+}
+
+void GatewayDaemon::checkShutdown()
+{
+    if (!m_leavingSince.has_value()) {
+        return;
+    }
+    const microseconds age = m_loop.now() - *m_leavingSince;
+    const milliseconds grace = m_bounds.stopGrace;
+    const milliseconds accept(
+            static_cast<std::int64_t>(AcceptShareOfGrace * static_cast<double>(grace.count())));
+    if (age < accept) {
+        return;
+    }
+    m_front->stopListening();
+    const std::size_t inProgress = m_front->exchangesInProgress();
+    if (inProgress == 0 || age >= grace - StopMargin) {
+        LOG4CPLUS_INFO(logger(),
+                       LogLine("gateway", "stopped").add("inProgress", inProgress).text());
+        m_rpc.stop();
+    }
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/GatewayDaemon.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "gateway/EntryRegistration.h"
+#include "gateway/GatewayContext.h"
+#include "gateway/GatewaySettings.h"
+#include "gateway/KindFollower.h"
+#include "gateway/RosterExchange.h"
+#include "net/HttpServer.h"
+#include "net/RpcRuntime.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Tarragon {
+
+/// One entry that serves hosted routes: everything that lives as long as the process.
+class GatewayDaemon
+{
+public:
+    /// Listens on the settings' addresses. Throws Error if that fails.
+    GatewayDaemon(EventLoop &loop, const GatewaySettings &settings);
+    ~GatewayDaemon();
+    GatewayDaemon(const GatewayDaemon &) = delete;
+    GatewayDaemon &operator=(const GatewayDaemon &) = delete;
+
+    /// Runs the loop until the shutdown has finished.
+    void run();
+    /// Starts the graceful shutdown: callers are sent elsewhere, and what has arrived is finished.
+    void leave();
+    /// Reads the settings file again and takes what a running process can. A faulty file is logged
+    /// and changes nothing.
+    void reload(const std::string &file);
+
+private:
+    void listen();
+    std::unique_ptr<KindFollower> follow(const std::string &kind, KindFollower::Handlers handlers);
+    void followStore();
+    void onStoreLost(const std::string &reason);
+    void onStoreRegained();
+    void onRouteTable(const Platform::StoredItem &item);
+    void onTargets(const std::vector<Platform::StoredItem> &items);
+    void onTargetChanges(const std::vector<Platform::StoredChange> &changes);
+    void onEvacuations();
+    void afterTargetChange();
+    void answerLookup(const HttpExchangePtr &exchange);
+    void answerReadiness(const HttpExchangePtr &exchange);
+    bool isReady() const;
+    void tick();
+    void checkShutdown();
+
+    EventLoop &m_loop;
+    GatewaySettings m_settings;
+    GatewayBounds m_bounds;
+    Incarnation m_incarnation;
+    RpcRuntime m_rpc;
+    HttpClient m_client;
+    Platform::ObjectStore m_store;
+    StoreHealth m_health;
+    GatewayMetrics m_metrics;
+    GatewayState m_state;
+    GatewayContext m_context;
+    EntryRoster m_roster;
+    EntryRegistration m_registration;
+    RosterExchange m_exchange;
+    std::unique_ptr<KindFollower> m_routeFollower;
+    std::unique_ptr<KindFollower> m_targetFollower;
+    std::unique_ptr<KindFollower> m_evacuationFollower;
+    std::unique_ptr<KindFollower> m_entryFollower;
+    std::set<FailureDomainId> m_evacuated;
+    std::unique_ptr<HttpServer> m_front;
+    std::unique_ptr<HttpServer> m_readiness;
+    std::unique_ptr<HttpServer> m_lookup;
+    std::unique_ptr<HttpServer> m_metricsServer;
+    std::optional<MonotonicTime> m_leavingSince;
+    Timer m_tick;
+};
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/GatewaySettings.cpp
@@ -0,0 +1,120 @@
+#include "gateway/GatewaySettings.h"
+
+#include "base/Error.h"
+#include "document/MappingReader.h"
+#include "document/TextFile.h"
+#include "document/ValueFormats.h"
+
+#include <cmath>
+
+namespace Tarragon {
+
+namespace {
+
+constexpr double MillisecondsPerSecond = 1'000;
+/// Longest time that a bound may name.
+constexpr double MaxSeconds = 3'600;
+constexpr double MaxRetries = 1e6;
+
+void readRegions(MappingReader &reader, std::map<FailureDomainId, RegionId> &regions)
+{
+    const std::optional<YamlValue> value =
+            reader.require("failureDomains", "a mapping of failure domains to regions");
+    if (!value.has_value()) {
+        return;
+    }
+    const MappingReader domains(*value);
+    for (const auto &[domain, region] : domains.entries()) {
+        if (const std::optional<RegionId> id = region.read(IdFormat<RegionId>{})) {
+            regions.emplace(FailureDomainId(domain), *id);
+        }
+    }
+}
+
+milliseconds readSeconds(MappingReader &reader, const std::string &key, milliseconds fallback)
+{
+    double value = static_cast<double>(fallback.count()) / MillisecondsPerSecond;
+    reader.optional(key, value, NumberFormat{ 0, MaxSeconds });
+    return milliseconds(std::llround(value * MillisecondsPerSecond));
+}
+
+void readBounds(MappingReader &reader, GatewayBounds &bounds)
+{
+    const std::optional<YamlValue> value = reader.find("bounds");
+    if (!value.has_value()) {
+        return;
+    }
+    MappingReader fields(*value);
+    fields.optional("retryShare", bounds.retryShare, NumberFormat{ 0, 1 });
+    fields.optional("extraRetries", bounds.extraRetries, NumberFormat{ 0, MaxRetries });
+    bounds.stopGrace = readSeconds(fields, "stopGraceSeconds", bounds.stopGrace);
+    bounds.longestLookupTtl = readSeconds(fields, "lookupTtlSeconds", bounds.longestLookupTtl);
+    fields.finish();
+}
+
+void readLog(MappingReader &reader, std::string &level)
+{
+    const std::optional<YamlValue> value = reader.find("log");
+    if (!value.has_value()) {
+        return;
+    }
+    MappingReader log(*value);
+    log.optional("level", level,
+                 ChoiceFormat<std::string>{ { { "TRACE", "TRACE" },
+                                              { "DEBUG", "DEBUG" },
+                                              { "INFO", "INFO" },
+                                              { "WARN", "WARN" },
+                                              { "ERROR", "ERROR" } } });
+    log.finish();
+}
+
+void readAll(MappingReader &reader, GatewaySettings &settings)
+{
+    reader.require("instance", settings.instance, IdFormat<InstanceId>{});
+    reader.require("failureDomain", settings.domain, IdFormat<FailureDomainId>{});
+    reader.require("region", settings.region, IdFormat<RegionId>{});
+    reader.require("front", settings.front, EndpointFormat{});
+    reader.require("readiness", settings.readiness, EndpointFormat{});
+    reader.require("lookup", settings.lookup, EndpointFormat{});
+    reader.require("rpc", settings.rpc, EndpointFormat{});
+    reader.require("metrics", settings.metrics, EndpointFormat{});
+    reader.require("store", settings.store, EndpointFormat{});
+    readRegions(reader, settings.regions);
+    readBounds(reader, settings.bounds);
+    readLog(reader, settings.logLevel);
+    reader.finish();
+}
+
+} // namespace
+
+std::optional<GatewaySettings> parseGatewaySettings(const std::string &text,
+                                                    const std::string &file, Findings &findings)
+{
+    Findings found;
+    const FindingContext context{ "", &found };
+    GatewaySettings settings;
+    if (const std::optional<YamlValue> value = loadYaml(text, context)) {
+        MappingReader reader(*value);
+        readAll(reader, settings);
+    }
+    for (Finding &it : found) {
+        it.file = file;
+        findings.push_back(it);
+    }
+    if (!found.empty()) {
+        return std::nullopt;
+    }
+    return settings;
+}
+
+std::optional<GatewaySettings> readGatewaySettings(const std::string &file, Findings &findings)
+{
+    try {
+        return parseGatewaySettings(readTextFile(file), file, findings);
+    } catch (const Error &error) {
+        findings.push_back(Finding{ file, "", 0, "", error.what(), "a readable settings file" });
+        return std::nullopt;
+    }
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/GatewayState.cpp
@@ -0,0 +1,108 @@
+#include "gateway/GatewayState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+/// Part of the platform's retry bounds that entries use. Entries count in windows of their own,
+/// and one that starts again has forgotten what it has used.
+constexpr double RetryBoundUse = 0.6;
+constexpr double PartsPerMillion = 1e6;
+
+} // namespace
+
+GatewayState::GatewayState(const GatewaySettings &settings, const GatewayBounds &bounds)
+    : m_place{ settings.domain, settings.region, settings.regions }
+    , m_bounds(bounds)
+{}
+
+bool GatewayState::adopt(RouteTable table)
+{
+    if (m_table != nullptr && table.version <= m_table->version) {
+        return false;
+    }
+    m_table = std::make_shared<const RouteTable>(std::move(table));
+    m_parts.clear();
+    for (const auto &[id, service] : m_table->services) {
+        std::unique_ptr<ServiceDispatcher> &dispatcher = m_dispatchers[id];
+        if (dispatcher == nullptr) {
+            dispatcher = std::make_unique<ServiceDispatcher>(m_place, service);
+            dispatcher->setEntryCount(m_entries);
+        } else {
+            dispatcher->setService(service);
+        }
+    }
+    // New dispatchers have no targets yet.
+    m_seenRevision = 0;
+    return true;
+}
+
+void GatewayState::refreshTargets(MonotonicTime now)
+{
+    if (m_seenRevision == m_registry.revision()) {
+        return;
+    }
+    m_seenRevision = m_registry.revision();
+    for (const auto &[id, dispatcher] : m_dispatchers) {
+        dispatcher->setTargets(m_registry.targets(), now);
+    }
+}
+
+void GatewayState::setEntryCount(std::size_t count, MonotonicTime now)
+{
+    if (count == m_entries) {
+        return;
+    }
+    m_entries = count;
+    for (auto &[id, budget] : m_retryBudgets) {
+        budget.setMinimum(leastRetries());
+    }
+    for (const auto &[id, dispatcher] : m_dispatchers) {
+        dispatcher->setEntryCount(count);
+        dispatcher->setTargets(m_registry.targets(), now);
+    }
+}
+
+ServiceDispatcher *GatewayState::dispatcher(const ServiceId &service)
+{
+    const auto it = m_dispatchers.find(service);
+    return it == m_dispatchers.end() ? nullptr : it->second.get();
+}
+
+RetryBudget &GatewayState::retryBudget(const ServiceId &service)
+{
+    const auto it = m_retryBudgets.find(service);
+    if (it != m_retryBudgets.end()) {
+        return it->second;
+    }
+    const Share share{ static_cast<std::int64_t>(m_bounds.retryShare * RetryBoundUse
+                                                 * PartsPerMillion) };
+    return m_retryBudgets.emplace(service, RetryBudget(share, leastRetries())).first->second;
+}
+
+int GatewayState::leastRetries() const
+{
+    if (m_entries == 0) {
+        return 0;
+    }
+    return static_cast<int>(m_bounds.extraRetries * RetryBoundUse / static_cast<double>(m_entries));
+}
+
+bool GatewayState::canServe() const
+{
+    return m_table != nullptr && readyTargets() > 0;
+}
+
+std::size_t GatewayState::readyTargets() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, dispatcher] : m_dispatchers) {
+        count += dispatcher->readyTargets();
+    }
+    return count;
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/KindFollower.cpp
@@ -0,0 +1,151 @@
+#include "gateway/KindFollower.h"
+
+#include "net/LogLine.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+using Platform::CallOutcome;
+
+/// Time of a watch without changes. Each watch is a priced call; silent connections are found by
+/// keep-alive probes, so that this bounds only what the store itself withholds.
+constexpr milliseconds WatchTime{ 10'000 };
+constexpr milliseconds ShortestWatch{ 1 };
+/// Time beyond the watch in which its answer must come.
+constexpr milliseconds WatchSlack{ 2'000 };
+/// The store answers in milliseconds; sixty times that when it is slow.
+constexpr milliseconds ListTimeout{ 1'500 };
+/// Pause before the next watch after a change, so that changes that come together cost one call.
+constexpr milliseconds BatchTime{ 60 };
+/// Pauses between calls while the store is away. The longest leaves room to catch up within the
+/// platform's bound of 4 s after the store's return.
+constexpr milliseconds ShortestPause{ 150 };
+constexpr milliseconds LongestPause{ 800 };
+/// Pause of those that wait for another follower, in case that one's calls are still unanswered.
+constexpr milliseconds WaitingPause{ 2'000 };
+
+const log4cplus::Logger &logger()
+{
+    static const log4cplus::Logger instance = log4cplus::Logger::getInstance("store");
+    return instance;
+}
+
+} // namespace
+
+KindFollower::KindFollower(EventLoop &loop, Platform::ObjectStore &store, StoreHealth &health,
+                           std::string kind, Handlers handlers, std::uint64_t seed)
+    : m_loop(loop)
+    , m_store(store)
+    , m_health(health)
+    , m_kind(std::move(kind))
+    , m_handlers(std::move(handlers))
+    , m_backoff(ShortestPause, LongestPause, seed)
+{
+    m_health.regained().connect(sigc::mem_fun(*this, &KindFollower::onRegained));
+}
+
+void KindFollower::list(const std::string &after)
+{
+    if (after.empty()) {
+        m_pages.clear();
+    }
+    m_call = m_store.list(m_kind, after, ListTimeout,
+                          [this](const Platform::ItemPage &page) { onPage(page); });
+}
+
+void KindFollower::onPage(const Platform::ItemPage &page)
+{
+    if (page.outcome != CallOutcome::Done) {
+        onFailure(page.outcome, page.reason);
+        return;
+    }
+    if (m_pages.empty()) {
+        // Changes between two pages are seen by the watch.
+        m_listRevision = page.revision;
+    }
+    m_pages.insert(m_pages.end(), page.items.begin(), page.items.end());
+    m_isWaiting = false;
+    m_backoff.reset();
+    m_health.onSuccess();
+    if (page.hasMore && !page.items.empty()) {
+        list(page.items.back().name);
+        return;
+    }
+    m_revision = m_listRevision;
+    m_hasSnapshot = true;
+    const std::vector<Platform::StoredItem> items = std::exchange(m_pages, {});
+    m_handlers.onSnapshot(items);
+    watch();
+}
+
+void KindFollower::watch()
+{
+    // The first call after a failure must not wait on a store that does not answer.
+    const milliseconds wait = m_backoff.isAtRest() && !m_isWaiting ? WatchTime : ShortestWatch;
+    const milliseconds slack = wait == WatchTime ? WatchSlack : ListTimeout;
+    m_call = m_store.watch(m_kind, m_revision, wait, wait + slack,
+                           [this](const Platform::ChangePage &page) { onChanges(page); });
+}
+
+void KindFollower::onChanges(const Platform::ChangePage &page)
+{
+    if (page.outcome != CallOutcome::Done) {
+        onFailure(page.outcome, page.reason);
+        return;
+    }
+    m_revision = page.revision;
+    m_isWaiting = false;
+    m_backoff.reset();
+    m_health.onSuccess();
+    if (page.changes.empty()) {
+        watch();
+        return;
+    }
+    m_handlers.onChanges(page.changes);
+    m_timer = m_loop.schedule(BatchTime, [this] { watch(); });
+}
+
+void KindFollower::onFailure(CallOutcome outcome, const std::string &reason)
+{
+    const bool historyGone =
+            outcome == CallOutcome::HistoryGone || outcome == CallOutcome::NotFound;
+    LOG4CPLUS_WARN(logger(), LogLine("store", "call-failed")
+                                     .add("kind", m_kind)
+                                     .add("reason", reason)
+                                     .add("revision", m_revision)
+                                     .text());
+    if (historyGone) {
+        m_revision = 0;
+        m_timer = m_loop.schedule(ShortestPause, [this] { next(); });
+        return;
+    }
+    const bool isFirst = !m_health.isLost();
+    m_health.onFailure(reason);
+    m_isWaiting = !isFirst && m_backoff.isAtRest();
+    const microseconds pause = m_isWaiting ? microseconds(WaitingPause) : m_backoff.next();
+    m_timer = m_loop.schedule(pause, [this] { next(); });
+}
+
+void KindFollower::onRegained()
+{
+    if (m_isWaiting) {
+        m_timer = m_loop.schedule(microseconds(0), [this] { next(); });
+    }
+}
+
+void KindFollower::next()
+{
+    if (m_revision == 0) {
+        list("");
+    } else {
+        watch();
+    }
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/RoutedRequest.cpp
@@ -0,0 +1,307 @@
+#include "gateway/RoutedRequest.h"
+
+#include "base/Digest.h"
+#include "document/JsonFields.h"
+#include "net/LogLine.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+constexpr int NotFoundStatus = 404;
+constexpr int BadGatewayStatus = 502;
+constexpr int UnavailableStatus = 503;
+constexpr int GatewayTimeoutStatus = 504;
+
+/// A new entry knows its routes within a few calls to the store.
+constexpr milliseconds RetryWithoutTable{ 300 };
+/// Time that must be left for another target to be of use.
+constexpr milliseconds LeastRetryTime{ 30 };
+/// A connection within or between regions is made in up to 40 ms; a lost opening packet is sent
+/// again after a second, and another target is tried before that.
+constexpr milliseconds ConnectTimeout{ 250 };
+/// Time after which a caller whose request was declined by its targets may come back.
+constexpr milliseconds RetryAfterDeclined{ 100 };
+
+const log4cplus::Logger &logger()
+{
+    static const log4cplus::Logger instance = log4cplus::Logger::getInstance("gateway");
+    return instance;
+}
+
+std::string describe(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Answered:
+        return "answered";
+    case SendOutcome::Failed:
+        return "failed";
+    case SendOutcome::Declined:
+        return "declined";
+    case SendOutcome::WrongTarget:
+        return "wrong-target";
+    case SendOutcome::Unreachable:
+        return "unreachable";
+    case SendOutcome::Broken:
+        return "broken";
+    case SendOutcome::Abandoned:
+        return "abandoned";
+    }
+    return "";
+}
+
+} // namespace
+
+void RoutedRequest::begin(GatewayContext &context, const HttpExchangePtr &exchange)
+{
+    const std::shared_ptr<RoutedRequest> request =
+            std::make_shared<RoutedRequest>(context, exchange);
+    request->m_self = request;
+    request->start();
+}
+
+RoutedRequest::RoutedRequest(GatewayContext &context, HttpExchangePtr exchange)
+    : m_context(context)
+    , m_exchange(std::move(exchange))
+    , m_request(Platform::decodeRequest(*m_exchange))
+    , m_arrivedAt(context.loop.now())
+    , m_table(context.state.table())
+{}
+
+void RoutedRequest::start()
+{
+    if (m_table == nullptr) {
+        refuse("no-route-table", RetryWithoutTable);
+        return;
+    }
+    m_route = m_table->find(m_request.host, m_request.path);
+    if (m_route == nullptr) {
+        replyOwn(NotFoundStatus, "no-route", "no route for the host and path", microseconds(0));
+        return;
+    }
+    m_service = m_context.state.parts().next(*m_route);
+    m_dispatcher = m_context.state.dispatcher(m_service);
+    const milliseconds limit =
+            std::min(m_route->timeout, m_request.left.value_or(m_route->timeout));
+    m_deadline = m_arrivedAt + limit;
+    m_context.state.retryBudget(m_service).onRequest(m_arrivedAt);
+    if (m_dispatcher == nullptr) {
+        refuse("unknown-service", RetryWithoutTable);
+        return;
+    }
+    m_goneConnection =
+            m_exchange->disconnected().connect(sigc::mem_fun(*this, &RoutedRequest::onCallerGone));
+    m_timer = m_context.loop.schedule(limit, [this] { onDeadline(); });
+    dispatch();
+}
+
+void RoutedRequest::dispatch()
+{
+    PlacementQuery query;
+    query.route = m_route;
+    query.request = stableHash(m_request.id.value());
+    if (m_route->hasObjectAffinity && !m_request.object.empty()) {
+        query.object = stableHash(m_request.object, stableHash(m_route->name.value()));
+    }
+    query.tried = m_tried;
+    query.left = left();
+    const Placement placement = m_dispatcher->place(query, m_context.loop.now());
+    if (placement.target.has_value()) {
+        send(placement);
+        return;
+    }
+    if (m_verdict == Verdict::NotRun) {
+        refuse(std::string(toString(placement.reason)), placement.retryAfter);
+    } else {
+        fail("failed", "no further target: " + std::string(toString(placement.reason)));
+    }
+}
+
+void RoutedRequest::send(const Placement &placement)
+{
+    const KnownTarget *target = m_dispatcher->target(*placement.target);
+    const milliseconds time = std::chrono::duration_cast<milliseconds>(left());
+    HttpRequest request = Platform::encodeForTarget(m_request, *m_exchange, target->entry, time);
+    request.connectTimeout = std::min(ConnectTimeout, time);
+    // The request's own timer is the one that ends it.
+    request.timeout = time + milliseconds(1'000);
+    m_tried.insert(*placement.target);
+    ++m_sends;
+    m_attempt = std::make_unique<TargetAttempt>(
+            m_context.loop, *m_dispatcher, m_route->name, m_request.id, placement,
+            [this](TargetAttempt &attempt) { onDecided(attempt); });
+    m_attempt->send(m_context.client, request);
+}
+
+void RoutedRequest::onDecided(TargetAttempt &attempt)
+{
+    const std::shared_ptr<RoutedRequest> self = shared_from_this();
+    m_context.metrics.recordSend(m_service, describe(attempt.outcome()));
+    if (attempt.outcome() == SendOutcome::Unreachable) {
+        --m_sends;
+    }
+    m_verdict = combined(m_verdict, attempt.verdict());
+    if (attempt.outcome() == SendOutcome::Answered) {
+        deliver(attempt);
+        return;
+    }
+    logAttempt(attempt);
+    if (mayRetry(attempt)) {
+        if (attempt.outcome() == SendOutcome::Failed) {
+            m_fallback = std::move(m_attempt);
+        } else {
+            m_ended.push_back(std::move(m_attempt));
+        }
+        // The attempt is still on the stack.
+        m_step = m_context.loop.schedule(microseconds(0), [this] {
+            m_ended.clear();
+            dispatch();
+        });
+        return;
+    }
+    if (attempt.outcome() == SendOutcome::Failed) {
+        deliver(attempt);
+    } else if (m_verdict == Verdict::NotRun) {
+        refuse("targets-" + describe(attempt.outcome()), RetryAfterDeclined);
+    } else {
+        fail("failed", attempt.reason());
+    }
+}
+
+bool RoutedRequest::mayRetry(const TargetAttempt &attempt)
+{
+    const bool isSafe = attempt.verdict() == Verdict::NotRun || m_route->isRepeatable;
+    if (!isSafe || m_sends >= m_route->maxAttempts || left() < LeastRetryTime) {
+        return false;
+    }
+    if (attempt.outcome() == SendOutcome::Unreachable) {
+        // Nothing has arrived anywhere, so that the budget of repeats is not touched.
+        return true;
+    }
+    if (!m_context.state.retryBudget(m_service).tryRetry(m_context.loop.now())) {
+        return false;
+    }
+    m_context.metrics.recordRetry(m_service);
+    return true;
+}
+
+void RoutedRequest::deliver(TargetAttempt &attempt)
+{
+    m_timer.reset();
+    const int status = attempt.status();
+    const std::string target = attempt.target().value();
+    m_goneConnection.disconnect();
+    m_goneConnection =
+            m_exchange->disconnected().connect(sigc::mem_fun(*this, &RoutedRequest::onCallerGone));
+    attempt.deliver(m_exchange, [this, status] { end("answered", status, ""); });
+}
+
+void RoutedRequest::fail(const std::string &outcome, const std::string &reason)
+{
+    if (m_fallback != nullptr) {
+        m_attempt = std::move(m_fallback);
+        deliver(*m_attempt);
+        return;
+    }
+    replyOwn(outcome == "timeout" ? GatewayTimeoutStatus : BadGatewayStatus, outcome, reason,
+             microseconds(0));
+}
+
+void RoutedRequest::refuse(const std::string &reason, microseconds retryAfter)
+{
+    replyOwn(UnavailableStatus, "refused", reason, retryAfter);
+}
+
+void RoutedRequest::replyOwn(int status, const std::string &outcome, const std::string &reason,
+                             microseconds retryAfter)
+{
+    const std::shared_ptr<RoutedRequest> self = shared_from_this();
+    m_goneConnection.disconnect();
+    const milliseconds rounded = std::chrono::ceil<milliseconds>(retryAfter);
+    const nlohmann::json body = { { "error", outcome },
+                                  { "detail", reason },
+                                  { "verdict", std::string(toString(m_verdict)) } };
+    m_exchange->reply(status, Platform::encodeOwnAnswer(m_request.id, rounded), dumpJson(body));
+    end(outcome, status, reason);
+}
+
+void RoutedRequest::onDeadline()
+{
+    const std::shared_ptr<RoutedRequest> self = shared_from_this();
+    if (m_attempt != nullptr) {
+        m_verdict = combined(m_verdict, Verdict::MayHaveRun);
+        m_ended.push_back(std::move(m_attempt));
+    }
+    if (m_verdict == Verdict::NotRun) {
+        refuse("out-of-time", RetryAfterDeclined);
+        return;
+    }
+    fail("timeout", "no answer in time");
+}
+
+void RoutedRequest::onCallerGone()
+{
+    end("caller-gone", 0, "");
+}
+
+void RoutedRequest::end(const std::string &outcome, int status, const std::string &reason)
+{
+    const std::shared_ptr<RoutedRequest> self = std::move(m_self);
+    if (self == nullptr) {
+        return;
+    }
+    m_timer.reset();
+    m_step.reset();
+    m_goneConnection.disconnect();
+    const microseconds duration = m_context.loop.now() - m_arrivedAt;
+    const RouteName route = m_route == nullptr ? RouteName("none") : m_route->name;
+    m_context.metrics.recordRequest(route, outcome, duration);
+    LogLine line("gateway", "request");
+    line.add("request", m_request.id)
+            .add("route", route)
+            .add("version", m_table == nullptr ? RouteVersion() : m_table->version)
+            .add("service", m_service)
+            .add("outcome", outcome)
+            .add("status", status)
+            .add("verdict", toString(m_verdict))
+            .add("sends", m_sends)
+            .add("durationMs", duration);
+    if (m_attempt != nullptr) {
+        line.add("target", m_attempt->target())
+                .add("expectedWaitMs", m_attempt->placement().wait)
+                .add("expectedWorkMs", m_attempt->placement().work);
+    }
+    if (!reason.empty()) {
+        line.add("reason", reason);
+    }
+    LOG4CPLUS_INFO(logger(), line.text());
+    // Destroying the attempt cancels what the target still does; it may be on the stack.
+    m_context.loop.post([self] {
+        self->m_attempt.reset();
+        self->m_fallback.reset();
+        self->m_ended.clear();
+    });
+}
+
+void RoutedRequest::logAttempt(const TargetAttempt &attempt) const
+{
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "send-failed")
+                                     .add("request", m_request.id)
+                                     .add("target", attempt.target())
+                                     .add("outcome", describe(attempt.outcome()))
+                                     .add("status", attempt.status())
+                                     .add("verdict", toString(attempt.verdict()))
+                                     .add("afterMs", attempt.duration())
+                                     .add("expectedWaitMs", attempt.placement().wait)
+                                     .add("expectedWorkMs", attempt.placement().work)
+                                     .add("reason", attempt.reason())
+                                     .text());
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/TargetAttempt.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/Verdict.h"
+#include "net/EventLoop.h"
+#include "net/HttpClient.h"
+#include "net/HttpExchange.h"
+#include "platform/RequestCodec.h"
+#include "routing/ServiceDispatcher.h"
+
+#include <optional>
+#include <string>
+
+namespace Tarragon {
+
+/// One request sent to one target. Holds the answer back until it is whole, or too long to be
+/// held, so that an answer which breaks off can be replaced by another target's.
+class TargetAttempt
+{
+public:
+    /// Called once when the outcome is known.
+    using DecidedSlot = sigc::slot<void(TargetAttempt &)>;
+
+    TargetAttempt(EventLoop &loop, ServiceDispatcher &dispatcher, RouteName route,
+                  RequestId request, const Placement &placement, DecidedSlot decided);
+    ~TargetAttempt();
+    TargetAttempt(const TargetAttempt &) = delete;
+    TargetAttempt &operator=(const TargetAttempt &) = delete;
+
+    void send(HttpClient &client, const HttpRequest &request);
+    /// Passes the answer on to the caller, also what is still to come of it. The outcome must be
+    /// Answered or Failed. Calls ended when nothing more will come.
+    void deliver(const HttpExchangePtr &exchange, sigc::slot<void()> ended);
+
+    const TargetId &target() const { return m_target; }
+    bool isDecided() const { return m_outcome.has_value(); }
+    SendOutcome outcome() const { return m_outcome.value_or(SendOutcome::Abandoned); }
+    /// What the outcome says about the request having run.
+    Verdict verdict() const { return m_verdict; }
+    int status() const { return m_answer.status; }
+    const std::string &reason() const { return m_reason; }
+    /// Time since sending, or until the answer's head.
+    microseconds duration() const;
+    const Placement &placement() const { return m_placement; }
+
+private:
+    void onHead(const HttpResponseHead &head);
+    void onData(std::string_view data);
+    void onComplete();
+    void onFailure(const HttpFailure &failure);
+    /// Judges the answer's head; Answered and Failed are answers of the target.
+    SendOutcome judgeHead();
+    void decide(SendOutcome outcome, Verdict verdict);
+    void reportEnd(SendOutcome outcome);
+    void endDelivery();
+    void onDrained();
+
+    EventLoop &m_loop;
+    ServiceDispatcher &m_dispatcher;
+    RouteName m_route;
+    RequestId m_request;
+    TargetId m_target;
+    Placement m_placement;
+    DecidedSlot m_decided;
+    MonotonicTime m_sentAt;
+    std::optional<MonotonicTime> m_headAt;
+    Platform::TargetAnswer m_answer;
+    /// Outcome by the head alone, while the body is still coming.
+    SendOutcome m_judged = SendOutcome::Broken;
+    std::optional<SendOutcome> m_outcome;
+    Verdict m_verdict = Verdict::NotRun;
+    std::string m_reason;
+    std::string m_body;
+    bool m_isComplete = false;
+    bool m_isBroken = false;
+    bool m_endReported = false;
+    HttpExchangePtr m_exchange;
+    sigc::slot<void()> m_ended;
+    sigc::connection m_drainedConnection;
+    HttpCallPtr m_call;
+};
+
+} // namespace Tarragon
--- a/Source/net/Backoff.h
+++ b/Source/net/Backoff.h
@@ -27,6 +27,8 @@
                + microseconds(std::uniform_int_distribution<std::int64_t>(0, m_step.count() / 2)(
                        m_random));
     }
+    /// Whether no failure has come since the last success.
+    bool isAtRest() const { return m_step == microseconds(0); }
     /// An attempt has succeeded.
     void reset() { m_step = microseconds(0); }
 
--- a/Source/net/EventLoop.cpp
+++ b/Source/net/EventLoop.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <string>
 
 namespace Tarragon {
@@ -79,8 +80,11 @@
 
 MonotonicTime EventLoop::now() const
 {
+    // CLOCK_BOOTTIME goes on while the machine is suspended, as deadlines and leases do.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
     return MonotonicTime(std::chrono::duration_cast<microseconds>(
-            std::chrono::steady_clock::now().time_since_epoch()));
+            seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 Timer EventLoop::schedule(microseconds delay, sigc::slot<void()> callback)
--- a/Source/net/EventLoop.h
+++ b/Source/net/EventLoop.h
@@ -26,7 +26,8 @@
     void run();
     /// Ends run() after the current callback.
     void stop();
-    /// Monotonic time now; not cached over an iteration, so that a pause shows at once.
+    /// Monotonic time now, with the time that the machine was suspended; not cached over an
+    /// iteration, so that a pause shows at once.
     MonotonicTime now() const;
     /// Calls the slot once after the delay, unless the returned timer is destroyed before.
     Timer schedule(microseconds delay, sigc::slot<void()> callback);
--- a/Source/net/HttpClient.h
+++ b/Source/net/HttpClient.h
@@ -24,6 +24,9 @@
     milliseconds connectTimeout{ 1'000 };
     /// Time for the whole exchange, counted from the call of send().
     milliseconds timeout{ 10'000 };
+    /// Whether a body without a length that ends with a regular close of the connection is
+    /// complete. Otherwise it is a failure at the stage Body, as it may have been cut short.
+    bool acceptUnframed = false;
 };
 
 /// How far a failed call got.
@@ -76,7 +79,8 @@
 
 /// HTTP/1.1 client on evhttp with kept connections by address and port. A connection whose call
 /// failed, timed out or was cancelled is closed and never used again. Kept connections are closed
-/// after 10 s without a call. A client must not be destroyed by one of its own handlers.
+/// after 10 s without a call, or a second before the time that the peer states in Keep-Alive. A
+/// client must not be destroyed by one of its own handlers.
 class HttpClient
 {
 public:
--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <optional>
+#include <string_view>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -28,6 +30,17 @@
 /// Shorter than the time after which servers close idle connections (HttpServerLimits), so that
 /// calls seldom meet a connection that is being closed.
 constexpr seconds IdleTime{ 10 };
+/// A peer that states when it closes idle connections is not sent a request in the last part of
+/// that time, because the request could cross the close.
+constexpr milliseconds IdleMargin{ 1'000 };
+constexpr milliseconds ShortestIdleTime{ 200 };
+/// Keep-alive probes, so that a connection that has gone silent is found while nothing is sent.
+constexpr int KeepAliveIdleSeconds = 2;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+/// Time after which sent data that is not acknowledged breaks the connection. Several times the
+/// retransmission time of the slowest path between regions.
+constexpr unsigned int UnacknowledgedMs = 2'500;
 /// evhttp's own time limit counts from the last byte, so it is set to a week and the time limits of
 /// calls are kept by a timer.
 constexpr int EvhttpTimeoutSeconds = 604'800;
@@ -71,6 +84,36 @@
     return "unknown error";
 }
 
+void setLiveness(evutil_socket_t fd)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveIdleSeconds, sizeof KeepAliveIdleSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveIntervalSeconds,
+               sizeof KeepAliveIntervalSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof KeepAliveProbes);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs, sizeof UnacknowledgedMs);
+}
+
+/// Time for which a connection may be kept, from the "timeout" of Keep-Alive in whole seconds.
+microseconds idleTimeOf(const HttpHeaders &headers)
+{
+    static constexpr std::string_view Key = "timeout=";
+    const std::string value = headers.find("Keep-Alive").value_or("");
+    const std::size_t position = value.find(Key);
+    if (position == std::string::npos) {
+        return IdleTime;
+    }
+    const std::optional<std::uint64_t> stated = parseContentLength(
+            value.substr(position + Key.size(), value.find(',', position) - position - Key.size()));
+    if (!stated.has_value()) {
+        return IdleTime;
+    }
+    const seconds limit(std::min<std::uint64_t>(*stated, IdleTime.count() * 10));
+    return std::clamp<microseconds>(limit - IdleMargin, ShortestIdleTime, IdleTime);
+}
+
 } // namespace
 
 /// Marks that a callback of the connection is running, so that it is not freed under evhttp.
@@ -134,6 +177,7 @@
     m_headSeen = false;
     m_reusable = false;
     m_chunked = false;
+    m_acceptUnframed = request.acceptUnframed;
     m_rejectReason.clear();
     m_error = EVREQ_HTTP_EOF;
     m_call = std::move(call);
@@ -206,7 +250,7 @@
 void HttpClientConnection::becomeIdle()
 {
     m_idle = true;
-    armTimer(IdleTime);
+    armTimer(m_idleTime);
 }
 
 bool HttpClientConnection::isUsable() const
@@ -293,8 +337,7 @@
     if (info->n_added > 0 && !self->m_connected) {
         // evhttp writes the request when the connection has been made.
         self->m_connected = true;
-        const int on = 1;
-        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        setLiveness(fd);
     }
     if (info->n_deleted > 0) {
         self->m_anySent = true;
@@ -403,8 +446,13 @@
     const bool bodyless =
             request->type == EVHTTP_REQ_HEAD || status == NoContent || status == NotModified;
     if (!bodyless && lengths == 0 && codings == 0) {
-        return rejectHead(HttpStage::Body, "response without a length, cannot be told complete");
+        if (!m_acceptUnframed) {
+            return rejectHead(HttpStage::Body,
+                              "response without a length, cannot be told complete");
+        }
+        m_reusable = false;
     }
+    m_idleTime = idleTimeOf(head.headers);
     m_headSeen = true;
     m_chunked = !bodyless && codings > 0;
     if (m_chunked) {
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -98,6 +98,9 @@
     bool m_headSeen = false;
     bool m_reusable = false;
     bool m_chunked = false;
+    bool m_acceptUnframed = false;
+    /// Time that the connection may stay idle.
+    microseconds m_idleTime{ 0 };
     HttpStage m_rejectStage = HttpStage::AwaitHeaders;
     std::string m_rejectReason;
     evhttp_request_error m_error = EVREQ_HTTP_EOF;
--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -79,8 +79,7 @@
     evhttp_set_gencb(http, onRequest, this);
     evhttp_set_allowed_methods(http, AllowedMethods);
     evhttp_set_default_content_type(http, nullptr);
-    evhttp_set_max_headers_size(http, ev_ssize_t(limits.headerBytes.value) + LimitSlackBytes);
-    evhttp_set_max_body_size(http, ev_ssize_t(limits.bodyBytes.value) + LimitSlackBytes);
+    setRequestLimits(limits.headerBytes, limits.bodyBytes);
 }
 
 HttpServer::State::~State()
@@ -90,6 +89,14 @@
     event_free(attachEvent);
 }
 
+void HttpServer::State::setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes)
+{
+    limits.headerBytes = headerBytes;
+    limits.bodyBytes = bodyBytes;
+    evhttp_set_max_headers_size(http, ev_ssize_t(headerBytes.value) + LimitSlackBytes);
+    evhttp_set_max_body_size(http, ev_ssize_t(bodyBytes.value) + LimitSlackBytes);
+}
+
 void HttpServer::State::attachNewConnections()
 {
     for (HttpServerConnection *connection : newConnections) {
@@ -147,6 +154,16 @@
     return m_state->port;
 }
 
+void HttpServer::setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes)
+{
+    m_state->setRequestLimits(headerBytes, bodyBytes);
+}
+
+void HttpServer::closeAfterResponses()
+{
+    m_state->closesAfterResponses = true;
+}
+
 void HttpServer::stopListening()
 {
     if (m_state->listening) {
--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -38,6 +38,11 @@
 
     /// The port that is listened on.
     std::uint16_t port() const;
+    /// Changes what callers may send; for requests whose head has not been read yet.
+    void setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes);
+    /// Has callers leave with their next answer, which carries "Connection: close", while new
+    /// connections are still accepted.
+    void closeAfterResponses();
     /// Stops accepting connections; running exchanges go on, and their answers carry
     /// "Connection: close".
     void stopListening();
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -297,7 +297,7 @@
 
 bool HttpServerConnection::isServerLeaving() const
 {
-    return m_server == nullptr || !m_server->listening;
+    return m_server == nullptr || !m_server->listening || m_server->closesAfterResponses;
 }
 
 void HttpServerConnection::onResponseWritten(evhttp_request *, void *arg)
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -38,7 +38,7 @@
     void onRequest(evhttp_request *request);
     /// Breaks the connection with a reset.
     void reset();
-    /// Whether the server has stopped listening.
+    /// Whether the connection is to be closed after its response.
     bool isServerLeaving() const;
     /// Lets the idle time count only while the peer does not read, until the response is written.
     void disableIdleTimeout();
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -24,6 +24,7 @@
     State &operator=(const State &) = delete;
 
     void listen(const std::string &address, std::uint16_t port);
+    void setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes);
     void attachNewConnections();
     void remove(HttpServerConnection *connection);
 
@@ -36,6 +37,7 @@
     evhttp_bound_socket *listener = nullptr;
     std::uint16_t port = 0;
     bool listening = false;
+    bool closesAfterResponses = false;
     std::size_t exchangesInProgress = 0;
     std::unordered_map<HttpServerConnection *, std::shared_ptr<HttpServerConnection>> connections;
     /// Connections that evhttp has not finished setting up.
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -234,6 +234,16 @@
   }
 }
 
+struct RosterItem {
+  # What an entry knows of the life of another, or of itself.
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  # Raised by the instance itself in every round.
+  beat @2 :UInt64;
+  # Whether the instance takes callers.
+  serving @3 :Bool;
+}
+
 interface Peer {
   # Sends the caller's state and returns the receiver's. A version above the receiver's own makes
   # it fetch what it misses.
@@ -259,4 +269,7 @@
   registry @6 (messages :List(RegistryMessage)) -> ();
 
   status @7 () -> (status :Status);
+
+  # Exchanges what both know of the life of all entries.
+  gossip @8 (mine :List(RosterItem)) -> (theirs :List(RosterItem));
 }
--- a/Source/peer/Peer.capnp.c++
+++ b/Source/peer/Peer.capnp.c++
@@ -2528,7 +2528,97 @@
   8, 9, i_92c29e225453fa85, nullptr, nullptr, { &s_92c29e225453fa85, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<103> b_d5f4e88c326a42cb = {
+static const ::capnp::_::AlignedData<79> b_c6d31389b912fe9f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    159, 254,  18, 185, 137,  19, 211, 198,
+     11,   0,   0,   0,   1,   0,   3,   0,
+     99,  78,  15, 169, 229, 194, 209, 183,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  82, 111, 115, 116, 101,
+    114,  73, 116, 101, 109,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0, 128,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
+    105, 110, 115, 116,  97, 110,  99, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 101,  97, 116,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c6d31389b912fe9f = b_c6d31389b912fe9f.words;
+#if !CAPNP_LITE
+static const uint16_t m_c6d31389b912fe9f[] = {2, 1, 0, 3};
+static const uint16_t i_c6d31389b912fe9f[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_c6d31389b912fe9f = {
+  0xc6d31389b912fe9f, b_c6d31389b912fe9f.words, 79, nullptr, m_c6d31389b912fe9f,
+  0, 4, i_c6d31389b912fe9f, nullptr, nullptr, { &s_c6d31389b912fe9f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<113> b_d5f4e88c326a42cb = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     203,  66, 106,  50, 140, 232, 244, 213,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -2538,77 +2628,85 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   2,   0,   0,
-    109,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   2,   0,   0,
+    149,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     32,   0,   0,   0,   3,   0,   5,   0,
+     36,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      71,  14,  41, 111, 188,  44, 108, 250,
      71,  66, 126, 147,  52,  10, 201, 172,
-    241,   0,   0,   0,  82,   0,   0,   0,
+     17,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     194, 131,   2,  85, 129,  10,  37, 235,
      33, 191,  59,  28, 181, 174,  69, 225,
-    221,   0,   0,   0,  82,   0,   0,   0,
+    253,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,   7,   0,   0,   0,
+    245,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      30, 169, 124,  98, 220, 164,  25, 149,
     233, 152,  43, 239, 181,  58, 164, 210,
-    201,   0,   0,   0, 106,   0,   0,   0,
+    233,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    193,   0,   0,   0,   7,   0,   0,   0,
+    225,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      72, 247,  89,  52, 151,  58, 122, 148,
     215, 231,  72,  99,  32, 233,   3, 239,
-    181,   0,   0,   0,  82,   0,   0,   0,
+    213,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    173,   0,   0,   0,   7,   0,   0,   0,
+    205,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     236,  22, 210, 160, 134, 139,  36, 222,
       4, 110, 161,  60,  25, 218,  99, 238,
-    161,   0,   0,   0,  50,   0,   0,   0,
+    193,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0,   7,   0,   0,   0,
+    181,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      90, 107, 105, 106,  53, 170, 245, 223,
      26, 170, 216, 126, 219,   1, 148, 235,
-    137,   0,   0,   0, 106,   0,   0,   0,
+    169,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,   7,   0,   0,   0,
+    161,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     171,  48,  14, 171, 154, 171, 195, 130,
      85, 221, 168, 205, 137, 246,   8, 199,
-    117,   0,   0,   0,  74,   0,   0,   0,
+    149,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
      27, 156,  68,  61,  40,  26,  92, 158,
     220, 109, 142,  47, 213,  31,  69, 209,
-     97,   0,   0,   0,  58,   0,   0,   0,
+    129,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+    204, 127, 136,  64,  74, 159,  95, 174,
+     62, 130, 104,  95, 107,  96,  98, 196,
+    105,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2631,6 +2729,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 116,  97, 116, 117, 115,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    103, 111, 115, 115, 105, 112,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d5f4e88c326a42cb = b_d5f4e88c326a42cb.words;
@@ -2641,6 +2741,8 @@
   &s_9519a4dc627ca91e,
   &s_9e5c1a283d449c1b,
   &s_acc90a34937e4247,
+  &s_ae5f9f4a40887fcc,
+  &s_c462606b5f68823e,
   &s_c708f689cda8dd55,
   &s_d1451fd52f8e6ddc,
   &s_d2a43ab5ef2b98e9,
@@ -2653,10 +2755,10 @@
   &s_ef03e9206348e7d7,
   &s_fa6c2cbc6f290e47,
 };
-static const uint16_t m_d5f4e88c326a42cb[] = {1, 3, 2, 0, 4, 6, 5, 7};
+static const uint16_t m_d5f4e88c326a42cb[] = {1, 3, 2, 8, 0, 4, 6, 5, 7};
 const ::capnp::_::RawSchema s_d5f4e88c326a42cb = {
-  0xd5f4e88c326a42cb, b_d5f4e88c326a42cb.words, 103, d_d5f4e88c326a42cb, m_d5f4e88c326a42cb,
-  16, 8, nullptr, nullptr, nullptr, { &s_d5f4e88c326a42cb, nullptr, nullptr, 0, 0, nullptr }
+  0xd5f4e88c326a42cb, b_d5f4e88c326a42cb.words, 113, d_d5f4e88c326a42cb, m_d5f4e88c326a42cb,
+  18, 9, nullptr, nullptr, nullptr, { &s_d5f4e88c326a42cb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_fa6c2cbc6f290e47 = {
@@ -3427,6 +3529,106 @@
   1, 1, i_d1451fd52f8e6ddc, nullptr, nullptr, { &s_d1451fd52f8e6ddc, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<36> b_ae5f9f4a40887fcc = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    204, 127, 136,  64,  74, 159,  95, 174,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    103, 111, 115, 115, 105, 112,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    109, 105, 110, 101,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    159, 254,  18, 185, 137,  19, 211, 198,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ae5f9f4a40887fcc = b_ae5f9f4a40887fcc.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_ae5f9f4a40887fcc[] = {
+  &s_c6d31389b912fe9f,
+};
+static const uint16_t m_ae5f9f4a40887fcc[] = {0};
+static const uint16_t i_ae5f9f4a40887fcc[] = {0};
+const ::capnp::_::RawSchema s_ae5f9f4a40887fcc = {
+  0xae5f9f4a40887fcc, b_ae5f9f4a40887fcc.words, 36, d_ae5f9f4a40887fcc, m_ae5f9f4a40887fcc,
+  1, 1, i_ae5f9f4a40887fcc, nullptr, nullptr, { &s_ae5f9f4a40887fcc, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<36> b_c462606b5f68823e = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     62, 130, 104,  95, 107,  96,  98, 196,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    103, 111, 115, 115, 105, 112,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    116, 104, 101, 105, 114, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    159, 254,  18, 185, 137,  19, 211, 198,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c462606b5f68823e = b_c462606b5f68823e.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_c462606b5f68823e[] = {
+  &s_c6d31389b912fe9f,
+};
+static const uint16_t m_c462606b5f68823e[] = {0};
+static const uint16_t i_c462606b5f68823e[] = {0};
+const ::capnp::_::RawSchema s_c462606b5f68823e = {
+  0xc462606b5f68823e, b_c462606b5f68823e.words, 36, d_c462606b5f68823e, m_c462606b5f68823e,
+  1, 1, i_c462606b5f68823e, nullptr, nullptr, { &s_c462606b5f68823e, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3611,6 +3813,14 @@
 constexpr ::capnp::_::RawSchema const* RegistryMessage::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// RosterItem
+constexpr uint16_t RosterItem::_capnpPrivate::dataWordSize;
+constexpr uint16_t RosterItem::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RosterItem::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RosterItem::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Tarragon::PeerRpc::Peer::HeartbeatParams,  ::Tarragon::PeerRpc::Peer::HeartbeatResults>
 Peer::Client::heartbeatRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -3692,6 +3902,16 @@
       "Peer.capnp:Peer", "status",
       0xd5f4e88c326a42cbull, 7);
 }
+::capnp::Request< ::Tarragon::PeerRpc::Peer::GossipParams,  ::Tarragon::PeerRpc::Peer::GossipResults>
+Peer::Client::gossipRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Tarragon::PeerRpc::Peer::GossipParams,  ::Tarragon::PeerRpc::Peer::GossipResults>(
+      0xd5f4e88c326a42cbull, 8, sizeHint);
+}
+::kj::Promise<void> Peer::Server::gossip(GossipContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Peer.capnp:Peer", "gossip",
+      0xd5f4e88c326a42cbull, 8);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3754,6 +3974,12 @@
              ::Tarragon::PeerRpc::Peer::StatusParams,  ::Tarragon::PeerRpc::Peer::StatusResults>(context)),
         false
       };
+    case 8:
+      return {
+        gossip(::capnp::Capability::Server::internalGetTypedContext<
+             ::Tarragon::PeerRpc::Peer::GossipParams,  ::Tarragon::PeerRpc::Peer::GossipResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3897,6 +4123,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::StatusResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::GossipParams
+constexpr uint16_t Peer::GossipParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::GossipParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::GossipParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::GossipParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::GossipResults
+constexpr uint16_t Peer::GossipResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::GossipResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::GossipResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::GossipResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -79,6 +79,7 @@
 CAPNP_DECLARE_SCHEMA(a37bc8cc7c4c5efb);
 CAPNP_DECLARE_SCHEMA(e0096d4667a226db);
 CAPNP_DECLARE_SCHEMA(92c29e225453fa85);
+CAPNP_DECLARE_SCHEMA(c6d31389b912fe9f);
 CAPNP_DECLARE_SCHEMA(d5f4e88c326a42cb);
 CAPNP_DECLARE_SCHEMA(fa6c2cbc6f290e47);
 CAPNP_DECLARE_SCHEMA(acc90a34937e4247);
@@ -96,6 +97,8 @@
 CAPNP_DECLARE_SCHEMA(c708f689cda8dd55);
 CAPNP_DECLARE_SCHEMA(9e5c1a283d449c1b);
 CAPNP_DECLARE_SCHEMA(d1451fd52f8e6ddc);
+CAPNP_DECLARE_SCHEMA(ae5f9f4a40887fcc);
+CAPNP_DECLARE_SCHEMA(c462606b5f68823e);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -452,6 +455,21 @@
   };
 };
 
+struct RosterItem {
+  RosterItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c6d31389b912fe9f, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -476,6 +494,8 @@
   struct RegistryResults;
   struct StatusParams;
   struct StatusResults;
+  struct GossipParams;
+  struct GossipResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -725,6 +745,36 @@
   };
 };
 
+struct Peer::GossipParams {
+  GossipParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ae5f9f4a40887fcc, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::GossipResults {
+  GossipResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c462606b5f68823e, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -3123,6 +3173,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class RosterItem::Reader {
+public:
+  typedef RosterItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getBeat() const;
+
+  inline bool getServing() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RosterItem::Builder {
+public:
+  typedef RosterItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getBeat();
+  inline void setBeat( ::uint64_t value);
+
+  inline bool getServing();
+  inline void setServing(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RosterItem::Pipeline {
+public:
+  typedef RosterItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -3158,6 +3304,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Tarragon::PeerRpc::Peer::StatusParams,  ::Tarragon::PeerRpc::Peer::StatusResults> statusRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::GossipParams,  ::Tarragon::PeerRpc::Peer::GossipResults> gossipRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3206,6 +3354,10 @@
   typedef  ::Tarragon::PeerRpc::Peer::StatusResults StatusResults;
   typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
   virtual ::kj::Promise<void> status(StatusContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::GossipParams GossipParams;
+  typedef  ::Tarragon::PeerRpc::Peer::GossipResults GossipResults;
+  typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
+  virtual ::kj::Promise<void> gossip(GossipContext context);
 
   inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4515,6 +4667,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::GossipParams::Reader {
+public:
+  typedef GossipParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMine() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader getMine() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::GossipParams::Builder {
+public:
+  typedef GossipParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMine();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder getMine();
+  inline void setMine( ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder initMine(unsigned int size);
+  inline void adoptMine(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>> disownMine();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::GossipParams::Pipeline {
+public:
+  typedef GossipParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::GossipResults::Reader {
+public:
+  typedef GossipResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTheirs() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader getTheirs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::GossipResults::Builder {
+public:
+  typedef GossipResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTheirs();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder getTheirs();
+  inline void setTheirs( ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder initTheirs(unsigned int size);
+  inline void adoptTheirs(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>> disownTheirs();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::GossipResults::Pipeline {
+public:
+  typedef GossipResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool InstanceRef::Reader::hasInstance() const {
@@ -7370,6 +7684,82 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool RosterItem::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RosterItem::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RosterItem::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RosterItem::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RosterItem::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RosterItem::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RosterItem::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RosterItem::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RosterItem::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterItem::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RosterItem::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RosterItem::Reader::getBeat() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterItem::Builder::getBeat() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RosterItem::Builder::setBeat( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RosterItem::Reader::getServing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool RosterItem::Builder::getServing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void RosterItem::Builder::setServing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7930,6 +8320,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::GossipParams::Reader::hasMine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GossipParams::Builder::hasMine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader Peer::GossipParams::Reader::getMine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipParams::Builder::getMine() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::GossipParams::Builder::setMine( ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipParams::Builder::initMine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::GossipParams::Builder::adoptMine(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>> Peer::GossipParams::Builder::disownMine() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::GossipResults::Reader::hasTheirs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GossipResults::Builder::hasTheirs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader Peer::GossipResults::Reader::getTheirs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipResults::Builder::getTheirs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::GossipResults::Builder::setTheirs( ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipResults::Builder::initTheirs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::GossipResults::Builder::adoptTheirs(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>> Peer::GossipResults::Builder::disownTheirs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/peer/PeerHandlers.h
+++ b/Source/peer/PeerHandlers.h
@@ -24,6 +24,9 @@
     sigc::slot<void(PeerRpc::SlotRequest::Reader, PeerRpc::SlotResponse::Builder)> requestSlots;
     sigc::slot<void(capnp::List<PeerRpc::RegistryMessage>::Reader)> registry;
     sigc::slot<void(PeerRpc::Status::Builder)> status;
+    sigc::slot<void(capnp::List<PeerRpc::RosterItem>::Reader mine,
+                    PeerRpc::Peer::GossipResults::Builder theirs)>
+            gossip;
 };
 
 } // namespace Tarragon
--- a/Source/peer/PeerServer.cpp
+++ b/Source/peer/PeerServer.cpp
@@ -69,6 +69,10 @@
     {
         return handle(m_handlers->status, context.getResults().initStatus());
     }
+    kj::Promise<void> gossip(GossipContext context) override
+    {
+        return handle(m_handlers->gossip, context.getParams().getMine(), context.getResults());
+    }
 
 private:
     std::shared_ptr<const PeerHandlers> m_handlers;
--- /dev/null
+++ b/Source/routing/EntryChoice.cpp
@@ -0,0 +1,47 @@
+#include "routing/EntryChoice.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Tarragon {
+
+namespace {
+
+bool isHandledIn(const RouteTable &table, std::string_view host, const RegionId &region)
+{
+    return std::all_of(table.routes.begin(), table.routes.end(), [host, &region](const Route &it) {
+        return it.host != host || it.allows(region);
+    });
+}
+
+void append(std::vector<EntryRecord> &to, const std::vector<EntryRecord> &from)
+{
+    to.insert(to.end(), from.begin(), from.end());
+}
+
+} // namespace
+
+std::vector<EntryRecord> chooseEntries(const EntryRoster &roster, const RouteTable &table,
+                                       std::string_view host, const RegionId &callerRegion,
+                                       MonotonicTime now)
+{
+    std::vector<EntryRecord> entries = roster.serving(callerRegion, now);
+    if (entries.empty()) {
+        std::set<RegionId> regions{ roster.self().region };
+        for (const EntryRecord &it : roster.others()) {
+            regions.insert(it.region);
+        }
+        std::vector<EntryRecord> others;
+        for (const RegionId &it : regions) {
+            const std::vector<EntryRecord> found = roster.serving(it, now);
+            append(isHandledIn(table, host, it) ? entries : others, found);
+        }
+        if (entries.empty()) {
+            entries = others;
+        }
+    }
+    entries.resize(std::min(entries.size(), MaxEntriesNamed));
+    return entries;
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/routing/EntryRoster.cpp
@@ -0,0 +1,120 @@
+#include "routing/EntryRoster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Tarragon {
+
+EntryRoster::EntryRoster(EntryRecord self, std::uint64_t seed, const EntryRosterOptions &options)
+    : m_self(std::move(self))
+    , m_options(options)
+    , m_random(seed)
+{}
+
+void EntryRoster::setRecords(const std::vector<EntryRecord> &records, MonotonicTime)
+{
+    std::map<InstanceId, Member> members;
+    for (const EntryRecord &it : records) {
+        if (it.instance == m_self.instance) {
+            continue;
+        }
+        Member member;
+        const auto known = m_members.find(it.instance);
+        if (known != m_members.end() && known->second.record.incarnation == it.incarnation) {
+            member = known->second;
+        }
+        member.record = it;
+        members.emplace(it.instance, std::move(member));
+    }
+    m_members = std::move(members);
+}
+
+std::vector<InstanceId> EntryRoster::beginRound()
+{
+    ++m_beat;
+    std::vector<InstanceId> candidates;
+    candidates.reserve(m_members.size());
+    for (const auto &[id, member] : m_members) {
+        candidates.push_back(id);
+    }
+    std::shuffle(candidates.begin(), candidates.end(), m_random);
+    candidates.resize(std::min(candidates.size(), m_options.fanOut));
+    return candidates;
+}
+
+std::vector<RosterItem> EntryRoster::items() const
+{
+    std::vector<RosterItem> items{ RosterItem{ m_self.instance, m_self.incarnation, m_beat,
+                                               m_isServing } };
+    for (const auto &[id, member] : m_members) {
+        if (member.risenAt.has_value()) {
+            items.push_back(member.item);
+        }
+    }
+    return items;
+}
+
+void EntryRoster::merge(const std::vector<RosterItem> &items, MonotonicTime now)
+{
+    for (const RosterItem &it : items) {
+        const auto found = m_members.find(it.instance);
+        if (found == m_members.end()) {
+            continue;
+        }
+        Member &member = found->second;
+        // An entry that has started again registers before it talks to others, so that the store's
+        // record tells which of two runs is the newer one.
+        if (it.incarnation != member.record.incarnation) {
+            continue;
+        }
+        const bool isNews = !member.risenAt.has_value() || it.beat > member.item.beat;
+        if (isNews) {
+            member.item = it;
+            member.risenAt = now;
+        }
+    }
+}
+
+std::vector<EntryRecord> EntryRoster::serving(const RegionId &region, MonotonicTime now) const
+{
+    std::vector<EntryRecord> entries;
+    if (m_isServing && m_self.region == region) {
+        entries.push_back(m_self);
+    }
+    for (const auto &[id, member] : m_members) {
+        if (member.record.region == region && member.item.isServing && isLive(member, now)) {
+            entries.push_back(member.record);
+        }
+    }
+    return entries;
+}
+
+std::size_t EntryRoster::liveCount(MonotonicTime now) const
+{
+    return 1
+           + static_cast<std::size_t>(
+                   std::count_if(m_members.begin(), m_members.end(),
+                                 [this, now](const auto &it) { return isLive(it.second, now); }));
+}
+
+bool EntryRoster::isLive(const InstanceId &instance, MonotonicTime now) const
+{
+    const auto it = m_members.find(instance);
+    return instance == m_self.instance || (it != m_members.end() && isLive(it->second, now));
+}
+
+bool EntryRoster::isLive(const Member &member, MonotonicTime now) const
+{
+    return member.risenAt.has_value() && now - *member.risenAt < m_options.silence;
+}
+
+std::vector<EntryRecord> EntryRoster::others() const
+{
+    std::vector<EntryRecord> records;
+    for (const auto &[id, member] : m_members) {
+        records.push_back(member.record);
+    }
+    return records;
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/routing/RouteTable.cpp
@@ -0,0 +1,32 @@
+#include "routing/RouteTable.h"
+
+#include <algorithm>
+
+namespace Tarragon {
+
+bool Route::allows(const RegionId &region) const
+{
+    return allowedRegions.empty()
+           || std::find(allowedRegions.begin(), allowedRegions.end(), region)
+                      != allowedRegions.end();
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const Route *found = nullptr;
+    for (const Route &it : routes) {
+        if (it.host == host && path.starts_with(it.pathPrefix)
+            && (found == nullptr || it.pathPrefix.size() > found->pathPrefix.size())) {
+            found = &it;
+        }
+    }
+    return found;
+}
+
+bool RouteTable::hasHost(std::string_view host) const
+{
+    return std::any_of(routes.begin(), routes.end(),
+                       [host](const Route &it) { return it.host == host; });
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -0,0 +1,331 @@
+#include "routing/ServiceDispatcher.h"
+
+#include "base/Digest.h"
+#include "steering/Rendezvous.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Tarragon {
+
+namespace {
+
+/// Targets that an object is sent to. Two keep it available while one is busy, slow or gone; more
+/// would have every target work on more objects than it remembers.
+constexpr std::size_t HomesPerObject = 2;
+/// Part of the latency goal that a request may wait for a home. Work takes the most of the rest.
+constexpr double WaitShareOfGoal = 0.4;
+/// A busier home is preferred to another one by this part of the work, as the object is more
+/// likely to be known there.
+constexpr double FirstHomeAdvantage = 0.5;
+/// Weight of a new measurement in the mean work of a route.
+constexpr double WorkWeight = 0.05;
+/// Work of a route before the first answer, as a part of its latency goal.
+constexpr double FirstWorkShareOfGoal = 0.6;
+/// Extra work of a cold target until it is measured.
+constexpr double ColdSlowness = 2.0;
+/// Part of the cold rate that is planned for; the rest is for entries that start or return.
+constexpr double ColdRateUse = 0.9;
+/// Requests to a cold target that one entry may send at a time.
+constexpr double ColdBurst = 1.0;
+/// Largest part of a service's targets that is spared for failures; if more fail, the cause is
+/// more likely common to all.
+constexpr double LargestSuspendedShare = 0.34;
+/// Bounds of the time after which a refused caller is asked to return.
+constexpr milliseconds ShortestReturn{ 40 };
+constexpr milliseconds LongestReturn{ 1'000 };
+/// Part of the return time by which callers are spread.
+constexpr double ReturnSpread = 0.5;
+
+double uniform(std::uint64_t hash)
+{
+    return static_cast<double>(hash >> 11U) * 0x1p-53;
+}
+
+microseconds scaled(microseconds time, double factor)
+{
+    return microseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+} // namespace
+
+std::string_view toString(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::NoTarget:
+        return "no-target";
+    case RefusalReason::Busy:
+        return "busy";
+    case RefusalReason::Cold:
+        return "cold";
+    }
+    return "";
+}
+
+ServiceDispatcher::ServiceDispatcher(EntryPlace place, const HostedService &service)
+    : m_place(std::move(place))
+    , m_service(service)
+{
+    std::set<RegionId> regions;
+    for (const auto &[domain, region] : m_place.regions) {
+        regions.insert(region);
+    }
+    m_callerRegions.assign(regions.begin(), regions.end());
+}
+
+void ServiceDispatcher::setTargets(const TargetRegistry::Targets &targets, MonotonicTime now)
+{
+    States states;
+    m_slots.clear();
+    for (const auto &[id, known] : targets) {
+        if (known.entry.service != m_service.id) {
+            continue;
+        }
+        TargetState state;
+        const auto before = m_targets.find(id);
+        if (before != m_targets.end() && before->second.known.run == known.run) {
+            state = std::move(before->second);
+        }
+        state.known = known;
+        state.hash = stableHash(id.value());
+        const auto region = m_place.regions.find(known.entry.domain);
+        state.region = region == m_place.regions.end() ? RegionId() : region->second;
+        if (known.standing == TargetStanding::Ready) {
+            m_slots[state.region] += known.entry.slots.value;
+        }
+        configureColdRate(state, now);
+        states.emplace(id, std::move(state));
+    }
+    m_targets = std::move(states);
+}
+
+void ServiceDispatcher::configureColdRate(TargetState &state, MonotonicTime now) const
+{
+    const double share = m_service.coldRequestsPerSecond * ColdRateUse
+                         / static_cast<double>(std::max<std::size_t>(m_entries, 1));
+    state.coldRate.configure(share, ColdBurst, now);
+}
+
+Placement ServiceDispatcher::place(const PlacementQuery &query, MonotonicTime now)
+{
+    std::vector<Candidate> homes;
+    bool heldByCold = false;
+    for (TargetState *it : ranking(query, now)) {
+        if (!mayTake(*it, now)) {
+            heldByCold = heldByCold || isCold(*it, now);
+            continue;
+        }
+        homes.push_back(assess(*it, *query.route, now));
+        if (homes.size() == HomesPerObject) {
+            break;
+        }
+    }
+    if (homes.empty()) {
+        Placement placement;
+        placement.reason = heldByCold ? RefusalReason::Cold : RefusalReason::NoTarget;
+        placement.retryAfter = scaled(LongestReturn, 0.5 + ReturnSpread * uniform(query.request));
+        return placement;
+    }
+    Candidate *best = &homes.front();
+    for (Candidate &it : homes) {
+        const microseconds advantage = scaled(best->work, FirstHomeAdvantage);
+        if (it.wait + it.work + advantage < best->wait + best->work) {
+            best = &it;
+        }
+    }
+    const microseconds limit = scaled(query.route->latencyGoal, WaitShareOfGoal);
+    if (best->wait > limit || best->wait + best->work > query.left) {
+        return refuse(homes, query, limit);
+    }
+    Placement placement;
+    placement.target = best->state->known.entry.id;
+    placement.wait = best->wait;
+    placement.work = best->work;
+    return placement;
+}
+
+std::vector<ServiceDispatcher::TargetState *>
+ServiceDispatcher::ranking(const PlacementQuery &query, MonotonicTime now)
+{
+    struct Ranked
+    {
+        TargetState *state = nullptr;
+        int tier = 0;
+        double score = 0;
+    };
+    const RegionId preferred = regionOf(query);
+    const bool sparesFailing = sparesSuspended(now);
+    const std::uint64_t key = query.object.value_or(query.request);
+    std::vector<Ranked> ranked;
+    ranked.reserve(m_targets.size());
+    for (auto &[id, state] : m_targets) {
+        if (!isUsable(state, query)) {
+            continue;
+        }
+        Ranked item{ &state, 0, 0 };
+        if (sparesFailing && state.outcomes.isSuspended(now)) {
+            continue;
+        }
+        item.tier = state.region == preferred ? 0 : (state.region == m_place.region ? 1 : 2);
+        item.score = rendezvousScore(key, state.hash,
+                                     static_cast<double>(state.known.entry.slots.value));
+        ranked.push_back(item);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
+        return a.tier != b.tier ? a.tier < b.tier : a.score < b.score;
+    });
+    std::vector<TargetState *> states;
+    states.reserve(ranked.size());
+    for (const Ranked &it : ranked) {
+        states.push_back(it.state);
+    }
+    return states;
+}
+
+RegionId ServiceDispatcher::regionOf(const PlacementQuery &query) const
+{
+    RegionSlots slots;
+    for (const auto &[region, count] : m_slots) {
+        if (query.route->allows(region)) {
+            slots[region] = count;
+        }
+    }
+    const RegionShares shares = regionShares(slots, m_callerRegions, m_place.region);
+    if (shares.empty()) {
+        return m_place.region;
+    }
+    const std::uint64_t key = query.object.value_or(query.request);
+    return regionForHash(shares, rendezvousHash(key, stableHash(m_service.id.value())));
+}
+
+bool ServiceDispatcher::isUsable(const TargetState &state, const PlacementQuery &query) const
+{
+    return state.known.standing == TargetStanding::Ready && query.route->allows(state.region)
+           && !query.tried.contains(state.known.entry.id);
+}
+
+bool ServiceDispatcher::isCold(const TargetState &state, MonotonicTime now) const
+{
+    return now < state.known.coldUntil && m_service.coldRequestsPerSecond > 0;
+}
+
+bool ServiceDispatcher::mayTake(TargetState &state, MonotonicTime now)
+{
+    // Without the number of entries the share of the cold rate is unknown.
+    return !isCold(state, now) || (m_entries > 0 && state.coldRate.hasToken(now));
+}
+
+bool ServiceDispatcher::sparesSuspended(MonotonicTime now) const
+{
+    std::size_t ready = 0;
+    std::size_t suspended = 0;
+    for (const auto &[id, state] : m_targets) {
+        if (state.known.standing != TargetStanding::Ready) {
+            continue;
+        }
+        ++ready;
+        suspended += state.outcomes.isSuspended(now) ? 1 : 0;
+    }
+    return static_cast<double>(suspended) <= LargestSuspendedShare * static_cast<double>(ready);
+}
+
+ServiceDispatcher::Candidate ServiceDispatcher::assess(TargetState &state, const Route &route,
+                                                       MonotonicTime now) const
+{
+    const double slowness = state.load.slowness(now) * (isCold(state, now) ? ColdSlowness : 1.0);
+    const microseconds work = scaled(expectedWork(route), slowness);
+    return Candidate{ &state, state.load.wait(state.known.entry.slots, work, now), work };
+}
+
+Placement ServiceDispatcher::refuse(const std::vector<Candidate> &homes,
+                                    const PlacementQuery &query, microseconds limit) const
+{
+    microseconds shortest = microseconds::max();
+    for (const Candidate &it : homes) {
+        shortest = std::min(shortest, it.wait - limit);
+    }
+    const microseconds base = std::clamp<microseconds>(shortest, ShortestReturn, LongestReturn);
+    Placement placement;
+    placement.reason = RefusalReason::Busy;
+    placement.retryAfter = scaled(base, 1 + ReturnSpread * uniform(query.request));
+    return placement;
+}
+
+void ServiceDispatcher::onSent(const TargetId &target, MonotonicTime now)
+{
+    const auto it = m_targets.find(target);
+    if (it == m_targets.end()) {
+        return;
+    }
+    TargetState &state = it->second;
+    state.load.onSent();
+    if (isCold(state, now)) {
+        state.coldRate.take(now);
+    }
+    if (state.outcomes.isOnTrial(now)) {
+        state.outcomes.onTrialSent(now);
+    }
+}
+
+void ServiceDispatcher::onReport(const TargetId &target, const LoadReport &report,
+                                 MonotonicTime now)
+{
+    const auto it = m_targets.find(target);
+    if (it != m_targets.end()) {
+        it->second.load.onReport(report, now);
+    }
+}
+
+void ServiceDispatcher::onEnded(const TargetId &target, const RouteName &route, SendOutcome outcome,
+                                microseconds duration, bool hadToWait, MonotonicTime now)
+{
+    const bool isMeasured = outcome == SendOutcome::Answered && !hadToWait;
+    const auto it = m_targets.find(target);
+    if (it != m_targets.end()) {
+        TargetState &state = it->second;
+        state.load.onEnded();
+        state.outcomes.onOutcome(outcome, now);
+        const auto mean = m_work.find(route);
+        if (isMeasured && mean != m_work.end() && mean->second > 0) {
+            state.load.onWorkRatio(static_cast<double>(duration.count()) / mean->second, now);
+        }
+    }
+    if (isMeasured) {
+        const auto [mean, isFirst] =
+                m_work.try_emplace(route, static_cast<double>(duration.count()));
+        if (!isFirst) {
+            mean->second += WorkWeight * (static_cast<double>(duration.count()) - mean->second);
+        }
+    }
+}
+
+const KnownTarget *ServiceDispatcher::target(const TargetId &id) const
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : &it->second.known;
+}
+
+microseconds ServiceDispatcher::expectedWork(const Route &route) const
+{
+    const auto it = m_work.find(route.name);
+    if (it == m_work.end()) {
+        return scaled(route.latencyGoal, FirstWorkShareOfGoal);
+    }
+    return microseconds(static_cast<std::int64_t>(it->second));
+}
+
+bool ServiceDispatcher::isSuspended(const TargetId &id, MonotonicTime now) const
+{
+    const auto it = m_targets.find(id);
+    return it != m_targets.end() && it->second.outcomes.isSuspended(now);
+}
+
+std::size_t ServiceDispatcher::readyTargets() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_targets.begin(), m_targets.end(), [](const States::value_type &it) {
+                return it.second.known.standing == TargetStanding::Ready;
+            }));
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/routing/ServiceDispatcher.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "routing/RegionShares.h"
+#include "routing/RouteTable.h"
+#include "routing/TargetLoad.h"
+#include "routing/TargetOutcomes.h"
+#include "routing/TargetRegistry.h"
+#include "routing/TokenBucket.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace Tarragon {
+
+/// Where an entry stands, and the regions in which callers have entries of their own.
+struct EntryPlace
+{
+    FailureDomainId domain;
+    RegionId region;
+    std::map<FailureDomainId, RegionId> regions;
+};
+
+/// One request to be placed.
+struct PlacementQuery
+{
+    const Route *route = nullptr;
+    /// Hash of the object that the request is about; nothing if it names none.
+    std::optional<std::uint64_t> object;
+    /// Hash of the request's id, for choices that need not be the same for every request.
+    std::uint64_t request = 0;
+    /// Targets that have had the request.
+    std::set<TargetId> tried;
+    /// Time that is left until the request is given up.
+    microseconds left{ 0 };
+};
+
+/// Why a request is not placed.
+enum class RefusalReason {
+    /// No target of the service may be used.
+    NoTarget,
+    /// The targets of the object are busy for longer than is of use to the caller.
+    Busy,
+    /// All usable targets are cold and have had what they bear.
+    Cold,
+};
+
+std::string_view toString(RefusalReason reason);
+
+/// Where a request goes, or why not.
+struct Placement
+{
+    std::optional<TargetId> target;
+    /// Estimated time until the target begins with it.
+    microseconds wait{ 0 };
+    /// Estimated time of the target's work.
+    microseconds work{ 0 };
+    RefusalReason reason = RefusalReason::NoTarget;
+    /// When a refused request has a prospect.
+    microseconds retryAfter{ 0 };
+};
+
+/// Places the requests of one service on its targets.
+///
+/// Answers this load: targets work several times faster on objects that they have handled lately,
+/// so that a service which is overloaded with cold requests has room to spare once each object has
+/// found its targets. Every object has few homes, which all entries find without talking to each
+/// other, and a request waits for a home or is refused; sending it to any free target would slow
+/// that target down and push another object out there.
+class ServiceDispatcher
+{
+public:
+    ServiceDispatcher(EntryPlace place, const HostedService &service);
+
+    /// Takes the service's parameters of a new table.
+    void setService(const HostedService &service) { m_service = service; }
+    /// Takes the targets of the service. Known ones keep their history.
+    void setTargets(const TargetRegistry::Targets &targets, MonotonicTime now);
+    /// Takes the number of entries by which limits of the whole deployment are divided.
+    void setEntryCount(std::size_t count) { m_entries = count; }
+
+    Placement place(const PlacementQuery &query, MonotonicTime now);
+    /// A placed request is being sent.
+    void onSent(const TargetId &target, MonotonicTime now);
+    /// The target has reported its load. To be called before onEnded() of the same request.
+    void onReport(const TargetId &target, const LoadReport &report, MonotonicTime now);
+    /// A sent request has ended. The duration is that from sending to the answer's head; it counts
+    /// if the request was answered and had not been expected to wait.
+    void onEnded(const TargetId &target, const RouteName &route, SendOutcome outcome,
+                 microseconds duration, bool hadToWait, MonotonicTime now);
+    /// The entry's belief about a target, for the log.
+    const KnownTarget *target(const TargetId &id) const;
+    /// Mean time from sending to the answer on the route; a guess before the first answer.
+    microseconds expectedWork(const Route &route) const;
+    /// Whether the target is suspended for its failures.
+    bool isSuspended(const TargetId &id, MonotonicTime now) const;
+    std::size_t readyTargets() const;
+
+private:
+    struct TargetState
+    {
+        KnownTarget known;
+        RegionId region;
+        /// Stable hash of the id, for ranking.
+        std::uint64_t hash = 0;
+        TargetLoad load;
+        TargetOutcomes outcomes;
+        TokenBucket coldRate;
+    };
+    using States = std::map<TargetId, TargetState>;
+    struct Candidate
+    {
+        TargetState *state = nullptr;
+        microseconds wait{ 0 };
+        microseconds work{ 0 };
+    };
+
+    std::vector<TargetState *> ranking(const PlacementQuery &query, MonotonicTime now);
+    RegionId regionOf(const PlacementQuery &query) const;
+    bool isUsable(const TargetState &state, const PlacementQuery &query) const;
+    bool isCold(const TargetState &state, MonotonicTime now) const;
+    bool mayTake(TargetState &state, MonotonicTime now);
+    /// Suspended targets are spared only while most of the service is not suspended.
+    bool sparesSuspended(MonotonicTime now) const;
+    Candidate assess(TargetState &state, const Route &route, MonotonicTime now) const;
+    Placement refuse(const std::vector<Candidate> &homes, const PlacementQuery &query,
+                     microseconds limit) const;
+    void configureColdRate(TargetState &state, MonotonicTime now) const;
+
+    EntryPlace m_place;
+    HostedService m_service;
+    std::size_t m_entries = 0;
+    std::vector<RegionId> m_callerRegions;
+    States m_targets;
+    RegionSlots m_slots;
+    /// Mean work of each route, in microseconds.
+    std::map<RouteName, double> m_work;
+};
+
+} // namespace Tarragon
--- a/Source/steering/RetryBudget.h
+++ b/Source/steering/RetryBudget.h
@@ -18,6 +18,8 @@
 
     /// Changes the share, from now on.
     void setShare(Share share) { m_share = share; }
+    /// Changes the least number of retries in a window, from now on.
+    void setMinimum(int retries) { m_minimumRetries = retries; }
     /// Counts a first attempt.
     void onRequest(MonotonicTime now);
     /// Takes a retry out of the budget; false if there is none left.
