Daemon: End without waiting for the threads of log4cplus

Cause: after a regular stop processes stayed until they were killed at the end of the grace time. Setting the pool's size to 0 did not help and made it certain.

--- a/Source/daemon/main.cpp
+++ b/Source/daemon/main.cpp
@@ -11,6 +11,7 @@
 #include <cxxopts.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <memory>
@@ -134,9 +135,7 @@
     return isGateway ? startGateway(file, checkOnly) : startEntry(file, checkOnly);
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int runGuarded(int argc, char **argv)
 {
     try {
         return runFromArguments(argc, argv);
@@ -148,3 +147,14 @@
         return ExitFailed;
     }
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const int code = runGuarded(argc, argv);
+    std::cout.flush();
+    // Regular destruction of static objects waits for the thread pool of log4cplus, which is not
+    // used here and whose threads may not be scheduled before a stopping process is killed.
+    std::quick_exit(code);
+}
--- a/Source/net/Logging.cpp
+++ b/Source/net/Logging.cpp
@@ -3,7 +3,6 @@
 #include "base/Error.h"
 #include "net/BufferedAppender.h"
 
-#include <log4cplus/config.hxx>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -32,8 +31,6 @@
                     + "\", expected one of TRACE, DEBUG, INFO, WARN, ERROR");
     }
     static const log4cplus::Initializer initializer;
-    // All events are formatted on the thread of the event loop.
-    log4cplus::setThreadPoolSize(0);
     std::shared_ptr<LogBuffer> buffer = std::make_shared<LogBuffer>(MaxBufferedBytes);
     log4cplus::SharedAppenderPtr appender(new BufferedAppender(buffer));
     appender->setLayout(std::unique_ptr<log4cplus::Layout>(
