Gateway: Make fewer calls to the store and pass on long answers at once

Change: a watch pauses 300 ms after a change and lasts 20 s; answers above 24 KB are passed on as they come.

--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -15,14 +15,15 @@
 
 /// Time of a watch without changes. Each watch is a priced call; silent connections are found by
 /// keep-alive probes, so that this bounds only what the store itself withholds.
-constexpr milliseconds WatchTime{ 10'000 };
+constexpr milliseconds WatchTime{ 20'000 };
 constexpr milliseconds ShortestWatch{ 1 };
 /// Time beyond the watch in which its answer must come.
 constexpr milliseconds WatchSlack{ 2'000 };
 /// The store answers in milliseconds; sixty times that when it is slow.
 constexpr milliseconds ListTimeout{ 1'000 };
 /// Pause before the next watch after a change, so that changes that come together cost one call.
-constexpr milliseconds BatchTime{ 60 };
+/// An eighth of the shortest time within which changes must be in force, 2.5 s.
+constexpr milliseconds BatchTime{ 300 };
 /// Pauses between calls while the store is away. Short, because an entry that was cut off is bound
 /// by what the store holds 3 s after the cut has healed, and takes vanished targets for lapsed in
 /// the first two of them.
--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Longest answer that is held until it is whole. Longer ones are passed on as they come.
-constexpr std::size_t HeldAnswerBytes = 192 * 1024;
+/// Longest answer that is held until it is whole. Longer ones are passed on as they come, since the
+/// caller would wait for the way to the target and the way to itself one after the other.
+constexpr std::size_t HeldAnswerBytes = 24 * 1024;
 /// Bytes waiting for a slow caller above which the target is not read.
 constexpr std::size_t CallerBacklogBytes = 256 * 1024;
 
