Routing: Place routes with long answers near their callers

Change: routes whose mean answer is above 32 KB prefer targets of the entry's own failure domain, then of its region; the region that has room by slots stands in.

--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -103,6 +103,7 @@
 
 void TargetAttempt::onData(std::string_view data)
 {
+    m_bytes += data.size();
     if (m_exchange != nullptr) {
         m_exchange->send(data);
         if (m_exchange->bufferedBytes() > CallerBacklogBytes) {
@@ -119,6 +120,9 @@
 void TargetAttempt::onComplete()
 {
     m_isComplete = true;
+    if (m_judged == SendOutcome::Answered) {
+        m_dispatcher.onAnswerBytes(m_route, ByteCount{ m_bytes });
+    }
     reportEnd(m_judged);
     if (m_exchange != nullptr) {
         endDelivery();
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -70,6 +70,8 @@
     Verdict m_verdict = Verdict::NotRun;
     std::string m_reason;
     std::string m_body;
+    /// Bytes of the answer's body that have come.
+    std::uint64_t m_bytes = 0;
     bool m_isComplete = false;
     bool m_isBroken = false;
     bool m_endReported = false;
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -18,6 +18,9 @@
 /// A busier home is preferred to another one by this part of the work, as the object is more
 /// likely to be known there.
 constexpr double FirstHomeAdvantage = 0.5;
+/// Mean answer from which a route is placed near its callers. Links between failure domains and
+/// regions are limited and shared, and each round trip of a long answer takes their delay.
+constexpr double LargeAnswerBytes = 32'768;
 /// Weight of a new measurement in the mean work of a route.
 constexpr double WorkWeight = 0.05;
 /// Work of a route before the first answer, as a part of its latency goal.
@@ -108,21 +111,11 @@
 
 Placement ServiceDispatcher::place(const PlacementQuery &query, MonotonicTime now)
 {
-    std::vector<Candidate> homes;
-    bool heldByCold = false;
-    for (TargetState *it : ranking(query, now)) {
-        if (!mayTake(*it, now)) {
-            heldByCold = heldByCold || isCold(*it, now);
-            continue;
-        }
-        homes.push_back(assess(*it, *query.route, now));
-        if (homes.size() == HomesPerObject) {
-            break;
-        }
-    }
+    std::vector<Candidate> homes = homesOf(query, now);
     if (homes.empty()) {
         Placement placement;
-        placement.reason = heldByCold ? RefusalReason::Cold : RefusalReason::NoTarget;
+        placement.reason =
+                hasColdTarget(query, now) ? RefusalReason::Cold : RefusalReason::NoTarget;
         placement.retryAfter = scaled(LongestReturn, 0.5 + ReturnSpread * uniform(query.request));
         return placement;
     }
@@ -147,6 +140,36 @@
     return placement;
 }
 
+std::vector<ServiceDispatcher::Candidate> ServiceDispatcher::homesOf(const PlacementQuery &query,
+                                                                     MonotonicTime now)
+{
+    const RegionId preferred = regionOf(query);
+    const bool isLarge = hasLargeAnswers(query.route->name);
+    std::vector<Candidate> homes;
+    bool hasPreferred = false;
+    for (TargetState *it : ranking(query, now)) {
+        // Near targets may be too few for long answers; the region that has room stands in.
+        const bool isStandIn = isLarge && !hasPreferred && it->region == preferred;
+        if ((homes.size() >= HomesPerObject && !isStandIn) || !mayTake(*it, now)) {
+            continue;
+        }
+        hasPreferred = hasPreferred || it->region == preferred;
+        homes.push_back(assess(*it, *query.route, now));
+        if (homes.size() >= HomesPerObject && (!isLarge || hasPreferred)) {
+            break;
+        }
+    }
+    return homes;
+}
+
+bool ServiceDispatcher::hasColdTarget(const PlacementQuery &query, MonotonicTime now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [this, &query, now](const States::value_type &it) {
+                           return isUsable(it.second, query) && isCold(it.second, now);
+                       });
+}
+
 std::vector<ServiceDispatcher::TargetState *>
 ServiceDispatcher::ranking(const PlacementQuery &query, MonotonicTime now)
 {
@@ -157,6 +180,7 @@
         double score = 0;
     };
     const RegionId preferred = regionOf(query);
+    const bool isLarge = hasLargeAnswers(query.route->name);
     const bool sparesFailing = sparesSuspended(now);
     const std::uint64_t key = query.object.value_or(query.request);
     std::vector<Ranked> ranked;
@@ -169,7 +193,7 @@
         if (sparesFailing && state.outcomes.isSuspended(now)) {
             continue;
         }
-        item.tier = state.region == preferred ? 0 : (state.region == m_place.region ? 1 : 2);
+        item.tier = tierOf(state, preferred, isLarge);
         item.score = rendezvousScore(key, state.hash,
                                      static_cast<double>(state.known.entry.slots.value));
         ranked.push_back(item);
@@ -185,6 +209,36 @@
     return states;
 }
 
+int ServiceDispatcher::tierOf(const TargetState &state, const RegionId &preferred,
+                              bool isLarge) const
+{
+    if (isLarge) {
+        if (state.known.entry.domain == m_place.domain) {
+            return 0;
+        }
+        return state.region == m_place.region ? 1 : 2;
+    }
+    if (state.region == preferred) {
+        return 0;
+    }
+    return state.region == m_place.region ? 1 : 2;
+}
+
+bool ServiceDispatcher::hasLargeAnswers(const RouteName &route) const
+{
+    const auto it = m_answerBytes.find(route);
+    return it != m_answerBytes.end() && it->second >= LargeAnswerBytes;
+}
+
+void ServiceDispatcher::onAnswerBytes(const RouteName &route, ByteCount bytes)
+{
+    const double length = static_cast<double>(bytes.value);
+    const auto [it, isFirst] = m_answerBytes.try_emplace(route, length);
+    if (!isFirst) {
+        it->second += WorkWeight * (length - it->second);
+    }
+}
+
 RegionId ServiceDispatcher::regionOf(const PlacementQuery &query) const
 {
     RegionSlots slots;
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -90,6 +90,8 @@
     /// if the request was answered and had not been expected to wait.
     void onEnded(const TargetId &target, const RouteName &route, SendOutcome outcome,
                  microseconds duration, bool hadToWait, MonotonicTime now);
+    /// A whole answer of the route had this many bytes.
+    void onAnswerBytes(const RouteName &route, ByteCount bytes);
     /// The entry's belief about a target, for the log.
     const KnownTarget *target(const TargetId &id) const;
     /// Mean time from sending to the answer on the route; a guess before the first answer.
@@ -117,7 +119,14 @@
         microseconds work{ 0 };
     };
 
+    /// The targets that the request may go to, the first one preferred.
+    std::vector<Candidate> homesOf(const PlacementQuery &query, MonotonicTime now);
+    bool hasColdTarget(const PlacementQuery &query, MonotonicTime now) const;
+    /// All usable targets, the homes of the object first.
     std::vector<TargetState *> ranking(const PlacementQuery &query, MonotonicTime now);
+    /// How near a target is for the request; 0 is best.
+    int tierOf(const TargetState &state, const RegionId &preferred, bool isLarge) const;
+    bool hasLargeAnswers(const RouteName &route) const;
     RegionId regionOf(const PlacementQuery &query) const;
     bool isUsable(const TargetState &state, const PlacementQuery &query) const;
     bool isCold(const TargetState &state, MonotonicTime now) const;
@@ -137,6 +146,8 @@
     RegionSlots m_slots;
     /// Mean work of each route, in microseconds.
     std::map<RouteName, double> m_work;
+    /// Mean length of each route's answers, in bytes.
+    std::map<RouteName, double> m_answerBytes;
 };
 
 } // namespace Tarragon
--- a/Tests/routing/ServiceDispatcherTest.cpp
+++ b/Tests/routing/ServiceDispatcherTest.cpp
@@ -231,6 +231,35 @@
     EXPECT_EQ(place(1, 0).reason, RefusalReason::NoTarget);
 }
 
+// Guards against long answers that cross failure domains and regions although near targets have
+// room, which costs links and round trips.
+TEST_F(ServiceDispatcherTest, LongAnswersComeFromTheOwnDomainWhileItHasRoom)
+{
+    EntryPlace place = RoutingFixture::place();
+    place.regions[FailureDomainId("n2")] = RegionId("north");
+    ServiceDispatcher dispatcher(place, RoutingFixture::service());
+    m_registry.replaceAll({ target("a"), target("b", "n2"), target("c", "s1"), target("d", "s1"),
+                            target("e", "s1") },
+                          at(0));
+    dispatcher.setTargets(m_registry.targets(), at(0));
+    for (int i = 0; i < 100; ++i) {
+        dispatcher.onAnswerBytes(m_route.name, ByteCount{ 90'000 });
+    }
+    std::set<std::string> used;
+    for (std::uint64_t object = 0; object < 100; ++object) {
+        EXPECT_EQ(dispatcher.place(query(m_route, object), at(0)).target, TargetId("a"));
+    }
+    for (std::uint64_t object = 0; object < 100; ++object) {
+        const Placement placement = dispatcher.place(query(m_route, object), at(0));
+        if (placement.target.has_value()) {
+            used.insert(placement.target->value());
+            dispatcher.onSent(*placement.target, at(0));
+        }
+    }
+    EXPECT_TRUE(used.contains("b")) << "the own region is next";
+    EXPECT_GE(used.size(), 3u) << "the region that has room stands in";
+}
+
 // Guards against a second try at the target that has failed the request.
 TEST_F(ServiceDispatcherTest, TriedTargetsAreNotUsedAgain)
 {
