--- a/Source/ctl/Command.h
+++ b/Source/ctl/Command.h
@@ -36,6 +36,7 @@
 Command undrainCommand();
 Command statusCommand();
 Command whyCommand();
+Command explainCommand();
 
 /// Parses the arguments behind the command's name and runs the command. Reports errors on standard
 /// error.
--- a/Source/ctl/main.cpp
+++ b/Source/ctl/main.cpp
@@ -24,7 +24,8 @@
 {
     const std::vector<Command> commands = { checkCommand(),   applyCommand(),   showCommand(),
                                             diffCommand(),    historyCommand(), drainCommand(),
-                                            undrainCommand(), statusCommand(),  whyCommand() };
+                                            undrainCommand(), statusCommand(),  whyCommand(),
+                                            explainCommand() };
     const std::string name = argc > 1 ? argv[1] : "";
     if (name == "--help" || name == "help") {
         printHelp(std::cout, commands);
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -224,6 +224,7 @@
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
     m_goneConnection.disconnect();
     const milliseconds rounded = std::chrono::ceil<milliseconds>(retryAfter);
+    m_retryAfter = rounded;
     const nlohmann::json body = { { "error", outcome },
                                   { "detail", reason },
                                   { "verdict", std::string(toString(m_verdict)) } };
@@ -280,6 +281,9 @@
     if (!reason.empty()) {
         line.add("reason", reason);
     }
+    if (m_retryAfter > milliseconds(0)) {
+        line.add("retryAfterMs", m_retryAfter);
+    }
     LOG4CPLUS_INFO(logger(), line.text());
     // Destroying the attempt cancels what the target still does; it may be on the stack.
     m_context.loop.post([self] {
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -59,6 +59,8 @@
     std::unique_ptr<TargetAttempt> m_attempt;
     /// An answer with a failure of the target, for the case that no other target does better.
     std::unique_ptr<TargetAttempt> m_fallback;
+    /// Time after which a refused caller was asked to return.
+    milliseconds m_retryAfter{ 0 };
     std::vector<std::unique_ptr<TargetAttempt>> m_ended;
     Timer m_timer;
     Timer m_step;
