--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -291,6 +291,11 @@
     return m_state.canServe() && !m_leavingSince.has_value();
 }
 
+GatewayDaemon::Ports GatewayDaemon::ports() const
+{
+    return Ports{ m_front->port(), m_readiness->port(), m_lookup->port() };
+}
+
 void GatewayDaemon::run()
 {
     m_rpc.run();
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -24,6 +24,15 @@
     GatewayDaemon(const GatewayDaemon &) = delete;
     GatewayDaemon &operator=(const GatewayDaemon &) = delete;
 
+    /// Ports that are listened on, where the settings left them open.
+    struct Ports
+    {
+        std::uint16_t front = 0;
+        std::uint16_t readiness = 0;
+        std::uint16_t lookup = 0;
+    };
+    Ports ports() const;
+
     /// Runs the loop until the shutdown has finished.
     void run();
     /// Starts the graceful shutdown: callers are sent elsewhere, and what has arrived is finished.
--- /dev/null
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -0,0 +1,151 @@
+#include "gateway/GatewayDaemon.h"
+
+#include "StandIns/platform/StandInStore.h"
+#include "Support/LoopTest.h"
+
+#include <optional>
+
+namespace Tarragon {
+namespace {
+
+/// A whole gateway with the stand-in of the store, on free ports.
+class GatewayDaemonTest : public LoopTest
+{
+protected:
+    GatewayDaemonTest()
+    {
+        m_settings.instance = InstanceId("e1");
+        m_settings.domain = FailureDomainId("d1");
+        m_settings.region = RegionId("r1");
+        m_settings.regions = { { FailureDomainId("d1"), RegionId("r1") } };
+        m_settings.bounds.stopGrace = milliseconds(1'000);
+        m_settings.store = Endpoint{ "127.0.0.1", m_standIn.port() };
+        for (Endpoint *it : { &m_settings.front, &m_settings.readiness, &m_settings.lookup,
+                              &m_settings.rpc, &m_settings.metrics }) {
+            *it = Endpoint{ "127.0.0.1", 0 };
+        }
+        m_daemon = std::make_unique<GatewayDaemon>(m_loop, m_settings);
+    }
+
+    void writeDesiredState(int version)
+    {
+        const nlohmann::json spec = {
+            { "version", "r" + std::to_string(version) },
+            { "routes",
+              { { "columns",
+                  { "name", "host", "path_prefix", "kind", "timeout_s", "target_latency_s",
+                    "service" } },
+                { "rows", { { "r-1", "a.example", "/x/", "safe", 1.0, 0.2, "one" } } } } },
+            { "services", { { "columns", { "name" } }, { "rows", { { "one" } } } } },
+        };
+        write("config", "main", spec);
+    }
+    void writeTarget(const std::string &id)
+    {
+        write("servers", id,
+              { { "service", "one" },
+                { "address", "127.0.0.1:9" },
+                { "zone", "d1" },
+                { "slots", 2 },
+                { "state", "ready" } });
+    }
+    void write(const std::string &kind, const std::string &name, const nlohmann::json &spec)
+    {
+        Platform::ObjectStore store(m_client, m_settings.store);
+        std::optional<Platform::ItemResult> result;
+        const HttpCallPtr call =
+                store.create(kind, name, spec, seconds(5),
+                             [&result](const Platform::ItemResult &value) { result = value; });
+        runUntil([&result] { return result.has_value(); });
+        ASSERT_EQ(result->outcome, Platform::CallOutcome::Done);
+    }
+    HttpResponse ask(std::uint16_t port, const std::string &uri)
+    {
+        HttpRequest request;
+        request.address = "127.0.0.1";
+        request.port = port;
+        request.uri = uri;
+        std::optional<HttpResponse> result;
+        const HttpCallPtr call = m_client.fetch(
+                request, ByteCount{ 1'000'000 },
+                [&result](const HttpResponse &response) { result = response; },
+                [&result](const HttpFailure &) { result = HttpResponse(); });
+        runUntil([&result] { return result.has_value(); });
+        return *result;
+    }
+    int readiness()
+    {
+        return ask(m_daemon->ports().readiness, "/tarragonstage/readiness").head.status;
+    }
+    HttpResponse lookup()
+    {
+        return ask(m_daemon->ports().lookup,
+                   "/tarragonstage/resolve?name=a.example&region=r1&zone=d1");
+    }
+
+    StandInStore m_standIn{ m_loop, "127.0.0.1", 0, 0 };
+    HttpClient m_client{ m_loop };
+    GatewaySettings m_settings;
+    std::unique_ptr<GatewayDaemon> m_daemon;
+};
+
+// Guards against callers who are sent to an entry that cannot serve them yet.
+TEST_F(GatewayDaemonTest, IsReadyWithRoutesAndATarget)
+{
+    EXPECT_EQ(readiness(), 503);
+    EXPECT_EQ(lookup().head.status, 503);
+    writeDesiredState(3);
+    EXPECT_EQ(readiness(), 503);
+    writeTarget("t1");
+    runUntil([this] { return readiness() == 200; });
+    runUntil([this] { return lookup().head.status == 200; });
+    const nlohmann::json answer = nlohmann::json::parse(lookup().body);
+    EXPECT_EQ(answer.at("addresses").size(), 1u);
+    EXPECT_LE(answer.at("ttl_s").get<double>(), 5.0);
+}
+
+// Guards against callers who are sent to an entry that stops, and against a record that outlives
+// its process.
+TEST_F(GatewayDaemonTest, LeavingEntryIsNotNamedAndWithdrawsItsRecord)
+{
+    writeDesiredState(3);
+    writeTarget("t1");
+    runUntil([this] { return readiness() == 200; });
+    runUntil([this] { return m_standIn.objects().find("entries", "e1") != nullptr; });
+    runUntil([this] { return lookup().head.status == 200; });
+    m_daemon->leave();
+    EXPECT_EQ(readiness(), 503);
+    EXPECT_EQ(lookup().head.status, 503);
+    runUntil([this] { return m_standIn.objects().find("entries", "e1") == nullptr; });
+}
+
+// Guards against an entry that stays invisible because its record was removed by mistake.
+TEST_F(GatewayDaemonTest, RegistersAgainWhenItsRecordVanishes)
+{
+    runUntil([this] { return m_standIn.objects().find("entries", "e1") != nullptr; });
+    const std::uint64_t before = m_standIn.objects().revisionOf("entries", "e1");
+    m_standIn.objects().remove("entries", "e1");
+    writeDesiredState(1);
+    write("entries", "e2", { { "state", "odd" } });
+    runUntil([this, before] { return m_standIn.objects().revisionOf("entries", "e1") > before; });
+}
+
+// Guards against an older desired state replacing a newer one within a process.
+TEST(GatewayStateTest, VersionsOnlyGrow)
+{
+    GatewaySettings settings;
+    GatewayState state(settings, settings.bounds);
+    const auto table = [](std::uint64_t version) {
+        RouteTable result;
+        result.version = RouteVersion(version);
+        return result;
+    };
+    EXPECT_TRUE(state.adopt(table(9)));
+    EXPECT_FALSE(state.adopt(table(8)));
+    EXPECT_FALSE(state.adopt(table(9)));
+    EXPECT_TRUE(state.adopt(table(10)));
+    EXPECT_EQ(state.table()->version, RouteVersion(10));
+}
+
+} // namespace
+} // namespace Tarragon
