--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -237,6 +237,7 @@
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
     if (m_attempt != nullptr) {
         m_verdict = combined(m_verdict, Verdict::MayHaveRun);
+        logAttempt(*m_attempt);
         m_ended.push_back(std::move(m_attempt));
     }
     if (m_verdict == Verdict::NotRun) {
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -67,7 +67,8 @@
     /// Outcome by the head alone, while the body is still coming.
     SendOutcome m_judged = SendOutcome::Broken;
     std::optional<SendOutcome> m_outcome;
-    Verdict m_verdict = Verdict::NotRun;
+    /// Until the outcome is known the target may be at work.
+    Verdict m_verdict = Verdict::MayHaveRun;
     std::string m_reason;
     std::string m_body;
     /// Bytes of the answer's body that have come.
