Routing: Remove what nothing uses

RouteTable::hasHost(), with its two expectations in RouteTableTest, ServiceDispatcher::isSuspended(), TargetOutcomes::failureShare() and an unused parameter.

--- a/Source/gateway/RosterExchange.cpp
+++ b/Source/gateway/RosterExchange.cpp
@@ -33,7 +33,7 @@
 
 void RosterExchange::setRecords(const std::vector<EntryRecord> &records)
 {
-    m_roster.setRecords(records, m_loop.now());
+    m_roster.setRecords(records);
     std::vector<PeerEndpoint> peers;
     for (const EntryRecord &it : m_roster.others()) {
         peers.push_back(PeerEndpoint{ PeerIdentity{ it.instance, it.domain }, it.rpc });
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -195,7 +195,6 @@
 {
     m_timer.reset();
     const int status = attempt.status();
-    const std::string target = attempt.target().value();
     m_goneConnection.disconnect();
     m_goneConnection =
             m_exchange->disconnected().connect(sigc::mem_fun(*this, &RoutedRequest::onCallerGone));
--- a/Source/routing/EntryRoster.cpp
+++ b/Source/routing/EntryRoster.cpp
@@ -11,7 +11,7 @@
     , m_random(seed)
 {}
 
-void EntryRoster::setRecords(const std::vector<EntryRecord> &records, MonotonicTime)
+void EntryRoster::setRecords(const std::vector<EntryRecord> &records)
 {
     std::map<InstanceId, Member> members;
     for (const EntryRecord &it : records) {
--- a/Source/routing/EntryRoster.h
+++ b/Source/routing/EntryRoster.h
@@ -60,7 +60,7 @@
     EntryRoster(EntryRecord self, std::uint64_t seed, const EntryRosterOptions &options = {});
 
     /// Takes the entries that the store names, with the own one or without it.
-    void setRecords(const std::vector<EntryRecord> &records, MonotonicTime now);
+    void setRecords(const std::vector<EntryRecord> &records);
     /// Whether this entry takes callers.
     void setServing(bool isServing) { m_isServing = isServing; }
     /// Raises the own beat. Returns the entries to talk to in this round.
--- a/Source/routing/RouteTable.cpp
+++ b/Source/routing/RouteTable.cpp
@@ -23,10 +23,4 @@
     return found;
 }
 
-bool RouteTable::hasHost(std::string_view host) const
-{
-    return std::any_of(routes.begin(), routes.end(),
-                       [host](const Route &it) { return it.host == host; });
-}
-
 } // namespace Tarragon
--- a/Source/routing/RouteTable.h
+++ b/Source/routing/RouteTable.h
@@ -84,8 +84,6 @@
 
     /// The route of the host with the longest prefix that begins the path; null if there is none.
     const Route *find(std::string_view host, std::string_view path) const;
-    /// Whether any route is of the host.
-    bool hasHost(std::string_view host) const;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -371,12 +371,6 @@
     return microseconds(static_cast<std::int64_t>(it->second));
 }
 
-bool ServiceDispatcher::isSuspended(const TargetId &id, MonotonicTime now) const
-{
-    const auto it = m_targets.find(id);
-    return it != m_targets.end() && it->second.outcomes.isSuspended(now);
-}
-
 std::size_t ServiceDispatcher::readyTargets() const
 {
     return static_cast<std::size_t>(
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -96,8 +96,6 @@
     const KnownTarget *target(const TargetId &id) const;
     /// Mean time from sending to the answer on the route; a guess before the first answer.
     microseconds expectedWork(const Route &route) const;
-    /// Whether the target is suspended for its failures.
-    bool isSuspended(const TargetId &id, MonotonicTime now) const;
     std::size_t readyTargets() const;
 
 private:
--- a/Source/routing/TargetOutcomes.h
+++ b/Source/routing/TargetOutcomes.h
@@ -36,8 +36,6 @@
     bool isOnTrial(MonotonicTime now) const;
     /// A request goes to a target on trial; others wait for its outcome.
     void onTrialSent(MonotonicTime now);
-    /// Smoothed part of requests that failed.
-    double failureShare() const { return m_failures; }
 
 private:
     void suspend(MonotonicTime now);
--- a/Tests/routing/EntryRosterTest.cpp
+++ b/Tests/routing/EntryRosterTest.cpp
@@ -30,7 +30,7 @@
         }
         for (int i = 0; i < count; ++i) {
             m_fleet.push_back(std::make_unique<EntryRoster>(m_records[i], i + 1));
-            m_fleet.back()->setRecords(m_records, at(0));
+            m_fleet.back()->setRecords(m_records);
             m_fleet.back()->setServing(true);
             m_up.push_back(true);
         }
@@ -100,7 +100,7 @@
     makeFleet(2);
     run(0, 2);
     m_records[1].incarnation = Incarnation(2);
-    m_fleet[0]->setRecords(m_records, at(2));
+    m_fleet[0]->setRecords(m_records);
     m_fleet[0]->merge({ RosterItem{ InstanceId("e1"), Incarnation(1), 1'000, true } }, at(2));
     EXPECT_FALSE(m_fleet[0]->isLive(InstanceId("e1"), at(2)));
     m_fleet[0]->merge({ RosterItem{ InstanceId("e1"), Incarnation(2), 1, true } }, at(2.1));
--- a/Tests/routing/RouteTableTest.cpp
+++ b/Tests/routing/RouteTableTest.cpp
@@ -27,8 +27,6 @@
     EXPECT_EQ(nameOf("stand.example", "/b/"), "");
     EXPECT_EQ(nameOf("other.example", "/a/b/c"), "/");
     EXPECT_EQ(nameOf("third.example", "/a/"), "");
-    EXPECT_TRUE(table.hasHost("other.example"));
-    EXPECT_FALSE(table.hasHost("third.example"));
 }
 
 } // namespace
