--- a/Source/daemon/main.cpp
+++ b/Source/daemon/main.cpp
@@ -27,7 +27,7 @@
 /// Exit codes; see docs/help/tarragonstage.md.
 enum ExitCode { ExitDone = 0, ExitUsage = 1, ExitBadSettings = 2, ExitFailed = 3 };
 
-int run(const Settings &settings)
+int runEntry(const Settings &settings, const std::string &)
 {
     const std::shared_ptr<LogBuffer> log = initializeLogging(settings.logLevel);
     // A caller that closes its connection must not end the process.
@@ -54,33 +54,17 @@
     return ExitDone;
 }
 
-void print(const Findings &findings)
+/// Reads the settings of a role and runs it, or only checks them.
+template<typename RoleSettings>
+int start(const std::string &file, bool checkOnly,
+          std::optional<RoleSettings> (*read)(const std::string &, Findings &),
+          int (*run)(const RoleSettings &, const std::string &))
 {
+    Findings findings;
+    const std::optional<RoleSettings> settings = read(file, findings);
     for (const Finding &it : findings) {
         std::cerr << toString(it) << '\n';
     }
-}
-
-int startEntry(const std::string &file, bool checkOnly)
-{
-    Findings findings;
-    const std::optional<Settings> settings = readSettings(file, findings);
-    print(findings);
-    if (!settings.has_value()) {
-        return ExitBadSettings;
-    }
-    if (checkOnly) {
-        std::cout << "settings are valid\n";
-        return ExitDone;
-    }
-    return run(*settings);
-}
-
-int startGateway(const std::string &file, bool checkOnly)
-{
-    Findings findings;
-    const std::optional<GatewaySettings> settings = readGatewaySettings(file, findings);
-    print(findings);
     if (!settings.has_value()) {
         return ExitBadSettings;
     }
@@ -88,7 +72,7 @@
         std::cout << "settings are valid\n";
         return ExitDone;
     }
-    return runGateway(*settings, file);
+    return run(*settings, file);
 }
 
 int runFromArguments(int argc, char **argv)
@@ -132,7 +116,8 @@
         return ExitUsage;
     }
     const bool checkOnly = arguments.count("check-settings") != 0;
-    return isGateway ? startGateway(file, checkOnly) : startEntry(file, checkOnly);
+    return isGateway ? start(file, checkOnly, readGatewaySettings, runGateway)
+                     : start(file, checkOnly, readSettings, runEntry);
 }
 
 int runGuarded(int argc, char **argv)
