--- a/Source/ctl/ExplainCommand.cpp
+++ b/Source/ctl/ExplainCommand.cpp
@@ -128,7 +128,7 @@
         std::string fields;
         for (const auto &[key, value] : it.fields) {
             if (key != "request") {
-                fields += (fields.empty() ? "" : " ") + key + "=" + value;
+                fields.append(fields.empty() ? "" : " ").append(key).append("=").append(value);
             }
         }
         rows.push_back({ it.time, it.source, it.event, fields });
--- a/Source/ctl/LogRecord.cpp
+++ b/Source/ctl/LogRecord.cpp
@@ -9,7 +9,7 @@
 {
     if (!text.starts_with('"')) {
         const std::size_t end = std::min(text.find(' '), text.size());
-        const std::string value(text.substr(0, end));
+        std::string value(text.substr(0, end));
         text.remove_prefix(end);
         return value;
     }
