Gateway: Compute a placement's region once and keep one copy of the bounds

The preferred region and the size of answers were worked out twice for each placement; two smoothed means had code of their own; the signal of a caller who leaves was connected again before each delivery; the daemon held the bounds beside its settings. No behaviour changes. The pages said that SIGHUP takes all bounds; it takes the grace time and the lookup TTL.

--- a/Source/gateway/EntryRegistration.cpp
+++ b/Source/gateway/EntryRegistration.cpp
@@ -1,10 +1,8 @@
 #include "gateway/EntryRegistration.h"
 
 #include "base/Digest.h"
-#include "base/Error.h"
 #include "net/LogLine.h"
 #include "platform/RegistryDecoder.h"
-#include "steering/Rendezvous.h"
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -51,12 +51,11 @@
 GatewayDaemon::GatewayDaemon(EventLoop &loop, const GatewaySettings &settings)
     : m_loop(loop)
     , m_settings(settings)
-    , m_bounds(settings.bounds)
     , m_incarnation(strongRandom() >> 1U)
     , m_rpc(loop.base())
     , m_client(loop)
     , m_store(m_client, settings.store)
-    , m_state(settings, m_bounds)
+    , m_state(settings, settings.bounds)
     , m_context{ loop, m_client, m_state, m_metrics }
     , m_roster(recordOf(settings, m_incarnation), m_incarnation.value())
     , m_registration(loop, m_store, m_roster, m_incarnation.value())
@@ -272,7 +271,7 @@
     for (const EntryRecord &it : entries) {
         addresses.push_back(it.front);
     }
-    const milliseconds ttl = std::min(LookupTtl, m_bounds.longestLookupTtl);
+    const milliseconds ttl = std::min(LookupTtl, m_settings.bounds.longestLookupTtl);
     exchange->reply(OkStatus, Platform::encodeOwnAnswer({}, milliseconds(0)),
                     Platform::encodeLookupAnswer(addresses, ttl));
 }
@@ -327,7 +326,7 @@
     if (!settings.has_value()) {
         return;
     }
-    m_bounds = settings->bounds;
+    m_settings.bounds = settings->bounds;
     LOG4CPLUS_INFO(logger(), LogLine("gateway", "reloaded").text());
 }
 
@@ -352,7 +351,7 @@
         return;
     }
     const microseconds age = m_loop.now() - *m_leavingSince;
-    const milliseconds grace = m_bounds.stopGrace;
+    const milliseconds grace = m_settings.bounds.stopGrace;
     const milliseconds accept(
             static_cast<std::int64_t>(AcceptShareOfGrace * static_cast<double>(grace.count())));
     if (age < accept) {
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -37,8 +37,8 @@
     void run();
     /// Starts the graceful shutdown: callers are sent elsewhere, and what has arrived is finished.
     void leave();
-    /// Reads the settings file again and takes what a running process can. A faulty file is logged
-    /// and changes nothing.
+    /// Reads the settings file again and takes the grace time and the lookup TTL. A faulty file is
+    /// logged and changes nothing.
     void reload(const std::string &file);
 
 private:
@@ -60,7 +60,6 @@
 
     EventLoop &m_loop;
     GatewaySettings m_settings;
-    GatewayBounds m_bounds;
     Incarnation m_incarnation;
     RpcRuntime m_rpc;
     HttpClient m_client;
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -195,9 +195,6 @@
 {
     m_timer.reset();
     const int status = attempt.status();
-    m_goneConnection.disconnect();
-    m_goneConnection =
-            m_exchange->disconnected().connect(sigc::mem_fun(*this, &RoutedRequest::onCallerGone));
     attempt.deliver(m_exchange, [this, status] { end("answered", status, ""); });
 }
 
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -21,8 +21,8 @@
 /// Mean answer from which a route is placed near its callers. Links between failure domains and
 /// regions are limited and shared, and each round trip of a long answer takes their delay.
 constexpr double LargeAnswerBytes = 32'768;
-/// Weight of a new measurement in the mean work of a route.
-constexpr double WorkWeight = 0.05;
+/// Weight of a new measurement in a route's mean work or answer length.
+constexpr double MeanWeight = 0.05;
 /// Work of a route before the first answer, as a part of its latency goal.
 constexpr double FirstWorkShareOfGoal = 0.6;
 /// Extra work of a cold target until it is measured.
@@ -50,6 +50,15 @@
     return microseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
 }
 
+/// Adds a measurement to a route's mean; the first one is the mean.
+void smooth(std::map<RouteName, double> &means, const RouteName &route, double value)
+{
+    const auto [mean, isFirst] = means.try_emplace(route, value);
+    if (!isFirst) {
+        mean->second += MeanWeight * (value - mean->second);
+    }
+}
+
 } // namespace
 
 std::string_view toString(RefusalReason reason)
@@ -147,7 +156,7 @@
     const bool isLarge = hasLargeAnswers(query.route->name);
     std::vector<Candidate> homes;
     bool hasPreferred = false;
-    for (TargetState *it : ranking(query, now)) {
+    for (TargetState *it : ranking(query, preferred, isLarge, now)) {
         // Near targets may be too few for long answers; the region that has room stands in.
         const bool isStandIn = isLarge && !hasPreferred && it->region == preferred;
         if ((homes.size() >= HomesPerObject && !isStandIn) || !mayTake(*it, now)) {
@@ -171,7 +180,8 @@
 }
 
 std::vector<ServiceDispatcher::TargetState *>
-ServiceDispatcher::ranking(const PlacementQuery &query, MonotonicTime now)
+ServiceDispatcher::ranking(const PlacementQuery &query, const RegionId &preferred, bool isLarge,
+                           MonotonicTime now)
 {
     struct Ranked
     {
@@ -179,8 +189,6 @@
         int tier = 0;
         double score = 0;
     };
-    const RegionId preferred = regionOf(query);
-    const bool isLarge = hasLargeAnswers(query.route->name);
     const bool sparesFailing = sparesSuspended(now);
     const std::uint64_t key = query.object.value_or(query.request);
     std::vector<Ranked> ranked;
@@ -212,13 +220,9 @@
 int ServiceDispatcher::tierOf(const TargetState &state, const RegionId &preferred,
                               bool isLarge) const
 {
-    if (isLarge) {
-        if (state.known.entry.domain == m_place.domain) {
-            return 0;
-        }
-        return state.region == m_place.region ? 1 : 2;
-    }
-    if (state.region == preferred) {
+    const bool isNearest =
+            isLarge ? state.known.entry.domain == m_place.domain : state.region == preferred;
+    if (isNearest) {
         return 0;
     }
     return state.region == m_place.region ? 1 : 2;
@@ -232,11 +236,7 @@
 
 void ServiceDispatcher::onAnswerBytes(const RouteName &route, ByteCount bytes)
 {
-    const double length = static_cast<double>(bytes.value);
-    const auto [it, isFirst] = m_answerBytes.try_emplace(route, length);
-    if (!isFirst) {
-        it->second += WorkWeight * (length - it->second);
-    }
+    smooth(m_answerBytes, route, static_cast<double>(bytes.value));
 }
 
 RegionId ServiceDispatcher::regionOf(const PlacementQuery &query) const
@@ -266,7 +266,7 @@
     return now < state.known.coldUntil && m_service.coldRequestsPerSecond > 0;
 }
 
-bool ServiceDispatcher::mayTake(TargetState &state, MonotonicTime now)
+bool ServiceDispatcher::mayTake(const TargetState &state, MonotonicTime now) const
 {
     // Without the number of entries the share of the cold rate is unknown.
     return !isCold(state, now) || (m_entries > 0 && state.coldRate.hasToken(now));
@@ -348,11 +348,7 @@
         }
     }
     if (isMeasured) {
-        const auto [mean, isFirst] =
-                m_work.try_emplace(route, static_cast<double>(duration.count()));
-        if (!isFirst) {
-            mean->second += WorkWeight * (static_cast<double>(duration.count()) - mean->second);
-        }
+        smooth(m_work, route, static_cast<double>(duration.count()));
     }
 }
 
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -121,14 +121,15 @@
     std::vector<Candidate> homesOf(const PlacementQuery &query, MonotonicTime now);
     bool hasColdTarget(const PlacementQuery &query, MonotonicTime now) const;
     /// All usable targets, the homes of the object first.
-    std::vector<TargetState *> ranking(const PlacementQuery &query, MonotonicTime now);
+    std::vector<TargetState *> ranking(const PlacementQuery &query, const RegionId &preferred,
+                                       bool isLarge, MonotonicTime now);
     /// How near a target is for the request; 0 is best.
     int tierOf(const TargetState &state, const RegionId &preferred, bool isLarge) const;
     bool hasLargeAnswers(const RouteName &route) const;
     RegionId regionOf(const PlacementQuery &query) const;
     bool isUsable(const TargetState &state, const PlacementQuery &query) const;
     bool isCold(const TargetState &state, MonotonicTime now) const;
-    bool mayTake(TargetState &state, MonotonicTime now);
+    bool mayTake(const TargetState &state, MonotonicTime now) const;
     /// Suspended targets are spared only while most of the service is not suspended.
     bool sparesSuspended(MonotonicTime now) const;
     Candidate assess(TargetState &state, const Route &route, MonotonicTime now) const;
