Net: Take callers' head and idle times from the desired state

Cause: a gateway closed idle connections of callers after 60 s and allowed as long for a head, whatever the desired state said. With a longer idle time it would close connections that callers may still use. HttpServer::setLimits() replaces setRequestLimits(); the route table holds the server's own limits in place of a copy of them.

Test: net.HttpServerTest.ChangedIdleTimeHoldsFromTheNextRequest failed first, as the time of a connection whose request is answered at once was never set again.

--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -70,16 +70,14 @@
 {
     http = evhttp_new(loop.base());
     attachEvent = evtimer_new(loop.base(), onAttach, this);
-    const timeval idle = toTimeval(limits.idleTimeout);
-    idleTimeout = event_base_init_common_timeout(loop.base(), &idle);
-    if (http == nullptr || attachEvent == nullptr || idleTimeout == nullptr) {
+    if (http == nullptr || attachEvent == nullptr) {
         throw Error("libevent could not make an HTTP server");
     }
     evhttp_set_bevcb(http, makeBufferEvent, this);
     evhttp_set_gencb(http, onRequest, this);
     evhttp_set_allowed_methods(http, AllowedMethods);
     evhttp_set_default_content_type(http, nullptr);
-    setRequestLimits(limits.headerBytes, limits.bodyBytes);
+    setLimits(serverLimits);
 }
 
 HttpServer::State::~State()
@@ -89,12 +87,18 @@
     event_free(attachEvent);
 }
 
-void HttpServer::State::setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes)
+void HttpServer::State::setLimits(const HttpServerLimits &newLimits)
 {
-    limits.headerBytes = headerBytes;
-    limits.bodyBytes = bodyBytes;
-    evhttp_set_max_headers_size(http, ev_ssize_t(headerBytes.value) + LimitSlackBytes);
-    evhttp_set_max_body_size(http, ev_ssize_t(bodyBytes.value) + LimitSlackBytes);
+    const timeval idle = toTimeval(newLimits.idleTimeout);
+    const timeval *common = event_base_init_common_timeout(loop.base(), &idle);
+    if (common == nullptr) {
+        throw Error("libevent could not take an idle time of "
+                    + std::to_string(newLimits.idleTimeout.count()) + " ms");
+    }
+    idleTimeout = common;
+    limits = newLimits;
+    evhttp_set_max_headers_size(http, ev_ssize_t(limits.headerBytes.value) + LimitSlackBytes);
+    evhttp_set_max_body_size(http, ev_ssize_t(limits.bodyBytes.value) + LimitSlackBytes);
 }
 
 void HttpServer::State::attachNewConnections()
@@ -154,9 +158,9 @@
     return m_state->port;
 }
 
-void HttpServer::setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes)
+void HttpServer::setLimits(const HttpServerLimits &limits)
 {
-    m_state->setRequestLimits(headerBytes, bodyBytes);
+    m_state->setLimits(limits);
 }
 
 void HttpServer::closeAfterResponses()
--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -3,6 +3,7 @@
 #include "base/Units.h"
 #include "net/EventLoop.h"
 #include "net/HttpExchange.h"
+#include "net/HttpServerLimits.h"
 
 #include <cstdint>
 #include <memory>
@@ -10,17 +11,6 @@
 
 namespace Tarragon {
 
-/// Limits of an HttpServer.
-struct HttpServerLimits
-{
-    /// Request line and header fields together; above it the answer is 431.
-    ByteCount headerBytes{ 16'384 };
-    /// Request body; above it the answer is 413.
-    ByteCount bodyBytes{ 1'048'576 };
-    /// Time that a connection may stay without a request.
-    seconds idleTimeout{ 60 };
-};
-
 /// HTTP/1.1 server on evhttp. Requests are handed over when their body is complete. Requests that
 /// cannot be parsed are answered with an error by the server and never reach the handler.
 class HttpServer
@@ -38,8 +28,9 @@
 
     /// The port that is listened on.
     std::uint16_t port() const;
-    /// Changes what callers may send; for requests whose head has not been read yet.
-    void setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes);
+    /// Changes the limits; for requests whose head has not been read yet, and the idle time from
+    /// the next request or connection on. Throws Error if libevent cannot take the idle time.
+    void setLimits(const HttpServerLimits &limits);
     /// Has callers leave with their next answer, which carries "Connection: close", while new
     /// connections are still accepted.
     void closeAfterResponses();
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -68,7 +68,7 @@
     const std::size_t readAhead =
             std::max<std::size_t>(MaxReadAheadBytes, server.limits.headerBytes.value * 2);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, readAhead);
-    bufferevent_set_timeouts(m_bufferEvent, server.idleTimeout, nullptr);
+    waitForRequests();
 }
 
 HttpServerConnection::~HttpServerConnection()
@@ -175,7 +175,7 @@
         const MonotonicTime now = m_server->loop.now();
         if (m_scanned == 0) {
             m_headStart = now;
-        } else if (now - m_headStart > m_server->limits.idleTimeout) {
+        } else if (now - m_headStart > m_server->limits.headerTimeout) {
             reject(RequestTimeout, "request head not complete in time");
             return;
         }
@@ -289,12 +289,20 @@
 
 void HttpServerConnection::disableIdleTimeout()
 {
-    if (!m_idleTimeoutDisabled) {
-        m_idleTimeoutDisabled = true;
+    if (m_idleTimeout != nullptr) {
+        m_idleTimeout = nullptr;
         bufferevent_set_timeouts(m_bufferEvent, nullptr, m_server->idleTimeout);
     }
 }
 
+void HttpServerConnection::waitForRequests()
+{
+    if (m_idleTimeout != m_server->idleTimeout) {
+        m_idleTimeout = m_server->idleTimeout;
+        bufferevent_set_timeouts(m_bufferEvent, m_idleTimeout, nullptr);
+    }
+}
+
 bool HttpServerConnection::isServerLeaving() const
 {
     return m_server == nullptr || !m_server->listening || m_server->closesAfterResponses;
@@ -310,10 +318,7 @@
     self->endCount();
     self->m_phase = Phase::Head;
     self->m_scanned = 0;
-    if (self->m_idleTimeoutDisabled) {
-        self->m_idleTimeoutDisabled = false;
-        bufferevent_set_timeouts(self->m_bufferEvent, self->m_server->idleTimeout, nullptr);
-    }
+    self->waitForRequests();
     // evhttp would parse what is in the input buffer without the checks of readHead().
     evbuffer *input = bufferevent_get_input(self->m_bufferEvent);
     if (evbuffer_get_length(input) > 0) {
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -42,6 +42,8 @@
     bool isServerLeaving() const;
     /// Lets the idle time count only while the peer does not read, until the response is written.
     void disableIdleTimeout();
+    /// Lets the server's present idle time count.
+    void waitForRequests();
 
     /// The exchange in progress, while its owner holds it.
     HttpExchange::State *exchange = nullptr;
@@ -96,7 +98,8 @@
     std::size_t m_scanned = 0;
     MonotonicTime m_headStart;
     bool m_counted = false;
-    bool m_idleTimeoutDisabled = false;
+    /// The idle time that counts while the peer sends nothing; null during an exchange that waits.
+    const timeval *m_idleTimeout = nullptr;
     ChunkedDecoder m_decoder;
     std::string m_chunkedBody;
     bool m_hasChunkedBody = false;
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -24,7 +24,7 @@
     State &operator=(const State &) = delete;
 
     void listen(const std::string &address, std::uint16_t port);
-    void setRequestLimits(ByteCount headerBytes, ByteCount bodyBytes);
+    void setLimits(const HttpServerLimits &newLimits);
     void attachNewConnections();
     void remove(HttpServerConnection *connection);
 
--- a/Source/routing/RouteTable.h
+++ b/Source/routing/RouteTable.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/StrongNumber.h"
 #include "base/Units.h"
+#include "net/HttpServerLimits.h"
 
 #include <map>
 #include <memory>
@@ -65,22 +66,14 @@
     double coldRequestsPerSecond = 0;
 };
 
-/// What callers may send.
-struct CallerLimits
-{
-    ByteCount headerBytes{ 16'384 };
-    ByteCount bodyBytes{ 1'048'576 };
-    /// Time that a connection may stay without a request.
-    milliseconds idleTimeout{ 60'000 };
-};
-
 /// The whole desired state of one version. Immutable once it is in force.
 struct RouteTable
 {
     RouteVersion version;
     std::vector<Route> routes;
     std::map<ServiceId, HostedService> services;
-    CallerLimits limits;
+    /// What callers may send.
+    HttpServerLimits limits;
 
     /// The route of the host with the longest prefix that begins the path; null if there is none.
     const Route *find(std::string_view host, std::string_view path) const;
--- a/Tests/net/HttpServerTest.cpp
+++ b/Tests/net/HttpServerTest.cpp
@@ -618,11 +618,30 @@
     runUntil([&] { return waiting.isPeerClosed() && streaming.isPeerClosed(); });
 }
 
+// Guards against limits that hold for new connections only or not at all when they change, so that
+// a connection is closed under callers that may still use it.
+TEST_F(HttpServerTest, ChangedIdleTimeHoldsFromTheNextRequest)
+{
+    HttpServerLimits limits;
+    limits.idleTimeout = seconds(60);
+    const std::unique_ptr<HttpServer> server = serve(echo(), limits);
+    RawSocket used(m_loop, server->port());
+    RawSocket unused(m_loop, server->port());
+    used.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    unused.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return !used.received().empty() && !unused.received().empty(); });
+    limits.idleTimeout = milliseconds(100);
+    server->setLimits(limits);
+    used.send("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&used] { return used.isPeerClosed(); });
+    EXPECT_FALSE(unused.isPeerClosed());
+}
+
 // Guards against a head that arrives so slowly that its connection never ends.
 TEST_F(HttpServerTest, SlowHeadIsRejected)
 {
     HttpServerLimits limits;
-    limits.idleTimeout = seconds(1);
+    limits.headerTimeout = seconds(1);
     const std::unique_ptr<HttpServer> server = serve(echo(), limits);
     RawSocket socket(m_loop, server->port());
     socket.send("GET / HTTP/1.1\r\nHost: a\r\nFiller: ");
--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -53,6 +53,7 @@
     EXPECT_EQ(service.coldStart, seconds(3));
     EXPECT_DOUBLE_EQ(service.coldRequestsPerSecond, 15);
     EXPECT_EQ(table.limits.bodyBytes.value, 67'108'864u);
+    EXPECT_EQ(table.limits.headerTimeout, seconds(3));
     EXPECT_EQ(table.limits.idleTimeout, seconds(15));
 }
 
