Gateway: Notice changed settings without a signal and take all bounds

Cause: a settings file that changed without SIGHUP was never read, and a running gateway kept the retry bounds of its start, because only the grace time and the lookup TTL were taken. Other changes are logged as needing a start.

Tests: gateway.SettingsFollowerTest, gateway.GatewayStateTest.ChangedBoundsHoldForBudgetsInUse.

--- a/Source/daemon/main.cpp
+++ b/Source/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "entry/Settings.h"
 #include "gateway/GatewayDaemon.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/SettingsFollower.h"
 #include "net/EventLoop.h"
 #include "net/LogWriter.h"
 #include "net/Logging.h"
@@ -49,7 +50,8 @@
     GatewayDaemon daemon(loop, settings);
     loop.onSignal(SIGTERM, [&daemon] { daemon.leave(); });
     loop.onSignal(SIGINT, [&daemon] { daemon.leave(); });
-    loop.onSignal(SIGHUP, [&daemon, &file] { daemon.reload(file); });
+    SettingsFollower follower(loop, file, sigc::mem_fun(daemon, &GatewayDaemon::reload));
+    loop.onSignal(SIGHUP, [&follower] { follower.check(); });
     daemon.run();
     return ExitDone;
 }
--- a/Source/gateway/GatewayBounds.h
+++ b/Source/gateway/GatewayBounds.h
@@ -15,6 +15,8 @@
     milliseconds stopGrace{ 6'000 };
     /// Longest time that callers keep a lookup's answer.
     milliseconds longestLookupTtl{ 5'000 };
+
+    bool operator==(const GatewayBounds &) const = default;
 };
 
 } // namespace Tarragon
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -182,7 +182,7 @@
     }
     const RouteTable &table = *m_state.table();
     m_state.refreshTargets(m_loop.now());
-    m_front->setRequestLimits(table.limits.headerBytes, table.limits.bodyBytes);
+    m_front->setLimits(table.limits);
     m_metrics.setRouteVersion(table.version.value());
     LOG4CPLUS_INFO(logger(), LogLine("gateway", "route-table-adopted")
                                      .add("version", table.version)
@@ -315,19 +315,12 @@
             LogLine("gateway", "leaving").add("inProgress", m_front->exchangesInProgress()).text());
 }
 
-void GatewayDaemon::reload(const std::string &file)
+void GatewayDaemon::reload(const GatewaySettings &settings)
 {
-    Findings findings;
-    const std::optional<GatewaySettings> settings = readGatewaySettings(file, findings);
-    for (const Finding &it : findings) {
-        LOG4CPLUS_ERROR(logger(),
-                        LogLine("gateway", "settings-refused").add("finding", toString(it)).text());
-    }
-    if (!settings.has_value()) {
-        return;
-    }
-    m_settings.bounds = settings->bounds;
-    LOG4CPLUS_INFO(logger(), LogLine("gateway", "reloaded").text());
+    m_settings.bounds = settings.bounds;
+    m_state.setBounds(settings.bounds);
+    const bool needsStart = settings != m_settings;
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "reloaded").add("needsStart", needsStart).text());
 }
 
 void GatewayDaemon::tick()
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -37,9 +37,8 @@
     void run();
     /// Starts the graceful shutdown: callers are sent elsewhere, and what has arrived is finished.
     void leave();
-    /// Reads the settings file again and takes the grace time and the lookup TTL. A faulty file is
-    /// logged and changes nothing.
-    void reload(const std::string &file);
+    /// Takes the bounds of changed settings. Other changes are logged and wait for the next start.
+    void reload(const GatewaySettings &settings);
 
 private:
     void listen();
--- a/Source/gateway/GatewaySettings.h
+++ b/Source/gateway/GatewaySettings.h
@@ -33,6 +33,8 @@
     std::map<FailureDomainId, RegionId> regions;
     GatewayBounds bounds;
     std::string logLevel = "INFO";
+
+    bool operator==(const GatewaySettings &) const = default;
 };
 
 /// Parses the text of a settings file. Returns nothing and adds all findings if there is any fault;
--- a/Source/gateway/GatewayState.cpp
+++ b/Source/gateway/GatewayState.cpp
@@ -57,15 +57,27 @@
         return;
     }
     m_entries = count;
-    for (auto &[id, budget] : m_retryBudgets) {
-        budget.setMinimum(leastRetries());
-    }
+    limitRetries();
     for (const auto &[id, dispatcher] : m_dispatchers) {
         dispatcher->setEntryCount(count);
         dispatcher->setTargets(m_registry.targets(), now);
     }
 }
 
+void GatewayState::setBounds(const GatewayBounds &bounds)
+{
+    m_bounds = bounds;
+    limitRetries();
+}
+
+void GatewayState::limitRetries()
+{
+    for (auto &[id, budget] : m_retryBudgets) {
+        budget.setShare(retryShare());
+        budget.setMinimum(leastRetries());
+    }
+}
+
 ServiceDispatcher *GatewayState::dispatcher(const ServiceId &service)
 {
     const auto it = m_dispatchers.find(service);
@@ -78,9 +90,13 @@
     if (it != m_retryBudgets.end()) {
         return it->second;
     }
-    const Share share{ static_cast<std::int64_t>(m_bounds.retryShare * RetryBoundUse
-                                                 * PartsPerMillion) };
-    return m_retryBudgets.emplace(service, RetryBudget(share, leastRetries())).first->second;
+    return m_retryBudgets.emplace(service, RetryBudget(retryShare(), leastRetries())).first->second;
+}
+
+Share GatewayState::retryShare() const
+{
+    return Share{ static_cast<std::int64_t>(m_bounds.retryShare * RetryBoundUse
+                                            * PartsPerMillion) };
 }
 
 int GatewayState::leastRetries() const
--- a/Source/gateway/GatewayState.h
+++ b/Source/gateway/GatewayState.h
@@ -30,6 +30,9 @@
     /// is unknown.
     void setEntryCount(std::size_t count, MonotonicTime now);
 
+    /// Takes changed bounds, from now on.
+    void setBounds(const GatewayBounds &bounds);
+
     PartChooser &parts() { return m_parts; }
     /// Null for a service that no table has named.
     ServiceDispatcher *dispatcher(const ServiceId &service);
@@ -39,7 +42,9 @@
     std::size_t readyTargets() const;
 
 private:
+    Share retryShare() const;
     int leastRetries() const;
+    void limitRetries();
 
     EntryPlace m_place;
     GatewayBounds m_bounds;
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -147,5 +147,22 @@
     EXPECT_EQ(state.table()->version, RouteVersion(10));
 }
 
+// Guards against a gateway that repeats by bounds that are no longer allowed.
+TEST(GatewayStateTest, ChangedBoundsHoldForBudgetsInUse)
+{
+    const GatewaySettings settings;
+    GatewayBounds bounds;
+    bounds.retryShare = 0;
+    bounds.extraRetries = 100;
+    const MonotonicTime now(seconds(1));
+    GatewayState state(settings, bounds);
+    state.setEntryCount(1, now);
+    const ServiceId service("one");
+    EXPECT_GT(state.retryBudget(service).available(now), 10);
+    bounds.extraRetries = 10;
+    state.setBounds(bounds);
+    EXPECT_LE(state.retryBudget(service).available(now), 10);
+}
+
 } // namespace
 } // namespace Tarragon
--- /dev/null
+++ b/Tests/gateway/SettingsFollowerTest.cpp
@@ -0,0 +1,71 @@
+#include "gateway/SettingsFollower.h"
+
+#include "Support/LoopTest.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
+namespace Tarragon {
+namespace {
+
+/// Settings of a gateway with the given number of extra retries.
+std::string settingsText(const std::string &extraRetries)
+{
+    return "instance: e1\nfailureDomain: d1\nregion: r1\nfront: \"127.0.0.1:1\"\n"
+           "readiness: \"127.0.0.1:2\"\nlookup: \"127.0.0.1:3\"\nrpc: \"127.0.0.1:4\"\n"
+           "metrics: \"127.0.0.1:5\"\nstore: \"127.0.0.1:6\"\nfailureDomains:\n  d1: r1\n"
+           "bounds:\n  extraRetries: "
+           + extraRetries + "\n";
+}
+
+class SettingsFollowerTest : public LoopTest
+{
+protected:
+    SettingsFollowerTest() { write(settingsText("10")); }
+    ~SettingsFollowerTest() override { std::filesystem::remove(m_file); }
+
+    void write(const std::string &text) const { std::ofstream(m_file) << text; }
+    void follow()
+    {
+        m_follower = std::make_unique<SettingsFollower>(
+                m_loop, m_file, [this](const GatewaySettings &settings) {
+                    m_taken.push_back(settings.bounds.extraRetries);
+                });
+    }
+
+    std::string m_file = std::filesystem::temp_directory_path()
+                         / ("settings-follower-" + std::to_string(getpid()) + ".yaml");
+    std::vector<double> m_taken;
+    std::unique_ptr<SettingsFollower> m_follower;
+};
+
+// Guards against a change that waits for a signal that never comes.
+TEST_F(SettingsFollowerTest, TakesAChangeWithoutASignal)
+{
+    follow();
+    write(settingsText("20"));
+    runUntil([this] { return !m_taken.empty(); });
+    EXPECT_EQ(m_taken, std::vector<double>{ 20 });
+}
+
+// Guards against settings that are applied again and again, or in part, or not at all after a
+// faulty file has been seen.
+TEST_F(SettingsFollowerTest, TakesOnlySoundChanges)
+{
+    follow();
+    m_follower->check();
+    write(settingsText("many"));
+    m_follower->check();
+    std::filesystem::remove(m_file);
+    m_follower->check();
+    EXPECT_TRUE(m_taken.empty());
+    write(settingsText("30"));
+    m_follower->check();
+    m_follower->check();
+    EXPECT_EQ(m_taken, std::vector<double>{ 30 });
+}
+
+} // namespace
+} // namespace Tarragon
