Gateway: Sample lines of successes and tell refusals, budgets and lag by metrics

Cause: each request left a line, so that a busy gateway paid for successes nobody reads and a stopped reader made it drop failures and successes alike; and the metrics did not say why requests were refused, how many repeats were left, how old the view of the store was, or whether the loop or the log kept up. Lines of successes are limited by log.successesPerSecond and left out while half of the log's buffer is taken.

--- a/Source/daemon/main.cpp
+++ b/Source/daemon/main.cpp
@@ -47,7 +47,7 @@
     const std::shared_ptr<LogBuffer> log = initializeLogging(settings.logLevel);
     EventLoop loop;
     const LogWriter writer(loop, log, STDOUT_FILENO);
-    GatewayDaemon daemon(loop, settings);
+    GatewayDaemon daemon(loop, settings, *log);
     loop.onSignal(SIGTERM, [&daemon] { daemon.leave(); });
     loop.onSignal(SIGINT, [&daemon] { daemon.leave(); });
     SettingsFollower follower(loop, file, sigc::mem_fun(daemon, &GatewayDaemon::reload));
--- a/Source/gateway/GatewayContext.h
+++ b/Source/gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewayMetrics.h"
 #include "gateway/GatewayState.h"
+#include "gateway/LineSampler.h"
 #include "net/EventLoop.h"
 #include "net/HttpClient.h"
 
@@ -14,6 +15,8 @@
     HttpClient &client;
     GatewayState &state;
     GatewayMetrics &metrics;
+    /// For lines of successful requests.
+    LineSampler &successLines;
 };
 
 } // namespace Tarragon
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-GatewayDaemon::GatewayDaemon(EventLoop &loop, const GatewaySettings &settings)
+GatewayDaemon::GatewayDaemon(EventLoop &loop, const GatewaySettings &settings, const LogBuffer &log)
     : m_loop(loop)
     , m_settings(settings)
     , m_incarnation(strongRandom() >> 1U)
@@ -56,10 +56,13 @@
     , m_client(loop)
     , m_store(m_client, settings.store)
     , m_state(settings, settings.bounds)
-    , m_context{ loop, m_client, m_state, m_metrics }
+    , m_log(log)
+    , m_successLines(log, settings.loggedSuccessesPerSecond)
+    , m_context{ loop, m_client, m_state, m_metrics, m_successLines }
     , m_roster(recordOf(settings, m_incarnation), m_incarnation.value())
     , m_registration(loop, m_store, m_roster, m_incarnation.value())
     , m_exchange(loop, m_roster, settings.rpc, m_incarnation.value())
+    , m_tickedAt(loop.now())
 {
     m_health.lost().connect(sigc::mem_fun(*this, &GatewayDaemon::onStoreLost));
     m_health.regained().connect(sigc::mem_fun(*this, &GatewayDaemon::onStoreRegained));
@@ -94,7 +97,7 @@
             [this](const HttpExchangePtr &exchange) {
                 HttpHeaders headers;
                 headers.add("Content-Type", "text/plain; version=0.0.4");
-                exchange->reply(OkStatus, headers, m_metrics.text());
+                exchange->reply(OkStatus, headers, metricsText());
             });
 }
 
@@ -292,7 +295,7 @@
 
 GatewayDaemon::Ports GatewayDaemon::ports() const
 {
-    return Ports{ m_front->port(), m_readiness->port(), m_lookup->port() };
+    return Ports{ m_front->port(), m_readiness->port(), m_lookup->port(), m_metricsServer->port() };
 }
 
 void GatewayDaemon::run()
@@ -333,9 +336,26 @@
         m_state.setEntryCount(m_roster.others().size() + 1, now);
     }
     m_roster.setServing(isReady());
+    m_metrics.recordLoopLag(now - m_tickedAt - TickPeriod);
+    m_tickedAt = now;
+    checkShutdown();
+}
+
+std::string GatewayDaemon::metricsText()
+{
+    const MonotonicTime now = m_loop.now();
     m_metrics.setLiveEntries(m_roster.liveCount(now));
     m_metrics.setRequestsInProgress(m_front->exchangesInProgress());
-    checkShutdown();
+    m_metrics.setStoreAge(m_health.succeededAt().has_value() ? now - *m_health.succeededAt()
+                                                             : microseconds(0));
+    m_metrics.setLogLines(m_log.dropped(), m_successLines.skipped());
+    for (const auto &[service, budget] : m_state.retryBudgets()) {
+        m_metrics.setRetriesLeft(service, budget.available(now));
+    }
+    for (const auto &[service, dispatcher] : m_state.dispatchers()) {
+        m_metrics.setSendsInProgress(service, dispatcher->sendsInProgress());
+    }
+    return m_metrics.text();
 }
 
 void GatewayDaemon::checkShutdown()
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -19,7 +19,8 @@
 {
 public:
     /// Listens on the settings' addresses. Throws Error if that fails.
-    GatewayDaemon(EventLoop &loop, const GatewaySettings &settings);
+    /// The log buffer is the one that the process writes out.
+    GatewayDaemon(EventLoop &loop, const GatewaySettings &settings, const LogBuffer &log);
     ~GatewayDaemon();
     GatewayDaemon(const GatewayDaemon &) = delete;
     GatewayDaemon &operator=(const GatewayDaemon &) = delete;
@@ -30,6 +31,7 @@
         std::uint16_t front = 0;
         std::uint16_t readiness = 0;
         std::uint16_t lookup = 0;
+        std::uint16_t metrics = 0;
     };
     Ports ports() const;
 
@@ -55,6 +57,7 @@
     void answerReadiness(const HttpExchangePtr &exchange);
     bool isReady() const;
     void tick();
+    std::string metricsText();
     void checkShutdown();
 
     EventLoop &m_loop;
@@ -66,6 +69,8 @@
     StoreHealth m_health;
     GatewayMetrics m_metrics;
     GatewayState m_state;
+    const LogBuffer &m_log;
+    LineSampler m_successLines;
     GatewayContext m_context;
     EntryRoster m_roster;
     EntryRegistration m_registration;
@@ -80,6 +85,7 @@
     std::unique_ptr<HttpServer> m_lookup;
     std::unique_ptr<HttpServer> m_metricsServer;
     std::optional<MonotonicTime> m_leavingSince;
+    MonotonicTime m_tickedAt;
     Timer m_tick;
 };
 
--- a/Source/gateway/GatewayMetrics.cpp
+++ b/Source/gateway/GatewayMetrics.cpp
@@ -2,6 +2,8 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+
 namespace Tarragon {
 
 namespace {
@@ -10,6 +12,10 @@
                                                                  0.2,  0.25,  0.3,  0.4, 0.6,
                                                                  0.8,  1,     1.5,  2,   5 };
 
+const prometheus::Histogram::BucketBoundaries LagBuckets = {
+    0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1
+};
+
 prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
 {
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -44,6 +50,29 @@
               gauge(m_registry, "tarragon_gateway_store_lost", "1 while calls to the store fail"))
     , m_inProgress(gauge(m_registry, "tarragon_gateway_requests_in_progress",
                          "Requests that have not ended"))
+    , m_refusals(prometheus::BuildCounter()
+                         .Name("tarragon_gateway_refusals_total")
+                         .Help("Requests refused as not run, by service and reason")
+                         .Register(m_registry))
+    , m_loopLag(prometheus::BuildHistogram()
+                        .Name("tarragon_gateway_loop_lag_seconds")
+                        .Help("Time by which a periodic task of the event loop was late")
+                        .Register(m_registry)
+                        .Add({}, LagBuckets))
+    , m_storeAge(gauge(m_registry, "tarragon_gateway_store_age_seconds",
+                       "Time since a call to the store last succeeded"))
+    , m_linesDropped(gauge(m_registry, "tarragon_gateway_log_lines_dropped",
+                           "Log lines that found no room since the start"))
+    , m_linesSkipped(gauge(m_registry, "tarragon_gateway_log_lines_skipped",
+                           "Lines of successful requests above the rate since the start"))
+    , m_retriesLeft(prometheus::BuildGauge()
+                            .Name("tarragon_gateway_retries_left")
+                            .Help("Repeats that the budget still allows, by service")
+                            .Register(m_registry))
+    , m_sendsInProgress(prometheus::BuildGauge()
+                                .Name("tarragon_gateway_sends_in_progress")
+                                .Help("Requests that are at targets, by service")
+                                .Register(m_registry))
 {}
 
 std::string GatewayMetrics::labelOf(const RouteName &route)
@@ -84,6 +113,37 @@
     m_retries.Add({ { "service", service.value() } }).Increment();
 }
 
+void GatewayMetrics::recordRefusal(const ServiceId &service, const std::string &reason)
+{
+    m_refusals.Add({ { "service", service.value() }, { "reason", reason } }).Increment();
+}
+
+void GatewayMetrics::recordLoopLag(microseconds lag)
+{
+    m_loopLag.Observe(std::max(std::chrono::duration<double>(lag).count(), 0.0));
+}
+
+void GatewayMetrics::setStoreAge(microseconds age)
+{
+    m_storeAge.Set(std::chrono::duration<double>(age).count());
+}
+
+void GatewayMetrics::setLogLines(std::uint64_t dropped, std::uint64_t skipped)
+{
+    m_linesDropped.Set(static_cast<double>(dropped));
+    m_linesSkipped.Set(static_cast<double>(skipped));
+}
+
+void GatewayMetrics::setRetriesLeft(const ServiceId &service, int count)
+{
+    m_retriesLeft.Add({ { "service", service.value() } }).Set(count);
+}
+
+void GatewayMetrics::setSendsInProgress(const ServiceId &service, std::size_t count)
+{
+    m_sendsInProgress.Add({ { "service", service.value() } }).Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::setRouteVersion(std::uint64_t version)
 {
     m_routeVersion.Set(static_cast<double>(version));
--- a/Source/gateway/GatewayMetrics.h
+++ b/Source/gateway/GatewayMetrics.h
@@ -26,11 +26,21 @@
     /// A request was sent to a target; the outcome is the way in which it ended there.
     void recordSend(const ServiceId &service, const std::string &outcome);
     void recordRetry(const ServiceId &service);
+    /// A request was refused; the reason is one of a few words of the request log.
+    void recordRefusal(const ServiceId &service, const std::string &reason);
+    /// Time by which a periodic task of the loop was late.
+    void recordLoopLag(microseconds lag);
     void setRouteVersion(std::uint64_t version);
     void setReadyTargets(std::size_t count);
     void setLiveEntries(std::size_t count);
     void setStoreLost(bool isLost);
     void setRequestsInProgress(std::size_t count);
+    /// Time since a call to the store last succeeded.
+    void setStoreAge(microseconds age);
+    /// Lines that found no room, and lines of successful requests above the rate.
+    void setLogLines(std::uint64_t dropped, std::uint64_t skipped);
+    void setRetriesLeft(const ServiceId &service, int count);
+    void setSendsInProgress(const ServiceId &service, std::size_t count);
 
     std::string text() const;
 
@@ -50,6 +60,13 @@
     prometheus::Gauge &m_liveEntries;
     prometheus::Gauge &m_storeLost;
     prometheus::Gauge &m_inProgress;
+    prometheus::Family<prometheus::Counter> &m_refusals;
+    prometheus::Histogram &m_loopLag;
+    prometheus::Gauge &m_storeAge;
+    prometheus::Gauge &m_linesDropped;
+    prometheus::Gauge &m_linesSkipped;
+    prometheus::Family<prometheus::Gauge> &m_retriesLeft;
+    prometheus::Family<prometheus::Gauge> &m_sendsInProgress;
     std::map<std::string, prometheus::Histogram *> m_histograms;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_requestCounters;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_sendCounters;
--- a/Source/gateway/GatewaySettings.cpp
+++ b/Source/gateway/GatewaySettings.cpp
@@ -15,6 +15,7 @@
 /// Longest time that a bound may name.
 constexpr double MaxSeconds = 3'600;
 constexpr double MaxRetries = 1e6;
+constexpr double MaxLinesPerSecond = 1e6;
 
 void readRegions(MappingReader &reader, std::map<FailureDomainId, RegionId> &regions)
 {
@@ -52,19 +53,21 @@
     fields.finish();
 }
 
-void readLog(MappingReader &reader, std::string &level)
+void readLog(MappingReader &reader, GatewaySettings &settings)
 {
     const std::optional<YamlValue> value = reader.find("log");
     if (!value.has_value()) {
         return;
     }
     MappingReader log(*value);
-    log.optional("level", level,
+    log.optional("level", settings.logLevel,
                  ChoiceFormat<std::string>{ { { "TRACE", "TRACE" },
                                               { "DEBUG", "DEBUG" },
                                               { "INFO", "INFO" },
                                               { "WARN", "WARN" },
                                               { "ERROR", "ERROR" } } });
+    log.optional("successesPerSecond", settings.loggedSuccessesPerSecond,
+                 NumberFormat{ 0, MaxLinesPerSecond });
     log.finish();
 }
 
@@ -81,7 +84,7 @@
     reader.require("store", settings.store, EndpointFormat{});
     readRegions(reader, settings.regions);
     readBounds(reader, settings.bounds);
-    readLog(reader, settings.logLevel);
+    readLog(reader, settings);
     reader.finish();
 }
 
--- a/Source/gateway/GatewaySettings.h
+++ b/Source/gateway/GatewaySettings.h
@@ -33,6 +33,8 @@
     std::map<FailureDomainId, RegionId> regions;
     GatewayBounds bounds;
     std::string logLevel = "INFO";
+    /// Lines of successful requests that are logged in a second at most.
+    double loggedSuccessesPerSecond = 100;
 
     bool operator==(const GatewaySettings &) const = default;
 };
--- a/Source/gateway/GatewayState.h
+++ b/Source/gateway/GatewayState.h
@@ -37,6 +37,12 @@
     /// Null for a service that no table has named.
     ServiceDispatcher *dispatcher(const ServiceId &service);
     RetryBudget &retryBudget(const ServiceId &service);
+    const std::map<ServiceId, std::unique_ptr<ServiceDispatcher>> &dispatchers() const
+    {
+        return m_dispatchers;
+    }
+    /// Budgets of the services that have got requests.
+    const std::map<ServiceId, RetryBudget> &retryBudgets() const { return m_retryBudgets; }
     /// Whether requests can be served: there is a table, and a target may be used.
     bool canServe() const;
     std::size_t readyTargets() const;
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+/// Answers from this status on are failures.
+constexpr int LeastErrorStatus = 500;
 constexpr int NotFoundStatus = 404;
 constexpr int BadGatewayStatus = 502;
 constexpr int UnavailableStatus = 503;
@@ -211,6 +213,7 @@
 
 void RoutedRequest::refuse(const std::string &reason, microseconds retryAfter)
 {
+    m_context.metrics.recordRefusal(m_service, reason);
     replyOwn(UnavailableStatus, "refused", reason, retryAfter);
 }
 
@@ -260,9 +263,30 @@
     const microseconds duration = m_context.loop.now() - m_arrivedAt;
     const RouteName route = m_route == nullptr ? RouteName("none") : m_route->name;
     m_context.metrics.recordRequest(route, outcome, duration);
+    logEnd(outcome, status, reason, duration);
+    // Destroying the attempt cancels what the target still does; it may be on the stack.
+    m_context.loop.post([self] {
+        self->m_attempt.reset();
+        self->m_fallback.reset();
+        self->m_ended.clear();
+    });
+}
+
+void RoutedRequest::logEnd(const std::string &outcome, int status, const std::string &reason,
+                           microseconds duration) const
+{
+    std::uint64_t skipped = 0;
+    if (outcome == "answered" && status < LeastErrorStatus) {
+        const std::optional<std::uint64_t> admitted =
+                m_context.successLines.admit(m_context.loop.now());
+        if (!admitted.has_value()) {
+            return;
+        }
+        skipped = *admitted;
+    }
     LogLine line("gateway", "request");
     line.add("request", m_request.id)
-            .add("route", route)
+            .add("route", m_route == nullptr ? RouteName("none") : m_route->name)
             .add("version", m_table == nullptr ? RouteVersion() : m_table->version)
             .add("service", m_service)
             .add("outcome", outcome)
@@ -281,13 +305,10 @@
     if (m_retryAfter > milliseconds(0)) {
         line.add("retryAfterMs", m_retryAfter);
     }
+    if (skipped > 0) {
+        line.add("skipped", skipped);
+    }
     LOG4CPLUS_INFO(logger(), line.text());
-    // Destroying the attempt cancels what the target still does; it may be on the stack.
-    m_context.loop.post([self] {
-        self->m_attempt.reset();
-        self->m_fallback.reset();
-        self->m_ended.clear();
-    });
 }
 
 void RoutedRequest::logAttempt(const TargetAttempt &attempt) const
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -40,6 +40,9 @@
     void onDeadline();
     void onCallerGone();
     void end(const std::string &outcome, int status, const std::string &reason);
+    /// Logs how the request ended; of successful ones those that the sampler takes.
+    void logEnd(const std::string &outcome, int status, const std::string &reason,
+                microseconds duration) const;
     void logAttempt(const TargetAttempt &attempt) const;
     microseconds left() const { return m_deadline - m_context.loop.now(); }
 
--- a/Source/gateway/StoreHealth.h
+++ b/Source/gateway/StoreHealth.h
@@ -33,6 +33,8 @@
             m_regained.emit();
         }
     }
+    /// When a call last succeeded; nothing before the first.
+    const std::optional<MonotonicTime> &succeededAt() const { return m_succeededAt; }
     /// Emitted with the reason when the first call fails.
     sigc::signal<void(const std::string &)> &lost() { return m_lost; }
     /// Emitted when a call succeeds again.
--- a/Source/net/LogBuffer.h
+++ b/Source/net/LogBuffer.h
@@ -22,6 +22,8 @@
     std::string_view pending() const { return m_text; }
     /// The first bytes have been written.
     void consume(std::size_t bytes) { m_text.erase(0, bytes); }
+    /// Whether more than half of the room is taken; frequent lines should then be left out.
+    bool isCrowded() const { return m_text.size() > m_maxBytes / 2; }
     /// Lines that were dropped since the start.
     std::uint64_t dropped() const { return m_dropped; }
 
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -367,6 +367,15 @@
     return microseconds(static_cast<std::int64_t>(it->second));
 }
 
+std::size_t ServiceDispatcher::sendsInProgress() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, state] : m_targets) {
+        count += static_cast<std::size_t>(state.load.own());
+    }
+    return count;
+}
+
 std::size_t ServiceDispatcher::readyTargets() const
 {
     return static_cast<std::size_t>(
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -97,6 +97,8 @@
     /// Mean time from sending to the answer on the route; a guess before the first answer.
     microseconds expectedWork(const Route &route) const;
     std::size_t readyTargets() const;
+    /// Requests of this entry that are at targets.
+    std::size_t sendsInProgress() const;
 
 private:
     struct TargetState
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -24,7 +24,7 @@
                               &m_settings.rpc, &m_settings.metrics }) {
             *it = Endpoint{ "127.0.0.1", 0 };
         }
-        m_daemon = std::make_unique<GatewayDaemon>(m_loop, m_settings);
+        m_daemon = std::make_unique<GatewayDaemon>(m_loop, m_settings, m_log);
     }
 
     void writeDesiredState(int version)
@@ -86,6 +86,7 @@
     StandInStore m_standIn{ m_loop, "127.0.0.1", 0, 0 };
     HttpClient m_client{ m_loop };
     GatewaySettings m_settings;
+    LogBuffer m_log{ 1'000'000 };
     std::unique_ptr<GatewayDaemon> m_daemon;
 };
 
@@ -119,6 +120,23 @@
     runUntil([this] { return m_standIn.objects().find("entries", "e1") == nullptr; });
 }
 
+// Guards against an on-call engineer who cannot tell why a gateway refuses requests.
+TEST_F(GatewayDaemonTest, MetricsTellRefusalsAndTheAgeOfTheView)
+{
+    writeDesiredState(3);
+    writeTarget("t1");
+    runUntil([this] { return readiness() == 200; });
+    EXPECT_EQ(ask(m_daemon->ports().front, "/x/1").head.status, 404);
+    const std::string text = ask(m_daemon->ports().metrics, "/metrics").body;
+    for (const char *name :
+         { "tarragon_gateway_requests_total{outcome=\"no-route\",route=\"none\"} 1",
+           "tarragon_gateway_store_age_seconds", "tarragon_gateway_loop_lag_seconds_count",
+           "tarragon_gateway_log_lines_dropped 0", "tarragon_gateway_log_lines_skipped 0",
+           "tarragon_gateway_sends_in_progress{service=\"one\"} 0" }) {
+        EXPECT_NE(text.find(name), std::string::npos) << name << " is not in\n" << text;
+    }
+}
+
 // Guards against an entry that stays invisible because its record was removed by mistake.
 TEST_F(GatewayDaemonTest, RegistersAgainWhenItsRecordVanishes)
 {
--- a/Tests/gateway/GatewayFixture.h
+++ b/Tests/gateway/GatewayFixture.h
@@ -40,7 +40,7 @@
         m_settings.regions = { { FailureDomainId("d1"), RegionId("r1") } };
         m_state = std::make_unique<GatewayState>(m_settings, m_settings.bounds);
         m_context = std::make_unique<GatewayContext>(
-                GatewayContext{ m_loop, m_client, *m_state, m_metrics });
+                GatewayContext{ m_loop, m_client, *m_state, m_metrics, m_successLines });
         m_front = std::make_unique<HttpServer>(
                 m_loop, "127.0.0.1", 0, HttpServerLimits{},
                 [this](const HttpExchangePtr &it) { RoutedRequest::begin(*m_context, it); });
@@ -181,6 +181,8 @@
 
     HttpClient m_client{ m_loop };
     GatewaySettings m_settings;
+    LogBuffer m_log{ 1'000'000 };
+    LineSampler m_successLines{ m_log, 1'000 };
     GatewayMetrics m_metrics;
     std::unique_ptr<GatewayState> m_state;
     std::unique_ptr<GatewayContext> m_context;
