Model: Add a load model and tarragon-loadmodel

Plays load files in virtual time against the dispatcher that gateways run: targets with slots, short queues and a memory of objects, several entries with views of their own, callers that come back after refusals, and troubles. The number of homes and the share of the goal that a request may wait become DispatchOptions, so that policies can be compared. VirtualSchedule moves from the tests of steering to the model.

Tests: model.LoadRunTest plays loads and checks what callers get by region, route and second; model.ModelTargetTest, model.LoadPlanTest, model.LoadPlotTest.

--- /dev/null
+++ b/Source/model/LoadRun.cpp
@@ -0,0 +1,460 @@
+#include "model/LoadRun.h"
+
+#include "base/Digest.h"
+#include "model/LeastLoadedPolicy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+/// Clock of the entries at the start of the load; a process's clock does not begin at 0.
+constexpr seconds ClockStart{ 1'000 };
+constexpr microseconds WindowLength{ 1'000'000 };
+/// Time after the end of traffic in which running requests end.
+constexpr milliseconds Tail{ 20'000 };
+/// The retry budget of GatewayState under the platform's usual bounds: 0.6 of a fifth, and of 50
+/// extra retries for all entries.
+constexpr Share RetryShare{ 120'000 };
+constexpr double ExtraRetries = 30;
+/// Traffic never ends altogether, as the next arrival is what notices its return.
+constexpr double LeastTrafficFactor = 0.001;
+/// Time that must be left for a further send, and when a declined caller may come back; as in
+/// RoutedRequest.
+constexpr milliseconds LeastRetryTime{ 30 };
+constexpr milliseconds RetryAfterDeclined{ 100 };
+
+bool lasts(TroubleKind kind)
+{
+    return kind != TroubleKind::Forget && kind != TroubleKind::Restart;
+}
+
+} // namespace
+
+template<PlacementPolicy Policy>
+LoadRun<Policy>::LoadRun(const LoadPlan &plan, std::uint64_t seed, MakePolicy makePolicy)
+    : m_plan(plan)
+    , m_seed(seed)
+    , m_makePolicy(std::move(makePolicy))
+    , m_random(seed)
+{
+    for (const ModelRoute &it : plan.routes) {
+        Route route;
+        route.name = it.name;
+        route.isRepeatable = it.isRepeatable;
+        route.timeout = it.deadline;
+        route.latencyGoal = it.goal;
+        route.maxAttempts = it.maxAttempts;
+        route.hasObjectAffinity = it.objects > 0;
+        route.parts = { ServicePart{ it.service, 1 } };
+        m_routes[it.name] = route;
+    }
+    makeTargets();
+    makeEntries();
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::makeTargets()
+{
+    for (const auto &[id, service] : m_plan.services) {
+        for (const auto &[domain, count] : service.targets) {
+            for (int i = 0; i < count; ++i) {
+                DiscoveredTarget entry;
+                entry.id = TargetId(id.value() + "-" + domain.value() + "-" + std::to_string(i));
+                entry.service = id;
+                entry.domain = domain;
+                entry.slots = service.slots;
+                m_known[entry.id].entry = entry;
+                m_targets[entry.id] =
+                        std::make_unique<ModelTarget>(m_schedule, service, entry, m_random());
+            }
+        }
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::makeEntries()
+{
+    for (const ModelDomain &it : m_plan.domains) {
+        for (int i = 0; i < it.entries; ++i) {
+            m_entries.push_back(std::make_unique<Entry>());
+            m_entries.back()->domain = &it;
+        }
+    }
+    for (const std::unique_ptr<Entry> &it : m_entries) {
+        startEntry(*it);
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::startEntry(Entry &entry)
+{
+    ++entry.start;
+    entry.policies.clear();
+    entry.budgets.clear();
+    EntryPlace place{ entry.domain->id, entry.domain->region, {} };
+    for (const ModelDomain &it : m_plan.domains) {
+        place.regions[it.id] = it.region;
+    }
+    const int leastRetries = static_cast<int>(ExtraRetries / static_cast<double>(m_entries.size()));
+    for (const auto &[id, service] : m_plan.services) {
+        HostedService hosted;
+        hosted.id = id;
+        std::unique_ptr<Policy> policy = m_makePolicy(place, hosted);
+        policy->setEntryCount(m_entries.size());
+        policy->setTargets(m_known, clock());
+        entry.policies[id] = std::move(policy);
+        entry.budgets.emplace(id, RetryBudget(RetryShare, leastRetries));
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::publishTargets()
+{
+    for (const std::unique_ptr<Entry> &entry : m_entries) {
+        for (const auto &[id, policy] : entry->policies) {
+            policy->setTargets(m_known, clock());
+        }
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::scheduleTrouble(const ModelTrouble &trouble)
+{
+    m_schedule.after(trouble.at, [this, &trouble] { applyTrouble(trouble, true); });
+    if (lasts(trouble.kind)) {
+        m_schedule.after(trouble.at + trouble.duration,
+                         [this, &trouble] { applyTrouble(trouble, false); });
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::applyTrouble(const ModelTrouble &trouble, bool begins)
+{
+    if (trouble.kind == TroubleKind::Burst) {
+        m_trafficFactor *= begins ? trouble.factor : 1 / trouble.factor;
+        return;
+    }
+    if (trouble.kind == TroubleKind::Restart) {
+        for (const std::unique_ptr<Entry> &it : m_entries) {
+            startEntry(*it);
+        }
+        return;
+    }
+    for (const auto &[id, target] : m_targets) {
+        // The same targets when it begins and when it ends.
+        const std::uint64_t hash = stableHash(id.value(), m_seed + std::size_t(trouble.at.count()));
+        const bool isHit = static_cast<double>(hash >> 11U) * 0x1p-53 < trouble.share;
+        const bool isOfService =
+                trouble.service.isEmpty() || trouble.service == target->entry().service;
+        if (isHit && isOfService) {
+            applyToTarget(trouble, *target, begins);
+        }
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::applyToTarget(const ModelTrouble &trouble, ModelTarget &target, bool begins)
+{
+    switch (trouble.kind) {
+    case TroubleKind::Forget:
+        target.forget();
+        break;
+    case TroubleKind::Down: {
+        target.setDown(begins);
+        target.forget();
+        const DiscoveredTarget &entry = target.entry();
+        m_schedule.after(m_plan.registryLag, [this, &entry, begins] {
+            if (begins) {
+                m_known.erase(entry.id);
+            } else {
+                m_known[entry.id].entry = entry;
+            }
+            publishTargets();
+        });
+        break;
+    }
+    case TroubleKind::Silent:
+        target.setSilent(begins);
+        break;
+    case TroubleKind::Slow:
+        target.setSlowness(begins ? trouble.factor : 1);
+        break;
+    case TroubleKind::Shed:
+        target.setShedPart(begins ? std::min(trouble.factor, 1.0) : 0);
+        break;
+    case TroubleKind::Burst:
+    case TroubleKind::Restart:
+        break;
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::scheduleArrival(const ModelRoute &route, const ModelDomain &domain)
+{
+    if (route.perSecond <= 0) {
+        return;
+    }
+    const double perSecond = route.perSecond * std::max(m_trafficFactor, LeastTrafficFactor);
+    const double wait = std::exponential_distribution<>(perSecond)(m_random);
+    m_schedule.after(microseconds(static_cast<std::int64_t>(wait * 1e6)), [this, &route, &domain] {
+        if (m_schedule.now() >= m_plan.duration) {
+            return;
+        }
+        Request request{ &route, &m_routes.at(route.name), &domain, ++m_nextRequest, {}, {}, 0 };
+        request.begin = m_schedule.now();
+        if (route.objects > 0) {
+            const int object = std::uniform_int_distribution<>(0, route.objects - 1)(m_random);
+            request.object = stableHash(std::to_string(object), stableHash(route.name.value()));
+        }
+        count(request, &LoadTally::asked);
+        ask(request);
+        scheduleArrival(route, domain);
+    });
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::scheduleWindowEnd()
+{
+    m_schedule.after(WindowLength, [this] {
+        std::map<RegionId, double> used;
+        std::map<RegionId, double> slots;
+        for (const auto &[id, target] : m_targets) {
+            const RegionId &region = m_plan.findDomain(target->entry().domain)->region;
+            used[region] += static_cast<double>(target->takeBusyTime().count());
+            slots[region] += target->entry().slots.value;
+        }
+        LoadWindow &window = windowAt(m_schedule.now() - WindowLength);
+        for (const auto &[region, time] : used) {
+            window.use[region] = time / (slots[region] * static_cast<double>(WindowLength.count()));
+        }
+        if (m_schedule.now() < m_plan.duration) {
+            scheduleWindowEnd();
+        }
+    });
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::ask(Request request)
+{
+    ++request.asks;
+    std::vector<Entry *> near;
+    for (const std::unique_ptr<Entry> &it : m_entries) {
+        if (it->domain == request.domain) {
+            near.push_back(it.get());
+        }
+    }
+    const AttemptPtr attempt = std::make_shared<Attempt>();
+    attempt->entry = near[m_random() % near.size()];
+    attempt->start = attempt->entry->start;
+    attempt->request = request;
+    m_schedule.after(m_plan.delays.caller, [this, attempt] { arrive(attempt); });
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::arrive(const AttemptPtr &attempt)
+{
+    const Request &request = attempt->request;
+    const microseconds left = request.begin + request.model->deadline - m_schedule.now();
+    m_schedule.after(std::max(left, microseconds(0)), [this, attempt] { onDeadline(attempt); });
+    if (!isLost(*attempt)) {
+        attempt->entry->budgets.at(request.model->service).onRequest(clock());
+        place(attempt);
+    }
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::place(const AttemptPtr &attempt)
+{
+    const Request &request = attempt->request;
+    PlacementQuery query;
+    query.route = request.route;
+    query.object = request.object;
+    query.request = stableHash(std::to_string(request.id), std::uint64_t(request.asks));
+    query.tried = attempt->tried;
+    query.left = request.begin + request.model->deadline - m_schedule.now();
+    const Placement placement =
+            attempt->entry->policies.at(request.model->service)->place(query, clock());
+    if (placement.target.has_value()) {
+        send(attempt, placement);
+        return;
+    }
+    attempt->hasEnded = true;
+    m_schedule.after(m_plan.delays.caller,
+                     [this, request, placement] { onRefused(request, placement.retryAfter); });
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::send(const AttemptPtr &attempt, const Placement &placement)
+{
+    const TargetId target = *placement.target;
+    attempt->target = target;
+    attempt->tried.insert(target);
+    attempt->sentAt = m_schedule.now();
+    ++attempt->sends;
+    attempt->entry->policies.at(attempt->request.model->service)->onSent(target, clock());
+    ModelTarget &model = *m_targets.at(target);
+    const microseconds way = delay(attempt->entry->domain->id, model.entry().domain);
+    m_schedule.after(way, [this, attempt, placement, &model, way] {
+        if (model.isDown()) {
+            m_schedule.after(way, [this, attempt] { onUnreachable(attempt); });
+            return;
+        }
+        model.submit(attempt->request.model->work, attempt->request.object,
+                     [this, attempt, placement, way](const TargetAnswer &answer) {
+                         m_schedule.after(way, [this, attempt, placement, answer] {
+                             onAnswer(attempt, placement, answer);
+                         });
+                     });
+    });
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::endSend(const AttemptPtr &attempt, SendOutcome outcome, bool hadToWait)
+{
+    attempt->entry->policies.at(attempt->request.model->service)
+            ->onEnded(*std::exchange(attempt->target, std::nullopt), attempt->request.model->name,
+                      outcome, m_schedule.now() - attempt->sentAt, hadToWait, clock());
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::onAnswer(const AttemptPtr &attempt, const Placement &placement,
+                               const TargetAnswer &answer)
+{
+    if (attempt->hasEnded || isLost(*attempt)) {
+        return;
+    }
+    const Request request = attempt->request;
+    attempt->entry->policies.at(request.model->service)
+            ->onReport(*attempt->target, answer.load, clock());
+    endSend(attempt, answer.hasRun ? SendOutcome::Answered : SendOutcome::Declined,
+            placement.wait > microseconds(0));
+    if (answer.hasRun) {
+        attempt->hasEnded = true;
+        m_schedule.after(m_plan.delays.caller, [this, request] {
+            const microseconds time = m_schedule.now() - request.begin;
+            count(request, time <= request.model->goal ? &LoadTally::inGoal : &LoadTally::late);
+            windowAt(request.begin).times.push_back(time);
+            m_result.returnedAnswered += request.asks > 1 ? 1 : 0;
+        });
+        return;
+    }
+    const microseconds left = request.begin + request.model->deadline - m_schedule.now();
+    if (attempt->sends < request.model->maxAttempts && left >= LeastRetryTime
+        && attempt->entry->budgets.at(request.model->service).tryRetry(clock())) {
+        place(attempt);
+        return;
+    }
+    attempt->hasEnded = true;
+    m_schedule.after(m_plan.delays.caller,
+                     [this, request] { onRefused(request, RetryAfterDeclined); });
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::onUnreachable(const AttemptPtr &attempt)
+{
+    if (attempt->hasEnded || isLost(*attempt)) {
+        return;
+    }
+    endSend(attempt, SendOutcome::Unreachable, true);
+    // Nothing has arrived anywhere, so that neither attempts nor budget are used.
+    --attempt->sends;
+    place(attempt);
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::onDeadline(const AttemptPtr &attempt)
+{
+    if (std::exchange(attempt->hasEnded, true)) {
+        return;
+    }
+    if (attempt->target.has_value() && !isLost(*attempt)) {
+        endSend(attempt, SendOutcome::Abandoned, true);
+    }
+    count(attempt->request, &LoadTally::failed);
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::onRefused(Request request, microseconds retryAfter)
+{
+    const microseconds time = m_schedule.now() - request.begin;
+    const bool isInTime = time + retryAfter < request.model->deadline;
+    if (request.asks <= request.model->returns && isInTime) {
+        m_schedule.after(retryAfter, [this, request] {
+            ++m_result.returned;
+            ask(request);
+        });
+        return;
+    }
+    m_result.longestRefused = std::max(m_result.longestRefused, time);
+    count(request, &LoadTally::refused);
+}
+
+template<PlacementPolicy Policy>
+void LoadRun<Policy>::count(const Request &request, int LoadTally::*member)
+{
+    ++(m_result.routes[request.model->name].*member);
+    ++(m_result.regions[request.domain->region].*member);
+    ++(windowAt(request.begin).tally.*member);
+}
+
+template<PlacementPolicy Policy>
+MonotonicTime LoadRun<Policy>::clock() const
+{
+    return MonotonicTime(ClockStart + m_schedule.now());
+}
+
+template<PlacementPolicy Policy>
+microseconds LoadRun<Policy>::delay(const FailureDomainId &from, const FailureDomainId &to) const
+{
+    if (from == to) {
+        return m_plan.delays.withinDomain;
+    }
+    const bool isSameRegion = m_plan.findDomain(from)->region == m_plan.findDomain(to)->region;
+    return isSameRegion ? m_plan.delays.betweenDomains : m_plan.delays.betweenRegions;
+}
+
+template<PlacementPolicy Policy>
+LoadWindow &LoadRun<Policy>::windowAt(microseconds time)
+{
+    const auto index = static_cast<std::size_t>(time / WindowLength);
+    while (m_result.windows.size() <= index) {
+        m_result.windows.emplace_back().begin =
+                WindowLength * static_cast<std::int64_t>(m_result.windows.size() - 1);
+    }
+    return m_result.windows[index];
+}
+
+template<PlacementPolicy Policy>
+LoadResult LoadRun<Policy>::run(const std::string &policyName)
+{
+    m_result.load = m_plan.name;
+    m_result.policy = policyName;
+    m_result.seed = m_seed;
+    for (const ModelTrouble &it : m_plan.troubles) {
+        scheduleTrouble(it);
+    }
+    for (const ModelRoute &route : m_plan.routes) {
+        for (const ModelDomain &domain : m_plan.domains) {
+            scheduleArrival(route, domain);
+        }
+    }
+    scheduleWindowEnd();
+    while (m_schedule.step(m_plan.duration + Tail)) {
+    }
+    for (LoadWindow &it : m_result.windows) {
+        std::sort(it.times.begin(), it.times.end());
+    }
+    for (const auto &[id, target] : m_targets) {
+        int &longest = m_result.longestQueue[target->entry().service];
+        longest = std::max(longest, target->longestQueue());
+    }
+    return std::move(m_result);
+}
+
+template class LoadRun<ServiceDispatcher>;
+template class LoadRun<LeastLoadedPolicy>;
+
+} // namespace Tarragon
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-/// Targets that an object is sent to. Two keep it available while one is busy, slow or gone; more
-/// would have every target work on more objects than it remembers.
-constexpr std::size_t HomesPerObject = 2;
-/// Part of the latency goal that a request may wait for a home. Work takes the most of the rest.
-constexpr double WaitShareOfGoal = 0.4;
 /// A busier home is preferred to another one by this part of the work, as the object is more
 /// likely to be known there.
 constexpr double FirstHomeAdvantage = 0.5;
@@ -74,9 +69,11 @@
     return "";
 }
 
-ServiceDispatcher::ServiceDispatcher(EntryPlace place, const HostedService &service)
+ServiceDispatcher::ServiceDispatcher(EntryPlace place, const HostedService &service,
+                                     const DispatchOptions &options)
     : m_place(std::move(place))
     , m_service(service)
+    , m_options(options)
 {
     std::set<RegionId> regions;
     for (const auto &[domain, region] : m_place.regions) {
@@ -135,7 +132,7 @@
             best = &it;
         }
     }
-    const microseconds limit = scaled(query.route->latencyGoal, WaitShareOfGoal);
+    const microseconds limit = scaled(query.route->latencyGoal, m_options.waitShareOfGoal);
     // A guess of the work is no reason to refuse.
     const bool isHopeless =
             m_work.contains(query.route->name) && best->wait + best->work > query.left;
@@ -159,12 +156,12 @@
     for (TargetState *it : ranking(query, preferred, isLarge, now)) {
         // Near targets may be too few for long answers; the region that has room stands in.
         const bool isStandIn = isLarge && !hasPreferred && it->region == preferred;
-        if ((homes.size() >= HomesPerObject && !isStandIn) || !mayTake(*it, now)) {
+        if ((homes.size() >= m_options.homesPerObject && !isStandIn) || !mayTake(*it, now)) {
             continue;
         }
         hasPreferred = hasPreferred || it->region == preferred;
         homes.push_back(assess(*it, *query.route, now));
-        if (homes.size() >= HomesPerObject && (!isLarge || hasPreferred)) {
+        if (homes.size() >= m_options.homesPerObject && (!isLarge || hasPreferred)) {
             break;
         }
     }
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -62,6 +62,17 @@
     microseconds retryAfter{ 0 };
 };
 
+/// How ServiceDispatcher spreads objects and how long it lets requests wait.
+struct DispatchOptions
+{
+    /// Targets that an object is sent to. Two keep it available while one is busy, slow or gone;
+    /// more would have every target work on more objects than it remembers.
+    std::size_t homesPerObject = 2;
+    /// Part of the latency goal that a request may wait for a home. Work takes the most of the
+    /// rest.
+    double waitShareOfGoal = 0.4;
+};
+
 /// Places the requests of one service on its targets.
 ///
 /// Answers this load: targets work several times faster on objects that they have handled lately,
@@ -72,7 +83,8 @@
 class ServiceDispatcher
 {
 public:
-    ServiceDispatcher(EntryPlace place, const HostedService &service);
+    ServiceDispatcher(EntryPlace place, const HostedService &service,
+                      const DispatchOptions &options = {});
 
     /// Takes the service's parameters of a new table.
     void setService(const HostedService &service) { m_service = service; }
@@ -141,6 +153,7 @@
 
     EntryPlace m_place;
     HostedService m_service;
+    DispatchOptions m_options;
     std::size_t m_entries = 0;
     std::vector<RegionId> m_callerRegions;
     States m_targets;
--- a/Tests/steering/AtMostOnceScheduleTest.cpp
+++ b/Tests/steering/AtMostOnceScheduleTest.cpp
@@ -2,7 +2,8 @@
 // this replays it:
 //     TARRAGON_SEED=<seed> build/bin/test-steering --gtest_filter='AtMostOnceSchedule.*'
 
-#include "VirtualSchedule.h"
+#include "ScheduleRandom.h"
+#include "model/VirtualSchedule.h"
 #include "steering/AtMostOnceRegistry.h"
 #include "steering/AtMostOnceRunner.h"
 
--- a/Tests/steering/SlotLedgerScheduleTest.cpp
+++ b/Tests/steering/SlotLedgerScheduleTest.cpp
@@ -2,7 +2,8 @@
 // printed; this replays it:
 //     TARRAGON_SEED=<seed> build/bin/test-steering --gtest_filter='SlotLedgerSchedule.*'
 
-#include "VirtualSchedule.h"
+#include "ScheduleRandom.h"
+#include "model/VirtualSchedule.h"
 #include "steering/SlotLedger.h"
 
 #include <gtest/gtest.h>
