Gateway: Call the store less often for targets and entries

Most follow changes of targets and of records of entries, one call for each 0.3 s in which something changed. Watches now last 30 s, targets wait 0.5 s and records 1 s for further changes, and watches of records allow stale data. Data from before the known revision is not taken, and a watch that is answered at once does not follow the one before without a pause.

Test: gateway.KindFollowerTest.StaleDataIsNotTaken.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -21,6 +21,11 @@
 
 /// Period of everything that is looked at again and again: held targets, counts, shutdown.
 constexpr milliseconds TickPeriod{ 100 };
+/// Targets change most often, many of them together. The pause is a fifth of the shortest time in
+/// which a leaving target must get nothing more, 2.5 s.
+constexpr FollowOptions TargetFollowing{ milliseconds(500), false };
+/// Records of entries may be known late: who lives is learnt by gossip.
+constexpr FollowOptions EntryFollowing{ milliseconds(1'000), true };
 /// Time that callers may keep a lookup's answer. Longer answers cost fewer lookups, shorter ones
 /// move callers away from an entry that stops.
 constexpr milliseconds LookupTtl{ 3'000 };
@@ -102,10 +107,11 @@
 }
 
 std::unique_ptr<KindFollower> GatewayDaemon::follow(const std::string &kind,
-                                                    KindFollower::Handlers handlers)
+                                                    KindFollower::Handlers handlers,
+                                                    const FollowOptions &options)
 {
     return std::make_unique<KindFollower>(m_loop, m_store, m_health, kind, std::move(handlers),
-                                          m_incarnation.value() ^ stableHash(kind));
+                                          m_incarnation.value() ^ stableHash(kind), options);
 }
 
 void GatewayDaemon::followStore()
@@ -122,9 +128,10 @@
                                        }
                                    }
                                } });
-    m_targetFollower =
-            follow(Platform::TargetKind, { sigc::mem_fun(*this, &GatewayDaemon::onTargets),
-                                           sigc::mem_fun(*this, &GatewayDaemon::onTargetChanges) });
+    m_targetFollower = follow(Platform::TargetKind,
+                              { sigc::mem_fun(*this, &GatewayDaemon::onTargets),
+                                sigc::mem_fun(*this, &GatewayDaemon::onTargetChanges) },
+                              TargetFollowing);
     m_evacuationFollower = follow(Platform::EvacuationKind,
                                   { [this](const std::vector<Platform::StoredItem> &items) {
                                        m_evacuated.clear();
@@ -146,7 +153,8 @@
                                     } });
     m_entryFollower = follow(Platform::EntryKind,
                              { sigc::mem_fun(m_registration, &EntryRegistration::onSnapshot),
-                               sigc::mem_fun(m_registration, &EntryRegistration::onChanges) });
+                               sigc::mem_fun(m_registration, &EntryRegistration::onChanges) },
+                             EntryFollowing);
     m_routeFollower->start();
     m_targetFollower->start();
     m_evacuationFollower->start();
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -44,7 +44,8 @@
 
 private:
     void listen();
-    std::unique_ptr<KindFollower> follow(const std::string &kind, KindFollower::Handlers handlers);
+    std::unique_ptr<KindFollower> follow(const std::string &kind, KindFollower::Handlers handlers,
+                                         const FollowOptions &options = {});
     void followStore();
     void onStoreLost(const std::string &reason);
     void onStoreRegained();
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -13,17 +13,15 @@
 
 using Platform::CallOutcome;
 
-/// Time of a watch without changes. Each watch is a priced call; silent connections are found by
-/// keep-alive probes, so that this bounds only what the store itself withholds.
-constexpr milliseconds WatchTime{ 20'000 };
+/// Time of a watch without changes, the longest that the platform allows. Each watch is a priced
+/// call; silent connections are found by keep-alive probes, so that this bounds only what the store
+/// itself withholds.
+constexpr milliseconds WatchTime{ 30'000 };
 constexpr milliseconds ShortestWatch{ 1 };
 /// Time beyond the watch in which its answer must come.
 constexpr milliseconds WatchSlack{ 2'000 };
 /// The store answers in milliseconds; sixty times that when it is slow.
 constexpr milliseconds ListTimeout{ 1'000 };
-/// Pause before the next watch after a change, so that changes that come together cost one call.
-/// An eighth of the shortest time within which changes must be in force, 2.5 s.
-constexpr milliseconds BatchTime{ 300 };
 /// Pauses between calls while the store is away. Short, because an entry that was cut off is bound
 /// by what the store holds 3 s after the cut has healed, and takes vanished targets for lapsed in
 /// the first two of them.
@@ -41,12 +39,14 @@
 } // namespace
 
 KindFollower::KindFollower(EventLoop &loop, Platform::ObjectStore &store, StoreHealth &health,
-                           std::string kind, Handlers handlers, std::uint64_t seed)
+                           std::string kind, Handlers handlers, std::uint64_t seed,
+                           const FollowOptions &options)
     : m_loop(loop)
     , m_store(store)
     , m_health(health)
     , m_kind(std::move(kind))
     , m_handlers(std::move(handlers))
+    , m_options(options)
     , m_backoff(ShortestPause, LongestPause, seed)
 {
     m_health.regained().connect(sigc::mem_fun(*this, &KindFollower::onRegained));
@@ -93,7 +93,7 @@
     const milliseconds wait = m_backoff.isAtRest() && !m_isWaiting ? WatchTime : ShortestWatch;
     const milliseconds slack = wait == WatchTime ? WatchSlack : ListTimeout;
     m_callBegan = m_loop.now();
-    m_call = m_store.watch(m_kind, m_revision, wait, wait + slack,
+    m_call = m_store.watch(m_kind, m_revision, wait, wait + slack, m_options.allowStale,
                            [this](const Platform::ChangePage &page) { onChanges(page); });
 }
 
@@ -103,16 +103,28 @@
         onFailure(page.outcome, page.reason);
         return;
     }
-    m_revision = page.revision;
     m_isWaiting = false;
     m_backoff.reset();
     m_health.onSuccess(m_loop.now());
-    if (page.changes.empty()) {
-        watch();
+    if (page.revision < m_revision) {
+        // Data from before what is known already.
+        watchLater();
         return;
     }
-    m_handlers.onChanges(page.changes);
-    m_timer = m_loop.schedule(BatchTime, [this] { watch(); });
+    m_revision = page.revision;
+    if (!page.changes.empty()) {
+        m_handlers.onChanges(page.changes);
+        watchLater();
+    } else if (m_loop.now() - m_callBegan < ShortestPause) {
+        watchLater();
+    } else {
+        watch();
+    }
+}
+
+void KindFollower::watchLater()
+{
+    m_timer = m_loop.schedule(m_options.batchTime, [this] { watch(); });
 }
 
 void KindFollower::onFailure(CallOutcome outcome, const std::string &reason)
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -10,6 +10,16 @@
 
 namespace Tarragon {
 
+/// How a kind is followed.
+struct FollowOptions
+{
+    /// Pause before the next watch after a change, so that changes that come together cost one
+    /// call.
+    milliseconds batchTime{ 300 };
+    /// Whether watches may return data that is seconds old, which costs less.
+    bool allowStale = false;
+};
+
 /// Keeps up with the objects of one kind: lists them once and then watches, and lists again when
 /// the store no longer has the history. A broken watch goes on from where it was.
 class KindFollower
@@ -23,7 +33,8 @@
     };
 
     KindFollower(EventLoop &loop, Platform::ObjectStore &store, StoreHealth &health,
-                 std::string kind, Handlers handlers, std::uint64_t seed);
+                 std::string kind, Handlers handlers, std::uint64_t seed,
+                 const FollowOptions &options = {});
     KindFollower(const KindFollower &) = delete;
     KindFollower &operator=(const KindFollower &) = delete;
 
@@ -35,6 +46,7 @@
     void list(const std::string &after);
     void onPage(const Platform::ItemPage &page);
     void watch();
+    void watchLater();
     void onChanges(const Platform::ChangePage &page);
     void next();
     void onFailure(Platform::CallOutcome outcome, const std::string &reason);
@@ -45,6 +57,7 @@
     StoreHealth &m_health;
     std::string m_kind;
     Handlers m_handlers;
+    FollowOptions m_options;
     Backoff m_backoff;
     HttpCallPtr m_call;
     MonotonicTime m_callBegan;
--- a/Tests/gateway/KindFollowerTest.cpp
+++ b/Tests/gateway/KindFollowerTest.cpp
@@ -105,6 +105,43 @@
     EXPECT_EQ(m_items, (std::map<std::string, int>{ { "t2", 2 } }));
 }
 
+// Guards against stale data that undoes what is known, and against watches without pause while the
+// store answers them at once.
+TEST_F(KindFollowerTest, StaleDataIsNotTaken)
+{
+    StandInObjects objects;
+    objects.put("servers", "t1", { { "x", 0 } });
+    const nlohmann::json before = objects.find("servers", "t1")->toJson();
+    objects.put("servers", "t1", { { "x", 1 } });
+    const nlohmann::json present = objects.find("servers", "t1")->toJson();
+    std::vector<std::string> watches;
+    HttpServer replica(m_loop, "127.0.0.1", 0, {}, [&](const HttpExchangePtr &exchange) {
+        nlohmann::json answer = { { "items", { present } }, { "has_more", false }, { "as_of", 9 } };
+        if (exchange->uri().find("watch=") != std::string::npos) {
+            watches.push_back(exchange->uri());
+            answer = { { "events", { { { "deleted", false }, { "object", before } } } },
+                       { "as_of", 8 } };
+        }
+        exchange->reply(200, {}, answer.dump());
+    });
+    Platform::ObjectStore store(m_client, Endpoint{ "127.0.0.1", replica.port() });
+    int changes = 0;
+    KindFollower follower(
+            m_loop, store, m_health, "servers",
+            { [](const std::vector<Platform::StoredItem> &) {},
+              [&changes](const std::vector<Platform::StoredChange> &) { ++changes; } },
+            1, FollowOptions{ milliseconds(100), true });
+    const MonotonicTime begin = m_loop.now();
+    follower.start();
+    runUntil([&watches] { return watches.size() == 3; });
+    EXPECT_GE(m_loop.now() - begin, milliseconds(200));
+    EXPECT_EQ(changes, 0);
+    for (const std::string &it : watches) {
+        EXPECT_NE(it.find("watch=9&"), std::string::npos) << it;
+        EXPECT_NE(it.find("allow_stale=1"), std::string::npos) << it;
+    }
+}
+
 // Guards against a call from before the store's return that fails late and has what the store says
 // be distrusted once more, as seen when a cut of one machine healed (docs/incidents).
 TEST(StoreHealthTest, FailureOfAnOlderCallIsNoNewLoss)
