Gateway: Start with stale lists of targets and entries

Cause: at 86 gateways seven of the nine pages that each reads at its start are pages of targets and entries, at the full price. The first list may be stale, which costs a tenth; the watch behind it brings what it lacks. Later lists replace what is known and are not stale.

Test: gateway.KindFollowerTest.ListsAgainWithoutStaleData.

--- a/Source/gateway/EntryRegistration.cpp
+++ b/Source/gateway/EntryRegistration.cpp
@@ -134,6 +134,10 @@
     if (it != m_entries.end()) {
         m_ownRevision = it->second.revision;
     }
+    if (isThere) {
+        // It was missed in stale data only.
+        m_retry.reset();
+    }
     if (!isThere && !m_isWriting && !m_isWithdrawn && !m_retry.isActive()) {
         // Another entry took this one for dead, or a late write of an earlier run has won.
         m_retry = m_loop.schedule(m_backoff.next(), [this] { create(); });
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -23,9 +23,9 @@
 constexpr milliseconds TickPeriod{ 100 };
 /// Targets change most often, many of them together. The pause is a fifth of the shortest time in
 /// which a leaving target must get nothing more, 2.5 s.
-constexpr FollowOptions TargetFollowing{ milliseconds(500), false };
+constexpr FollowOptions TargetFollowing{ milliseconds(500), true, false };
 /// Records of entries may be known late: who lives is learnt by gossip.
-constexpr FollowOptions EntryFollowing{ milliseconds(1'000), true };
+constexpr FollowOptions EntryFollowing{ milliseconds(1'000), true, true };
 /// Time that callers may keep a lookup's answer. Longer answers cost fewer lookups, shorter ones
 /// move callers away from an entry that stops.
 constexpr milliseconds LookupTtl{ 3'000 };
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -58,7 +58,9 @@
         m_pages.clear();
     }
     m_callBegan = m_loop.now();
-    m_call = m_store.list(m_kind, after, ListTimeout,
+    // What is listed later replaces what is known and must not be older.
+    const bool allowStale = m_options.mayStartStale && !m_hasSnapshot;
+    m_call = m_store.list(m_kind, after, ListTimeout, allowStale,
                           [this](const Platform::ItemPage &page) { onPage(page); });
 }
 
@@ -93,7 +95,7 @@
     const milliseconds wait = m_backoff.isAtRest() && !m_isWaiting ? WatchTime : ShortestWatch;
     const milliseconds slack = wait == WatchTime ? WatchSlack : ListTimeout;
     m_callBegan = m_loop.now();
-    m_call = m_store.watch(m_kind, m_revision, wait, wait + slack, m_options.allowStale,
+    m_call = m_store.watch(m_kind, m_revision, wait, wait + slack, m_options.mayWatchStale,
                            [this](const Platform::ChangePage &page) { onChanges(page); });
 }
 
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -16,8 +16,11 @@
     /// Pause before the next watch after a change, so that changes that come together cost one
     /// call.
     milliseconds batchTime{ 300 };
-    /// Whether watches may return data that is seconds old, which costs less.
-    bool allowStale = false;
+    /// Whether the first list may return data that is seconds old, which costs less. The watch
+    /// behind it brings what it lacks.
+    bool mayStartStale = false;
+    /// Whether watches may return such data.
+    bool mayWatchStale = false;
 };
 
 /// Keeps up with the objects of one kind: lists them once and then watches, and lists again when
--- a/Tests/gateway/KindFollowerTest.cpp
+++ b/Tests/gateway/KindFollowerTest.cpp
@@ -105,6 +105,33 @@
     EXPECT_EQ(m_items, (std::map<std::string, int>{ { "t2", 2 } }));
 }
 
+// Guards against a list of the store's past that replaces what is known. Only the first one may be
+// stale.
+TEST_F(KindFollowerTest, ListsAgainWithoutStaleData)
+{
+    std::vector<std::string> lists;
+    HttpServer replica(m_loop, "127.0.0.1", 0, {}, [&lists](const HttpExchangePtr &exchange) {
+        if (exchange->uri().find("watch=") != std::string::npos) {
+            exchange->reply(410, {}, "{}");
+            return;
+        }
+        lists.push_back(exchange->uri());
+        const nlohmann::json page = { { "items", nlohmann::json::array() },
+                                      { "has_more", false },
+                                      { "as_of", 9 } };
+        exchange->reply(200, {}, page.dump());
+    });
+    Platform::ObjectStore store(m_client, Endpoint{ "127.0.0.1", replica.port() });
+    KindFollower follower(m_loop, store, m_health, "servers",
+                          { [](const std::vector<Platform::StoredItem> &) {},
+                            [](const std::vector<Platform::StoredChange> &) {} },
+                          1, FollowOptions{ milliseconds(100), true, false });
+    follower.start();
+    runUntil([&lists] { return lists.size() == 2; });
+    EXPECT_NE(lists[0].find("allow_stale=1"), std::string::npos);
+    EXPECT_EQ(lists[1].find("allow_stale"), std::string::npos);
+}
+
 // Guards against stale data that undoes what is known, and against watches without pause while the
 // store answers them at once.
 TEST_F(KindFollowerTest, StaleDataIsNotTaken)
@@ -130,7 +157,7 @@
             m_loop, store, m_health, "servers",
             { [](const std::vector<Platform::StoredItem> &) {},
               [&changes](const std::vector<Platform::StoredChange> &) { ++changes; } },
-            1, FollowOptions{ milliseconds(100), true });
+            1, FollowOptions{ milliseconds(100), false, true });
     const MonotonicTime begin = m_loop.now();
     follower.start();
     runUntil([&watches] { return watches.size() == 3; });
