Gateway: Log the estimate behind a refusal, why a send was the last, and suspicions

The request's line now names the home that has room first with its wait, work and limit, and says why there was no further send; suspended and trusted targets and lost and seen gateways have lines; explain shows what was believed of the busy home.

Tests: gateway.RequestLogTest, also with a reader that has stopped; routing.ServiceDispatcherTest.

--- a/Source/ctl/ExplainCommand.cpp
+++ b/Source/ctl/ExplainCommand.cpp
@@ -84,6 +84,7 @@
         if (records[i].field("request") == request) {
             result.path.push_back(records[i]);
             targets.insert(records[i].field("target"));
+            targets.insert(records[i].field("busyHome"));
             lastLine[records[i].source] = i;
         }
     }
--- a/Source/gateway/EntryRegistration.cpp
+++ b/Source/gateway/EntryRegistration.cpp
@@ -29,6 +29,13 @@
     return instance;
 }
 
+void logEntry(const InstanceId &instance, std::string_view change)
+{
+    LOG4CPLUS_INFO(
+            logger(),
+            LogLine("entries", "entry").add("instance", instance).add("change", change).text());
+}
+
 } // namespace
 
 EntryRegistration::EntryRegistration(EventLoop &loop, Platform::ObjectStore &store,
@@ -182,12 +189,18 @@
     std::uint64_t best = 0;
     for (auto &[id, entry] : m_entries) {
         if (!m_roster.isLive(id, now)) {
+            if (!entry.deadSince.has_value()) {
+                logEntry(id, "lost");
+            }
             entry.deadSince = entry.deadSince.value_or(now);
             if (longestDead == nullptr || entry.deadSince < longestDead->deadSince) {
                 longestDead = &entry;
             }
             continue;
         }
+        if (entry.deadSince.has_value()) {
+            logEntry(id, "seen");
+        }
         entry.deadSince.reset();
         ++live;
         const std::uint64_t score = stableHash(id.value());
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -51,6 +51,17 @@
                         incarnation,       settings.front,  settings.rpc };
 }
 
+void logTargetChanges(const std::vector<TargetChange> &changes)
+{
+    for (const TargetChange &it : changes) {
+        LOG4CPLUS_INFO(logger(), LogLine("gateway", "target")
+                                         .add("target", it.target)
+                                         .add("service", it.service)
+                                         .add("change", it.what)
+                                         .text());
+    }
+}
+
 } // namespace
 
 GatewayDaemon::GatewayDaemon(EventLoop &loop, const GatewaySettings &settings, const LogBuffer &log)
@@ -251,13 +262,7 @@
 void GatewayDaemon::afterTargetChange()
 {
     m_state.refreshTargets(m_loop.now());
-    for (const TargetChange &it : m_state.registry().takeChanges()) {
-        LOG4CPLUS_INFO(logger(), LogLine("gateway", "target")
-                                         .add("target", it.target)
-                                         .add("service", it.service)
-                                         .add("change", it.what)
-                                         .text());
-    }
+    logTargetChanges(m_state.registry().takeChanges());
     m_metrics.setReadyTargets(m_state.readyTargets());
 }
 
@@ -343,6 +348,9 @@
     if (m_entryFollower->hasSnapshot()) {
         m_state.setEntryCount(m_roster.others().size() + 1, now);
     }
+    for (const auto &[service, dispatcher] : m_state.dispatchers()) {
+        logTargetChanges(dispatcher->takeChanges());
+    }
     m_roster.setServing(isReady());
     m_metrics.recordLoopLag(now - m_tickedAt - TickPeriod);
     m_tickedAt = now;
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -118,6 +118,7 @@
         send(placement);
         return;
     }
+    m_refusal = placement;
     if (m_verdict == Verdict::NotRun) {
         refuse(std::string(toString(placement.reason)), placement.retryAfter);
     } else {
@@ -179,7 +180,16 @@
 bool RoutedRequest::mayRetry(const TargetAttempt &attempt)
 {
     const bool isSafe = attempt.verdict() == Verdict::NotRun || m_route->isRepeatable;
-    if (!isSafe || m_sends >= m_route->maxAttempts || left() < LeastRetryTime) {
+    if (!isSafe) {
+        m_noRetry = "may-have-run";
+        return false;
+    }
+    if (m_sends >= m_route->maxAttempts) {
+        m_noRetry = "attempts";
+        return false;
+    }
+    if (left() < LeastRetryTime) {
+        m_noRetry = "time";
         return false;
     }
     if (attempt.outcome() == SendOutcome::Unreachable) {
@@ -187,6 +197,7 @@
         return true;
     }
     if (!m_context.state.retryBudget(m_service).tryRetry(m_context.loop.now())) {
+        m_noRetry = "budget";
         return false;
     }
     m_context.metrics.recordRetry(m_service);
@@ -299,9 +310,18 @@
                 .add("expectedWaitMs", m_attempt->placement().wait)
                 .add("expectedWorkMs", m_attempt->placement().work);
     }
+    if (m_refusal.has_value() && m_refusal->busyHome.has_value()) {
+        line.add("busyHome", *m_refusal->busyHome)
+                .add("homeWaitMs", m_refusal->wait)
+                .add("homeWorkMs", m_refusal->work)
+                .add("waitLimitMs", m_refusal->waitLimit);
+    }
     if (!reason.empty()) {
         line.add("reason", reason);
     }
+    if (!m_noRetry.empty()) {
+        line.add("noRetry", m_noRetry);
+    }
     if (m_retryAfter > milliseconds(0)) {
         line.add("retryAfterMs", m_retryAfter);
     }
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -314,6 +314,10 @@
     soonest->state->promisedUntil = now + std::min<microseconds>(base + taken, LongestReturn);
     Placement placement;
     placement.reason = RefusalReason::Busy;
+    placement.busyHome = soonest->state->known.entry.id;
+    placement.wait = soonest->wait;
+    placement.work = soonest->work;
+    placement.waitLimit = limit;
     placement.retryAfter = scaled(base, 1 + ReturnSpread * uniform(query.request));
     return placement;
 }
@@ -351,7 +355,12 @@
     if (it != m_targets.end()) {
         TargetState &state = it->second;
         state.load.onEnded();
+        const bool wasSuspended = state.outcomes.isSuspended(now);
         state.outcomes.onOutcome(outcome, now);
+        if (state.outcomes.isSuspended(now) != wasSuspended) {
+            m_changes.push_back(
+                    TargetChange{ target, m_service.id, wasSuspended ? "trusted" : "suspended" });
+        }
         const auto mean = m_work.find(route);
         if (isMeasured && mean != m_work.end() && mean->second > 0) {
             state.load.onWorkRatio(static_cast<double>(duration.count()) / mean->second, now);
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Tarragon {
@@ -58,6 +59,10 @@
     /// Estimated time of the target's work.
     microseconds work{ 0 };
     RefusalReason reason = RefusalReason::NoTarget;
+    /// Of a request refused as Busy: the home that has room first; wait and work are those there.
+    std::optional<TargetId> busyHome;
+    /// Longest wait for which a request is placed.
+    microseconds waitLimit{ 0 };
     /// When a refused request has a prospect.
     microseconds retryAfter{ 0 };
 };
@@ -106,6 +111,8 @@
     void onAnswerBytes(const RouteName &route, ByteCount bytes);
     /// The entry's belief about a target, for the log.
     const KnownTarget *target(const TargetId &id) const;
+    /// Targets that were suspended for failing, or trusted again, since the last call.
+    std::vector<TargetChange> takeChanges() { return std::exchange(m_changes, {}); }
     /// Mean time from sending to the answer on the route; a guess before the first answer.
     microseconds expectedWork(const Route &route) const;
     std::size_t readyTargets() const;
@@ -160,6 +167,7 @@
     std::vector<RegionId> m_callerRegions;
     States m_targets;
     RegionSlots m_slots;
+    std::vector<TargetChange> m_changes;
     /// Mean work of each route, in microseconds.
     std::map<RouteName, double> m_work;
     /// Mean length of each route's answers, in bytes.
--- a/Source/routing/TargetRegistry.h
+++ b/Source/routing/TargetRegistry.h
@@ -53,7 +53,8 @@
 {
     TargetId target;
     ServiceId service;
-    /// "joined", "draining", "removed", "held", "returned", "restarted", "evacuated" or "restored".
+    /// "joined", "draining", "removed", "held", "returned", "restarted", "evacuated" or "restored";
+    /// of ServiceDispatcher "suspended" or "trusted".
     std::string what;
 };
 
--- a/Tests/gateway/GatewayFixture.h
+++ b/Tests/gateway/GatewayFixture.h
@@ -4,6 +4,7 @@
 #include "Support/RawListener.h"
 #include "gateway/RoutedRequest.h"
 #include "net/HttpServer.h"
+#include "net/Logging.h"
 
 #include <memory>
 #include <optional>
@@ -181,8 +182,8 @@
 
     HttpClient m_client{ m_loop };
     GatewaySettings m_settings;
-    LogBuffer m_log{ 1'000'000 };
-    LineSampler m_successLines{ m_log, 1'000 };
+    std::shared_ptr<LogBuffer> m_log = initializeLogging("INFO");
+    LineSampler m_successLines{ *m_log, 1'000 };
     GatewayMetrics m_metrics;
     std::unique_ptr<GatewayState> m_state;
     std::unique_ptr<GatewayContext> m_context;
--- /dev/null
+++ b/Tests/gateway/RequestLogTest.cpp
@@ -0,0 +1,139 @@
+// The lines by which an on-call engineer finds the cause of a failed request.
+
+#include "GatewayFixture.h"
+#include "net/LogWriter.h"
+
+#include <array>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace Tarragon {
+namespace {
+
+class RequestLogTest : public GatewayTest
+{
+protected:
+    /// The last logged line of the event; empty if there is none.
+    std::string lineOf(const std::string &event) const
+    {
+        const std::string text(m_log->pending());
+        const std::size_t at = text.rfind("event=" + event + " ");
+        return at == std::string::npos ? "" : text.substr(at, text.find('\n', at) - at);
+    }
+    /// Sum of the dropped lines that the text tells of.
+    static std::uint64_t toldIn(const std::string &text)
+    {
+        static const std::string Note = "event=dropped lines=";
+        std::uint64_t sum = 0;
+        for (std::size_t at = text.find(Note); at != std::string::npos;
+             at = text.find(Note, at + 1)) {
+            sum += std::stoull(text.substr(at + Note.size()));
+        }
+        return sum;
+    }
+    static void expectKeys(const std::string &line, const std::vector<std::string> &keys)
+    {
+        for (const std::string &it : keys) {
+            EXPECT_NE(line.find(" " + it), std::string::npos) << it << " is not in " << line;
+        }
+    }
+};
+
+// Guards against a refusal whose cause cannot be found: the home that is busy, the estimate of its
+// wait and the limit belong to it.
+TEST_F(RequestLogTest, RefusalTellsTheEstimateBehindIt)
+{
+    adoptTable();
+    addTarget("t1", [](RawSocket &, const std::string &) {});
+    std::vector<HttpCallPtr> calls;
+    for (std::size_t i = 0; i < 8; ++i) {
+        calls.push_back(m_client.fetch(
+                callerRequest("GET", "/read/1", "b" + std::to_string(i)), ByteCount{ 1'000 },
+                [](const HttpResponse &) {}, [](const HttpFailure &) {}));
+    }
+    runUntil([this] { return !m_arrivals.empty(); });
+    CallerResult result = get("/read/1");
+    EXPECT_EQ(result.status(), 503);
+    expectKeys(lineOf("request"),
+               { "request=a1", "route=read", "version=1", "service=service", "outcome=refused",
+                 "verdict=not-run", "sends=0", "reason=busy", "busyHome=t1",
+                 "homeWaitMs=", "homeWorkMs=", "waitLimitMs=100.0", "retryAfterMs=" });
+}
+
+// Guards against a failure after which nobody knows whether the request ran, or why no other target
+// was tried.
+TEST_F(RequestLogTest, FailuresTellTheSendAndWhyItWasTheLast)
+{
+    adoptTable();
+    addTarget("t1", resetting(""));
+    EXPECT_EQ(post("/pay/1").status(), 502);
+    expectKeys(lineOf("send-failed"), { "request=a1", "target=t1", "outcome=broken",
+                                        "verdict=may-have-run", "afterMs=", "reason=" });
+    expectKeys(lineOf("request"), { "request=a1", "outcome=failed", "status=502",
+                                    "verdict=may-have-run", "noRetry=may-have-run" });
+}
+
+// Guards against a time-out that names no target.
+TEST_F(RequestLogTest, TimeoutsNameTheSilentTarget)
+{
+    adoptTable();
+    addTarget("t1", [](RawSocket &, const std::string &) {});
+    HttpRequest request = callerRequest("POST", "/pay/1", "a1");
+    request.headers.set("Request-Deadline", "100");
+    EXPECT_EQ(send(request).status(), 504);
+    expectKeys(lineOf("send-failed"), { "request=a1", "target=t1", "outcome=abandoned" });
+    expectKeys(lineOf("request"), { "request=a1", "outcome=timeout", "status=504" });
+}
+
+// Guards against a caller who writes lines or keys of the log by what it sends.
+TEST_F(RequestLogTest, CallersCannotForgeLines)
+{
+    adoptTable();
+    addTarget("t1", answering(answer(200, sealed(), "x")));
+    EXPECT_EQ(send(callerRequest("GET", "/read/1", "x outcome=fake")).status(), 502);
+    EXPECT_NE(lineOf("request").find("request=\"x outcome=fake\""), std::string::npos);
+}
+
+// Guards against requests that wait for the reader of the log, and against losses that are not
+// told.
+TEST_F(RequestLogTest, StoppedReaderDelaysNoRequest)
+{
+    adoptTable();
+    addTarget("t1", [](RawSocket &socket, const std::string &request) {
+        const std::size_t at = request.find("Attempt-Id: ") + 12;
+        socket.send(answer(200, sealed(request.substr(at, request.find('\r', at) - at)), "x"));
+    });
+    std::array<int, 2> ends{};
+    ASSERT_EQ(pipe(ends.data()), 0);
+    LogWriter writer(m_loop, m_log, ends[1]);
+    const std::string filler = std::string(99, 'x') + "\n";
+    // The pipe takes what it holds, and the buffer is full behind it.
+    for (int i = 0; i < 2; ++i) {
+        while (m_log->add(filler)) {
+        }
+        writer.flush();
+    }
+    const std::uint64_t before = m_log->dropped();
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_EQ(send(callerRequest("GET", "/none/1", "a1")).status(), 404);
+        EXPECT_EQ(get("/read/1").status(), 200);
+    }
+    EXPECT_GT(m_log->dropped(), before);
+    EXPECT_EQ(m_successLines.skipped(), 50u);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    std::string read;
+    std::array<char, 65'536> chunk{};
+    runUntil([&] {
+        const ssize_t n = ::read(ends[0], chunk.data(), chunk.size());
+        read.append(chunk.data(), n > 0 ? static_cast<std::size_t>(n) : 0);
+        return m_log->pending().empty();
+    });
+    EXPECT_EQ(get("/read/1").status(), 200);
+    EXPECT_EQ(toldIn(read + std::string(m_log->pending())), m_log->dropped());
+    close(ends[0]);
+    close(ends[1]);
+}
+
+} // namespace
+} // namespace Tarragon
--- a/Tests/routing/ServiceDispatcherTest.cpp
+++ b/Tests/routing/ServiceDispatcherTest.cpp
@@ -53,6 +53,23 @@
     ServiceDispatcher m_dispatcher{ RoutingFixture::place(), RoutingFixture::service() };
 };
 
+// Guards against a suspicion that nobody can see in the log.
+TEST_F(ServiceDispatcherTest, TellsWhomItSuspends)
+{
+    setTargets(targetsInNorth(8), 0);
+    const std::string home = targetOf(17, 0);
+    finish(home, SendOutcome::WrongTarget, 1);
+    std::vector<TargetChange> changes = m_dispatcher.takeChanges();
+    ASSERT_EQ(changes.size(), 1u);
+    EXPECT_EQ(changes[0].target, TargetId(home));
+    EXPECT_EQ(changes[0].what, "suspended");
+    m_dispatcher.onSent(TargetId(home), at(60));
+    finish(home, SendOutcome::Answered, 60.1);
+    changes = m_dispatcher.takeChanges();
+    ASSERT_EQ(changes.size(), 1u);
+    EXPECT_EQ(changes[0].what, "trusted");
+}
+
 // Guards against objects spread over so many targets that none remembers them.
 TEST_F(ServiceDispatcherTest, AnObjectHasTwoHomesHoweverBusyTheyAre)
 {
