--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -63,6 +63,8 @@
         return "no-target";
     case RefusalReason::Busy:
         return "busy";
+    case RefusalReason::TooLate:
+        return "too-late";
     case RefusalReason::Cold:
         return "cold";
     }
@@ -117,7 +119,7 @@
 
 Placement ServiceDispatcher::place(const PlacementQuery &query, MonotonicTime now)
 {
-    std::vector<Candidate> homes = homesOf(query, now);
+    const std::vector<Candidate> homes = homesOf(query, now);
     if (homes.empty()) {
         Placement placement;
         placement.reason =
@@ -125,19 +127,19 @@
         placement.retryAfter = scaled(LongestReturn, 0.5 + ReturnSpread * uniform(query.request));
         return placement;
     }
-    Candidate *best = &homes.front();
-    for (Candidate &it : homes) {
-        const microseconds advantage = scaled(best->work, FirstHomeAdvantage);
-        if (it.wait + it.work + advantage < best->wait + best->work) {
+    const Candidate *best = &homes.front();
+    for (const Candidate &it : homes) {
+        if (isMuchSooner(it, *best)) {
             best = &it;
         }
     }
     const microseconds limit = scaled(query.route->latencyGoal, m_options.waitShareOfGoal);
+    if (best->wait > limit) {
+        return refuse(RefusalReason::Busy, homes, query, limit, now);
+    }
     // A guess of the work is no reason to refuse.
-    const bool isHopeless =
-            m_work.contains(query.route->name) && best->wait + best->work > query.left;
-    if (best->wait > limit || isHopeless) {
-        return refuse(homes, query, limit, now);
+    if (m_work.contains(query.route->name) && best->wait + best->work > query.left) {
+        return refuse(RefusalReason::TooLate, homes, query, limit, now);
     }
     Placement placement;
     placement.target = best->state->known.entry.id;
@@ -146,6 +148,12 @@
     return placement;
 }
 
+bool ServiceDispatcher::isMuchSooner(const Candidate &home, const Candidate &earlier)
+{
+    return home.wait + home.work + scaled(earlier.work, FirstHomeAdvantage)
+           < earlier.wait + earlier.work;
+}
+
 std::vector<ServiceDispatcher::Candidate> ServiceDispatcher::homesOf(const PlacementQuery &query,
                                                                      MonotonicTime now)
 {
@@ -291,7 +299,7 @@
     return Candidate{ &state, state.load.wait(state.known.entry.slots, work, now), work };
 }
 
-Placement ServiceDispatcher::refuse(const std::vector<Candidate> &homes,
+Placement ServiceDispatcher::refuse(RefusalReason reason, const std::vector<Candidate> &homes,
                                     const PlacementQuery &query, microseconds limit,
                                     MonotonicTime now) const
 {
@@ -313,7 +321,7 @@
             std::clamp<microseconds>(returnAt - now, ShortestReturn, LongestReturn);
     soonest->state->promisedUntil = now + std::min<microseconds>(base + taken, LongestReturn);
     Placement placement;
-    placement.reason = RefusalReason::Busy;
+    placement.reason = reason;
     placement.busyHome = soonest->state->known.entry.id;
     placement.wait = soonest->wait;
     placement.work = soonest->work;
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -44,6 +44,8 @@
     NoTarget,
     /// The targets of the object are busy for longer than is of use to the caller.
     Busy,
+    /// No target would be done within the time that is left.
+    TooLate,
     /// All usable targets are cold and have had what they bear.
     Cold,
 };
@@ -59,7 +61,8 @@
     /// Estimated time of the target's work.
     microseconds work{ 0 };
     RefusalReason reason = RefusalReason::NoTarget;
-    /// Of a request refused as Busy: the home that has room first; wait and work are those there.
+    /// Of a request refused as Busy or TooLate: the home that has room first; wait and work are
+    /// those there.
     std::optional<TargetId> busyHome;
     /// Longest wait for which a request is placed.
     microseconds waitLimit{ 0 };
@@ -156,8 +159,11 @@
     /// Suspended targets are spared only while most of the service is not suspended.
     bool sparesSuspended(MonotonicTime now) const;
     Candidate assess(TargetState &state, const Route &route, MonotonicTime now) const;
-    Placement refuse(const std::vector<Candidate> &homes, const PlacementQuery &query,
-                     microseconds limit, MonotonicTime now) const;
+    /// Whether a home answers so much sooner than one that comes before it for the object that it
+    /// is preferred although the object is less likely to be known there.
+    static bool isMuchSooner(const Candidate &home, const Candidate &earlier);
+    Placement refuse(RefusalReason reason, const std::vector<Candidate> &homes,
+                     const PlacementQuery &query, microseconds limit, MonotonicTime now) const;
     void configureColdRate(TargetState &state, MonotonicTime now) const;
 
     EntryPlace m_place;
