--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -276,7 +276,7 @@
     std::vector<EntryRecord> entries;
     if (m_state.table() != nullptr) {
         entries = chooseEntries(m_roster, *m_state.table(), question.host, question.region,
-                                m_loop.now());
+                                m_incarnation.value() + m_lookups++, m_loop.now());
     }
     if (entries.empty()) {
         exchange->reply(UnavailableStatus, Platform::encodeOwnAnswer({}, LookupTtl), "");
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -87,6 +87,8 @@
     std::unique_ptr<HttpServer> m_metricsServer;
     std::optional<MonotonicTime> m_leavingSince;
     MonotonicTime m_tickedAt;
+    /// Lookups answered, for drawing the entries that each one names.
+    std::uint64_t m_lookups = 0;
     Timer m_tick;
 };
 
--- a/Source/routing/EntryChoice.cpp
+++ b/Source/routing/EntryChoice.cpp
@@ -1,6 +1,7 @@
 #include "routing/EntryChoice.h"
 
 #include <algorithm>
+#include <random>
 #include <set>
 
 namespace Tarragon {
@@ -23,7 +24,7 @@
 
 std::vector<EntryRecord> chooseEntries(const EntryRoster &roster, const RouteTable &table,
                                        std::string_view host, const RegionId &callerRegion,
-                                       MonotonicTime now)
+                                       std::uint64_t seed, MonotonicTime now)
 {
     std::vector<EntryRecord> entries = roster.serving(callerRegion, now);
     if (entries.empty()) {
@@ -40,7 +41,11 @@
             entries = others;
         }
     }
-    entries.resize(std::min(entries.size(), MaxEntriesNamed));
+    if (entries.size() > MaxEntriesNamed) {
+        // Each lookup names others, so that all entries get callers.
+        std::shuffle(entries.begin(), entries.end(), std::mt19937_64(seed));
+        entries.resize(MaxEntriesNamed);
+    }
     return entries;
 }
 
--- a/Source/routing/EntryChoice.h
+++ b/Source/routing/EntryChoice.h
@@ -3,6 +3,7 @@
 #include "routing/EntryRoster.h"
 #include "routing/RouteTable.h"
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -12,9 +13,10 @@
 inline constexpr std::size_t MaxEntriesNamed = 64;
 
 /// Entries for a caller of the region that asks for a host: those of its region, and if there are
-/// none, those of regions in which all of the host's routes may be handled, else any.
+/// none, those of regions in which all of the host's routes may be handled, else any. The seed
+/// decides which of them are named if there are more than one answer may name.
 std::vector<EntryRecord> chooseEntries(const EntryRoster &roster, const RouteTable &table,
                                        std::string_view host, const RegionId &callerRegion,
-                                       MonotonicTime now);
+                                       std::uint64_t seed, MonotonicTime now);
 
 } // namespace Tarragon
--- a/Tests/routing/EntryRosterTest.cpp
+++ b/Tests/routing/EntryRosterTest.cpp
@@ -110,6 +110,24 @@
     EXPECT_TRUE(m_fleet[0]->isLive(InstanceId("e2"), at(6)));
 }
 
+// Guards against entries of a large region that no caller is ever sent to.
+TEST_F(EntryRosterTest, LookupsNameAllEntriesInTurn)
+{
+    makeFleet(200);
+    run(0, 4);
+    const RouteTable table;
+    std::set<std::string> named;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        const std::vector<EntryRecord> entries =
+                chooseEntries(*m_fleet[0], table, "stand.example", RegionId("north"), seed, at(4));
+        EXPECT_EQ(entries.size(), MaxEntriesNamed);
+        for (const EntryRecord &it : entries) {
+            named.insert(it.instance.value());
+        }
+    }
+    EXPECT_EQ(named.size(), 100u);
+}
+
 // Guards against news of an earlier run keeping a dead entry alive or hiding a new run.
 TEST_F(EntryRosterTest, NewsOfAnEarlierRunIsIgnored)
 {
@@ -134,7 +152,7 @@
     const auto regions = [this, &table](const char *caller) {
         std::set<std::string> names;
         for (const EntryRecord &it :
-             chooseEntries(*m_fleet[0], table, "stand.example", RegionId(caller), at(4))) {
+             chooseEntries(*m_fleet[0], table, "stand.example", RegionId(caller), 1, at(4))) {
             names.insert(it.region.value());
         }
         return names;
