--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -204,7 +204,12 @@
     }
     const RouteTable &table = *m_state.table();
     m_state.refreshTargets(m_loop.now());
-    m_front->setLimits(table.limits);
+    try {
+        m_front->setLimits(table.limits);
+    } catch (const Error &error) {
+        LOG4CPLUS_ERROR(logger(),
+                        LogLine("gateway", "limits-refused").add("reason", error.what()).text());
+    }
     m_metrics.setRouteVersion(table.version.value());
     LOG4CPLUS_INFO(logger(), LogLine("gateway", "route-table-adopted")
                                      .add("version", table.version)
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -5,6 +5,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Tarragon {
@@ -92,10 +93,11 @@
 void KindFollower::watch()
 {
     // The first call after a failure must not wait on a store that does not answer.
-    const milliseconds wait = m_backoff.isAtRest() && !m_isWaiting ? WatchTime : ShortestWatch;
-    const milliseconds slack = wait == WatchTime ? WatchSlack : ListTimeout;
+    m_watchTime = m_backoff.isAtRest() && !m_isWaiting ? WatchTime : ShortestWatch;
+    const milliseconds slack = m_watchTime == WatchTime ? WatchSlack : ListTimeout;
     m_callBegan = m_loop.now();
-    m_call = m_store.watch(m_kind, m_revision, wait, wait + slack, m_options.mayWatchStale,
+    m_call = m_store.watch(m_kind, m_revision, m_watchTime, m_watchTime + slack,
+                           m_options.mayWatchStale,
                            [this](const Platform::ChangePage &page) { onChanges(page); });
 }
 
@@ -117,7 +119,8 @@
     if (!page.changes.empty()) {
         m_handlers.onChanges(page.changes);
         watchLater();
-    } else if (m_loop.now() - m_callBegan < ShortestPause) {
+    } else if (m_loop.now() - m_callBegan < std::min(m_watchTime, ShortestPause)) {
+        // It did not wait for changes.
         watchLater();
     } else {
         watch();
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -64,6 +64,8 @@
     Backoff m_backoff;
     HttpCallPtr m_call;
     MonotonicTime m_callBegan;
+    /// Time for which the last watch was to wait.
+    milliseconds m_watchTime{ 0 };
     Timer m_timer;
     std::vector<Platform::StoredItem> m_pages;
     /// Revision to watch from; 0 before the first list.
