--- a/Source/model/LoadRun.cpp
+++ b/Source/model/ModelRun.cpp
@@ -1,4 +1,4 @@
-#include "model/LoadRun.h"
+#include "model/ModelRun.h"
 
 #include "base/Digest.h"
 #include "model/LeastLoadedPolicy.h"
@@ -34,7 +34,7 @@
 } // namespace
 
 template<PlacementPolicy Policy>
-LoadRun<Policy>::LoadRun(const LoadPlan &plan, std::uint64_t seed, MakePolicy makePolicy)
+ModelRun<Policy>::ModelRun(const LoadPlan &plan, std::uint64_t seed, MakePolicy makePolicy)
     : m_plan(plan)
     , m_seed(seed)
     , m_makePolicy(std::move(makePolicy))
@@ -56,7 +56,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::makeTargets()
+void ModelRun<Policy>::makeTargets()
 {
     for (const auto &[id, service] : m_plan.services) {
         for (const auto &[domain, count] : service.targets) {
@@ -75,7 +75,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::makeEntries()
+void ModelRun<Policy>::makeEntries()
 {
     for (const ModelDomain &it : m_plan.domains) {
         for (int i = 0; i < it.entries; ++i) {
@@ -89,7 +89,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::startEntry(Entry &entry)
+void ModelRun<Policy>::startEntry(Entry &entry)
 {
     ++entry.start;
     entry.policies.clear();
@@ -111,7 +111,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::publishTargets()
+void ModelRun<Policy>::publishTargets()
 {
     for (const std::unique_ptr<Entry> &entry : m_entries) {
         for (const auto &[id, policy] : entry->policies) {
@@ -121,7 +121,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::scheduleTrouble(const ModelTrouble &trouble)
+void ModelRun<Policy>::scheduleTrouble(const ModelTrouble &trouble)
 {
     m_schedule.after(trouble.at, [this, &trouble] { applyTrouble(trouble, true); });
     if (lasts(trouble.kind)) {
@@ -131,7 +131,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::applyTrouble(const ModelTrouble &trouble, bool begins)
+void ModelRun<Policy>::applyTrouble(const ModelTrouble &trouble, bool begins)
 {
     if (trouble.kind == TroubleKind::Burst) {
         m_trafficFactor *= begins ? trouble.factor : 1 / trouble.factor;
@@ -156,7 +156,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::applyToTarget(const ModelTrouble &trouble, ModelTarget &target, bool begins)
+void ModelRun<Policy>::applyToTarget(const ModelTrouble &trouble, ModelTarget &target, bool begins)
 {
     switch (trouble.kind) {
     case TroubleKind::Forget:
@@ -192,7 +192,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::scheduleArrival(const ModelRoute &route, const ModelDomain &domain)
+void ModelRun<Policy>::scheduleArrival(const ModelRoute &route, const ModelDomain &domain)
 {
     if (route.perSecond <= 0) {
         return;
@@ -216,7 +216,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::scheduleWindowEnd()
+void ModelRun<Policy>::scheduleWindowEnd()
 {
     m_schedule.after(WindowLength, [this] {
         std::map<RegionId, double> used;
@@ -237,7 +237,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::ask(Request request)
+void ModelRun<Policy>::ask(Request request)
 {
     ++request.asks;
     std::vector<Entry *> near;
@@ -254,7 +254,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::arrive(const AttemptPtr &attempt)
+void ModelRun<Policy>::arrive(const AttemptPtr &attempt)
 {
     const Request &request = attempt->request;
     const microseconds left = request.begin + request.model->deadline - m_schedule.now();
@@ -266,7 +266,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::place(const AttemptPtr &attempt)
+void ModelRun<Policy>::place(const AttemptPtr &attempt)
 {
     const Request &request = attempt->request;
     PlacementQuery query;
@@ -287,7 +287,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::send(const AttemptPtr &attempt, const Placement &placement)
+void ModelRun<Policy>::send(const AttemptPtr &attempt, const Placement &placement)
 {
     const TargetId target = *placement.target;
     attempt->target = target;
@@ -312,7 +312,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::endSend(const AttemptPtr &attempt, SendOutcome outcome, bool hadToWait)
+void ModelRun<Policy>::endSend(const AttemptPtr &attempt, SendOutcome outcome, bool hadToWait)
 {
     attempt->entry->policies.at(attempt->request.model->service)
             ->onEnded(*std::exchange(attempt->target, std::nullopt), attempt->request.model->name,
@@ -320,8 +320,8 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::onAnswer(const AttemptPtr &attempt, const Placement &placement,
-                               const TargetAnswer &answer)
+void ModelRun<Policy>::onAnswer(const AttemptPtr &attempt, const Placement &placement,
+                                const TargetAnswer &answer)
 {
     if (attempt->hasEnded || isLost(*attempt)) {
         return;
@@ -353,7 +353,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::onUnreachable(const AttemptPtr &attempt)
+void ModelRun<Policy>::onUnreachable(const AttemptPtr &attempt)
 {
     if (attempt->hasEnded || isLost(*attempt)) {
         return;
@@ -365,7 +365,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::onDeadline(const AttemptPtr &attempt)
+void ModelRun<Policy>::onDeadline(const AttemptPtr &attempt)
 {
     if (std::exchange(attempt->hasEnded, true)) {
         return;
@@ -377,7 +377,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::onRefused(Request request, microseconds retryAfter)
+void ModelRun<Policy>::onRefused(Request request, microseconds retryAfter)
 {
     const microseconds time = m_schedule.now() - request.begin;
     const bool isInTime = time + retryAfter < request.model->deadline;
@@ -393,7 +393,7 @@
 }
 
 template<PlacementPolicy Policy>
-void LoadRun<Policy>::count(const Request &request, int LoadTally::*member)
+void ModelRun<Policy>::count(const Request &request, int LoadTally::*member)
 {
     ++(m_result.routes[request.model->name].*member);
     ++(m_result.regions[request.domain->region].*member);
@@ -401,13 +401,13 @@
 }
 
 template<PlacementPolicy Policy>
-MonotonicTime LoadRun<Policy>::clock() const
+MonotonicTime ModelRun<Policy>::clock() const
 {
     return MonotonicTime(ClockStart + m_schedule.now());
 }
 
 template<PlacementPolicy Policy>
-microseconds LoadRun<Policy>::delay(const FailureDomainId &from, const FailureDomainId &to) const
+microseconds ModelRun<Policy>::delay(const FailureDomainId &from, const FailureDomainId &to) const
 {
     if (from == to) {
         return m_plan.delays.withinDomain;
@@ -417,7 +417,7 @@
 }
 
 template<PlacementPolicy Policy>
-LoadWindow &LoadRun<Policy>::windowAt(microseconds time)
+LoadWindow &ModelRun<Policy>::windowAt(microseconds time)
 {
     const auto index = static_cast<std::size_t>(time / WindowLength);
     while (m_result.windows.size() <= index) {
@@ -428,7 +428,7 @@
 }
 
 template<PlacementPolicy Policy>
-LoadResult LoadRun<Policy>::run(const std::string &policyName)
+LoadResult ModelRun<Policy>::run(const std::string &policyName)
 {
     m_result.load = m_plan.name;
     m_result.policy = policyName;
@@ -454,7 +454,7 @@
     return std::move(m_result);
 }
 
-template class LoadRun<ServiceDispatcher>;
-template class LoadRun<LeastLoadedPolicy>;
+template class ModelRun<ServiceDispatcher>;
+template class ModelRun<LeastLoadedPolicy>;
 
 } // namespace Tarragon
--- a/Source/model/LoadRun.h
+++ b/Source/model/ModelRun.h
@@ -18,15 +18,15 @@
 /// The same plan, policy and seed give the same result. Not modelled: links that fill up, the
 /// processors of entries, lost messages.
 template<PlacementPolicy Policy>
-class LoadRun
+class ModelRun
 {
 public:
     using MakePolicy =
             std::function<std::unique_ptr<Policy>(const EntryPlace &, const HostedService &)>;
 
-    LoadRun(const LoadPlan &plan, std::uint64_t seed, MakePolicy makePolicy);
-    LoadRun(const LoadRun &) = delete;
-    LoadRun &operator=(const LoadRun &) = delete;
+    ModelRun(const LoadPlan &plan, std::uint64_t seed, MakePolicy makePolicy);
+    ModelRun(const ModelRun &) = delete;
+    ModelRun &operator=(const ModelRun &) = delete;
 
     /// Plays the load. To be called once. The policy's name is for the result.
     LoadResult run(const std::string &policyName);
--- a/Source/modeltool/main.cpp
+++ b/Source/modeltool/main.cpp
@@ -1,7 +1,7 @@
 #include "document/TextFile.h"
 #include "model/LeastLoadedPolicy.h"
 #include "model/LoadPlot.h"
-#include "model/LoadRun.h"
+#include "model/ModelRun.h"
 
 #include <cxxopts.hpp>
 
@@ -24,7 +24,7 @@
     const std::uint64_t seed = arguments["seed"].as<std::uint64_t>();
     const std::string policy = arguments["policy"].as<std::string>();
     if (policy == "least-loaded") {
-        return LoadRun<LeastLoadedPolicy>(
+        return ModelRun<LeastLoadedPolicy>(
                        plan, seed,
                        [](const EntryPlace &place, const HostedService &service) {
                            return std::make_unique<LeastLoadedPolicy>(place, service);
@@ -34,7 +34,7 @@
     DispatchOptions options;
     options.homesPerObject = arguments["homes"].as<std::size_t>();
     options.waitShareOfGoal = arguments["wait-share"].as<double>();
-    return LoadRun<ServiceDispatcher>(
+    return ModelRun<ServiceDispatcher>(
                    plan, seed,
                    [&options](const EntryPlace &place, const HostedService &service) {
                        return std::make_unique<ServiceDispatcher>(place, service, options);
--- a/Tests/gateway/RequestLogTest.cpp
+++ b/Tests/gateway/RequestLogTest.cpp
@@ -24,11 +24,11 @@
     /// Sum of the dropped lines that the text tells of.
     static std::uint64_t toldIn(const std::string &text)
     {
-        static const std::string Note = "event=dropped lines=";
+        static const std::string note = "event=dropped lines=";
         std::uint64_t sum = 0;
-        for (std::size_t at = text.find(Note); at != std::string::npos;
-             at = text.find(Note, at + 1)) {
-            sum += std::stoull(text.substr(at + Note.size()));
+        for (std::size_t at = text.find(note); at != std::string::npos;
+             at = text.find(note, at + 1)) {
+            sum += std::stoull(text.substr(at + note.size()));
         }
         return sum;
     }
--- a/Tests/model/LoadRunTest.cpp
+++ b/Tests/model/ModelRunTest.cpp
@@ -1,6 +1,6 @@
 // Plays loads against the code that places requests and checks what callers get.
 
-#include "model/LoadRun.h"
+#include "model/ModelRun.h"
 #include "document/TextFile.h"
 #include "model/LeastLoadedPolicy.h"
 #include "model/LoadPlot.h"
@@ -38,7 +38,7 @@
 LoadResult playDispatcher(const LoadPlan &plan, std::uint64_t seed,
                           const DispatchOptions &options = {})
 {
-    return LoadRun<ServiceDispatcher>(
+    return ModelRun<ServiceDispatcher>(
                    plan, seed,
                    [&options](const EntryPlace &place, const HostedService &service) {
                        return std::make_unique<ServiceDispatcher>(place, service, options);
@@ -48,11 +48,11 @@
 
 LoadResult playLeastLoaded(const LoadPlan &plan, std::uint64_t seed)
 {
-    return LoadRun<LeastLoadedPolicy>(plan, seed,
-                                      [](const EntryPlace &place, const HostedService &service) {
-                                          return std::make_unique<LeastLoadedPolicy>(place,
-                                                                                     service);
-                                      })
+    return ModelRun<LeastLoadedPolicy>(plan, seed,
+                                       [](const EntryPlace &place, const HostedService &service) {
+                                           return std::make_unique<LeastLoadedPolicy>(place,
+                                                                                      service);
+                                       })
             .run("least-loaded");
 }
 
@@ -68,7 +68,7 @@
 
 // Guards against a model that ranks policies otherwise than real deployments did, where two homes
 // were better than one and than three, and least load was far worse than all of them.
-TEST(LoadRunTest, PoliciesRankAsOnDeployments)
+TEST(ModelRunTest, PoliciesRankAsOnDeployments)
 {
     const LoadPlan plan = readPlan("stands-trouble.yaml");
     const double two = meanInGoal(plan, 2);
@@ -81,7 +81,7 @@
 
 // Guards against the state in which targets forget objects as fast as they learn them: it must be
 // left again after all of them have lost their memory. Least load stays in it.
-TEST(LoadRunTest, ColdStateIsLeftAgain)
+TEST(ModelRunTest, ColdStateIsLeftAgain)
 {
     ModelTrouble trouble;
     trouble.kind = TroubleKind::Forget;
@@ -101,7 +101,7 @@
 
 // Guards against entries that, having forgotten what they learned, send objects to other targets
 // than before.
-TEST(LoadRunTest, RestartOfAllEntriesKeepsTheTargetsWarm)
+TEST(ModelRunTest, RestartOfAllEntriesKeepsTheTargetsWarm)
 {
     ModelTrouble trouble;
     trouble.kind = TroubleKind::Restart;
@@ -118,7 +118,7 @@
 }
 
 // Guards against callers who are told to come back and are then refused again.
-TEST(LoadRunTest, MostWhoComeBackWhenToldAreAnswered)
+TEST(ModelRunTest, MostWhoComeBackWhenToldAreAnswered)
 {
     ModelTrouble trouble;
     trouble.kind = TroubleKind::Burst;
@@ -136,7 +136,7 @@
 }
 
 // Guards against a region, or a route, whose callers pay for those of others.
-TEST(LoadRunTest, NoRegionOrRouteIsStarved)
+TEST(ModelRunTest, NoRegionOrRouteIsStarved)
 {
     const LoadPlan plan = readPlan("stands-trouble.yaml");
     for (std::uint64_t seed = FirstSeed; seed <= LastSeed; ++seed) {
@@ -153,7 +153,7 @@
 
 // Guards against entries that together fill the queues of targets: what does not fit is to be
 // refused by entries, with a time to come back.
-TEST(LoadRunTest, QueuesOfTargetsAreNotFilledWhileAllIsWell)
+TEST(ModelRunTest, QueuesOfTargetsAreNotFilledWhileAllIsWell)
 {
     const LoadPlan plan = readPlan("stands.yaml");
     for (std::uint64_t seed = FirstSeed; seed <= LastSeed; ++seed) {
@@ -164,7 +164,7 @@
 }
 
 // Guards against targets that decline most of their requests and still get their share of them.
-TEST(LoadRunTest, SheddingTargetsAreSpared)
+TEST(ModelRunTest, SheddingTargetsAreSpared)
 {
     ModelTrouble trouble;
     trouble.kind = TroubleKind::Shed;
@@ -181,7 +181,7 @@
 
 // Guards against requests that are lost or counted twice, and against results that cannot be
 // repeated.
-TEST(LoadRunTest, EveryRequestEndsOnceAndRunsRepeat)
+TEST(ModelRunTest, EveryRequestEndsOnceAndRunsRepeat)
 {
     const LoadPlan plan = readPlan("stands-trouble.yaml");
     const LoadResult result = playDispatcher(plan, 7);
