--- a/Source/base/Units.h
+++ b/Source/base/Units.h
@@ -10,6 +10,18 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// The duration in seconds with fractions.
+constexpr double inSeconds(microseconds duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// The duration times the factor, rounded towards zero.
+constexpr microseconds scaled(microseconds duration, double factor)
+{
+    return microseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 /// Tag of the monotonic clock of one process. Its time points are not comparable with those of
 /// another process.
 struct MonotonicClock
--- a/Source/document/Topology.h
+++ b/Source/document/Topology.h
@@ -18,6 +18,9 @@
     friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
 
+/// The endpoint as "address:port".
+std::string toString(const Endpoint &endpoint);
+
 /// An entry instance as the document names it.
 struct EntrySeat
 {
--- a/Source/document/ValueFormats.cpp
+++ b/Source/document/ValueFormats.cpp
@@ -1,5 +1,7 @@
 #include "document/ValueFormats.h"
 
+#include "base/ParseNumber.h"
+
 #include <arpa/inet.h>
 
 #include <algorithm>
@@ -33,18 +35,6 @@
            && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
-template<typename T>
-std::optional<T> parseWhole(std::string_view text)
-{
-    T value{};
-    const char *end = text.data() + text.size();
-    const std::from_chars_result result = std::from_chars(text.data(), end, value);
-    if (text.empty() || result.ec != std::errc() || result.ptr != end) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 /// Splits "12.5ms" into the number and what follows it.
 std::pair<std::string_view, std::string_view> splitUnit(std::string_view text)
 {
@@ -98,7 +88,7 @@
 
 std::optional<int> IntegerFormat::operator()(const std::string &text) const
 {
-    const std::optional<int> value = parseWhole<int>(text);
+    const std::optional<int> value = parseNumber<int>(text);
     return value && *value >= min && *value <= max ? value : std::nullopt;
 }
 
@@ -133,7 +123,7 @@
 {
     const auto [number, suffix] = splitUnit(text);
     const std::optional<std::int64_t> count =
-            isDigits(number) ? parseWhole<std::int64_t>(number) : std::nullopt;
+            isDigits(number) ? parseNumber<std::int64_t>(number) : std::nullopt;
     if (!count) {
         return std::nullopt;
     }
@@ -182,8 +172,8 @@
         return std::nullopt;
     }
     decimals.resize(MaxDecimals, '0');
-    const Share share{ *parseWhole<std::int64_t>(whole) * 10'000
-                       + *parseWhole<std::int64_t>(decimals) };
+    const Share share{ *parseNumber<std::int64_t>(whole) * 10'000
+                       + *parseNumber<std::int64_t>(decimals) };
     return share >= min && share <= max ? std::optional(share) : std::nullopt;
 }
 
@@ -243,7 +233,7 @@
     }
     const std::string address = text.substr(0, colon);
     const std::optional<std::uint16_t> port =
-            parseWhole<std::uint16_t>(std::string_view(text).substr(colon + 1));
+            parseNumber<std::uint16_t>(std::string_view(text).substr(colon + 1));
     if (!parseAddress(address) || !port || *port == 0) {
         return std::nullopt;
     }
@@ -299,8 +289,8 @@
     if (!isDigits(view.substr(0, 2)) || !isDigits(view.substr(3))) {
         return std::nullopt;
     }
-    const int hours = *parseWhole<int>(view.substr(0, 2));
-    const int minutes = *parseWhole<int>(view.substr(3));
+    const int hours = *parseNumber<int>(view.substr(0, 2));
+    const int minutes = *parseNumber<int>(view.substr(3));
     if (minutes > 59 || hours > 24 || (hours == 24 && minutes > 0)) {
         return std::nullopt;
     }
--- a/Source/entry/LookupApi.cpp
+++ b/Source/entry/LookupApi.cpp
@@ -88,10 +88,9 @@
     for (std::size_t i = 0; i < decision.entryCount; ++i) {
         const LookupDecider::Entry &entry = decider.entries()[decision.entries[i]];
         text += i == 0 ? "" : ",";
-        text += R"({"id":")" + entry.seat.id.value() + R"(","address":")" + entry.seat.http.address
-                + ":" + std::to_string(entry.seat.http.port) + R"(","failureDomain":")"
-                + entry.domain.value() + R"(","region":")" + decider.regions()[entry.region].value()
-                + "\"}";
+        text += R"({"id":")" + entry.seat.id.value() + R"(","address":")"
+                + toString(entry.seat.http) + R"(","failureDomain":")" + entry.domain.value()
+                + R"(","region":")" + decider.regions()[entry.region].value() + "\"}";
     }
     text += "]}\n";
     return text;
--- a/Source/entry/Metrics.cpp
+++ b/Source/entry/Metrics.cpp
@@ -1,5 +1,7 @@
 #include "entry/Metrics.h"
 
+#include "base/MetricFamily.h"
+
 #include <prometheus/text_serializer.h>
 
 namespace Tarragon {
@@ -15,18 +17,6 @@
 /// Upper bounds in seconds around the target of 2 microseconds for a decision.
 const Buckets LookupBuckets{ 0.0000005, 0.000001, 0.000002, 0.000005, 0.00001, 0.0001, 0.001 };
 
-double inSeconds(microseconds duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-template<typename Builder>
-auto &registerFamily(Builder builder, const char *name, const char *help,
-                     prometheus::Registry &registry)
-{
-    return builder.Name(name).Help(help).Register(registry);
-}
-
 } // namespace
 
 Metrics::Metrics()
--- a/Source/entry/ProxiedRequest.cpp
+++ b/Source/entry/ProxiedRequest.cpp
@@ -1,6 +1,7 @@
 #include "entry/ProxiedRequest.h"
 
 #include "base/Digest.h"
+#include "net/HttpSyntax.h"
 #include "steering/AtMostOnceRunner.h"
 #include "steering/RequestIdSeed.h"
 
@@ -241,7 +242,7 @@
         }
     }
     request.headers.remove("Content-Length");
-    request.headers.set("Host", endpoint.address + ":" + std::to_string(endpoint.port));
+    request.headers.set("Host", toString(endpoint));
     request.headers.set(RequestIdHeader, m_head.requestId.value());
     request.headers.set(DeadlineHeader,
                         std::to_string(std::max<std::int64_t>(request.timeout.count(), 1)));
--- a/Source/entry/RequestHead.cpp
+++ b/Source/entry/RequestHead.cpp
@@ -1,11 +1,10 @@
 #include "entry/RequestHead.h"
 
+#include "base/ParseNumber.h"
 #include "entry/ServingState.h"
 
 #include <algorithm>
-#include <array>
 #include <cctype>
-#include <charconv>
 
 namespace Tarragon {
 
@@ -56,10 +55,8 @@
     if (!text.has_value()) {
         return std::nullopt;
     }
-    std::int64_t n = 0;
-    const char *end = text->data() + text->size();
-    const std::from_chars_result result = std::from_chars(text->data(), end, n);
-    if (result.ec != std::errc() || result.ptr != end || n < 1 || n > highest) {
+    const std::optional<std::int64_t> n = parseNumber<std::int64_t>(*text);
+    if (!n.has_value() || *n < 1 || *n > highest) {
         return badRequest(std::string(name) + ": found \"" + text->substr(0, 40)
                           + "\", expected 1 to " + std::to_string(highest));
     }
@@ -145,22 +142,4 @@
     return RequestRule{ method, "", safe ? RequestClass::Lookup : RequestClass::Booking, safe };
 }
 
-bool isConnectionHeader(std::string_view name)
-{
-    static constexpr std::array<std::string_view, 10> Names{ "connection",
-                                                             "keep-alive",
-                                                             "proxy-connection",
-                                                             "proxy-authenticate",
-                                                             "proxy-authorization",
-                                                             "te",
-                                                             "trailer",
-                                                             "transfer-encoding",
-                                                             "upgrade",
-                                                             "expect" };
-    std::string lower(name);
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char c) { return std::tolower(c); });
-    return std::find(Names.begin(), Names.end(), lower) != Names.end();
-}
-
 } // namespace Tarragon
--- a/Source/entry/RequestHead.h
+++ b/Source/entry/RequestHead.h
@@ -48,7 +48,4 @@
 RequestRule ruleOf(const ServiceConfiguration &service, const std::string &method,
                    const std::string &targetUri);
 
-/// Whether a header field concerns one connection only and is not passed on.
-bool isConnectionHeader(std::string_view name);
-
 } // namespace Tarragon
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -3,6 +3,7 @@
 #include "base/Digest.h"
 #include "base/Error.h"
 #include "gateway/RoutedRequest.h"
+#include "net/HttpStatus.h"
 #include "net/LogLine.h"
 #include "platform/LookupCodec.h"
 #include "platform/RegistryDecoder.h"
@@ -35,10 +36,6 @@
 /// The process ends this long before it would be killed.
 constexpr milliseconds StopMargin{ 300 };
 
-constexpr int OkStatus = 200;
-constexpr int NotFoundStatus = 404;
-constexpr int UnavailableStatus = 503;
-
 const log4cplus::Logger &logger()
 {
     static const log4cplus::Logger instance = log4cplus::Logger::getInstance("gateway");
@@ -113,7 +110,7 @@
             [this](const HttpExchangePtr &exchange) {
                 HttpHeaders headers;
                 headers.add("Content-Type", "text/plain; version=0.0.4");
-                exchange->reply(OkStatus, headers, metricsText());
+                exchange->reply(HttpStatus::Ok, headers, metricsText());
             });
 }
 
@@ -128,40 +125,15 @@
 void GatewayDaemon::followStore()
 {
     m_routeFollower = follow(Platform::DesiredStateKind,
-                             { [this](const std::vector<Platform::StoredItem> &items) {
-                                  std::for_each(items.begin(), items.end(),
-                                                sigc::mem_fun(*this, &GatewayDaemon::onRouteTable));
-                              },
-                               [this](const std::vector<Platform::StoredChange> &changes) {
-                                   for (const Platform::StoredChange &it : changes) {
-                                       if (!it.isRemoval) {
-                                           onRouteTable(it.item);
-                                       }
-                                   }
-                               } });
+                             { sigc::mem_fun(*this, &GatewayDaemon::onRouteTables),
+                               sigc::mem_fun(*this, &GatewayDaemon::onRouteTableChanges) });
     m_targetFollower = follow(Platform::TargetKind,
                               { sigc::mem_fun(*this, &GatewayDaemon::onTargets),
                                 sigc::mem_fun(*this, &GatewayDaemon::onTargetChanges) },
                               TargetFollowing);
     m_evacuationFollower = follow(Platform::EvacuationKind,
-                                  { [this](const std::vector<Platform::StoredItem> &items) {
-                                       m_evacuated.clear();
-                                       for (const Platform::StoredItem &it : items) {
-                                           m_evacuated.insert(FailureDomainId(it.name));
-                                       }
-                                       onEvacuations();
-                                   },
-                                    [this](const std::vector<Platform::StoredChange> &changes) {
-                                        for (const Platform::StoredChange &it : changes) {
-                                            const FailureDomainId domain(it.item.name);
-                                            if (it.isRemoval) {
-                                                m_evacuated.erase(domain);
-                                            } else {
-                                                m_evacuated.insert(domain);
-                                            }
-                                        }
-                                        onEvacuations();
-                                    } });
+                                  { sigc::mem_fun(*this, &GatewayDaemon::onEvacuations),
+                                    sigc::mem_fun(*this, &GatewayDaemon::onEvacuationChanges) });
     m_entryFollower = follow(Platform::EntryKind,
                              { sigc::mem_fun(m_registration, &EntryRegistration::onSnapshot),
                                sigc::mem_fun(m_registration, &EntryRegistration::onChanges) },
@@ -186,6 +158,22 @@
     m_state.registry().onStoreBack(m_loop.now());
 }
 
+void GatewayDaemon::onRouteTables(const std::vector<Platform::StoredItem> &items)
+{
+    for (const Platform::StoredItem &it : items) {
+        onRouteTable(it);
+    }
+}
+
+void GatewayDaemon::onRouteTableChanges(const std::vector<Platform::StoredChange> &changes)
+{
+    for (const Platform::StoredChange &it : changes) {
+        if (!it.isRemoval) {
+            onRouteTable(it.item);
+        }
+    }
+}
+
 void GatewayDaemon::onRouteTable(const Platform::StoredItem &item)
 {
     if (item.name != Platform::DesiredStateName) {
@@ -258,7 +246,29 @@
     afterTargetChange();
 }
 
-void GatewayDaemon::onEvacuations()
+void GatewayDaemon::onEvacuations(const std::vector<Platform::StoredItem> &items)
+{
+    m_evacuated.clear();
+    for (const Platform::StoredItem &it : items) {
+        m_evacuated.insert(FailureDomainId(it.name));
+    }
+    applyEvacuations();
+}
+
+void GatewayDaemon::onEvacuationChanges(const std::vector<Platform::StoredChange> &changes)
+{
+    for (const Platform::StoredChange &it : changes) {
+        const FailureDomainId domain(it.item.name);
+        if (it.isRemoval) {
+            m_evacuated.erase(domain);
+        } else {
+            m_evacuated.insert(domain);
+        }
+    }
+    applyEvacuations();
+}
+
+void GatewayDaemon::applyEvacuations()
 {
     m_state.registry().setEvacuated(m_evacuated, m_loop.now());
     afterTargetChange();
@@ -274,7 +284,7 @@
 void GatewayDaemon::answerLookup(const HttpExchangePtr &exchange)
 {
     if (!Platform::isLookup(*exchange)) {
-        exchange->reply(NotFoundStatus, {}, "");
+        exchange->reply(HttpStatus::NotFound, {}, "");
         return;
     }
     const Platform::LookupQuestion question = Platform::decodeLookup(*exchange);
@@ -284,7 +294,8 @@
                                 m_incarnation.value() + m_lookups++, m_loop.now());
     }
     if (entries.empty()) {
-        exchange->reply(UnavailableStatus, Platform::encodeOwnAnswer({}, LookupTtl), "");
+        exchange->reply(HttpStatus::ServiceUnavailable, Platform::encodeOwnAnswer({}, LookupTtl),
+                        "");
         return;
     }
     std::vector<Endpoint> addresses;
@@ -293,17 +304,17 @@
         addresses.push_back(it.front);
     }
     const milliseconds ttl = std::min(LookupTtl, m_settings.bounds.longestLookupTtl);
-    exchange->reply(OkStatus, Platform::encodeOwnAnswer({}, milliseconds(0)),
+    exchange->reply(HttpStatus::Ok, Platform::encodeOwnAnswer({}, milliseconds(0)),
                     Platform::encodeLookupAnswer(addresses, ttl));
 }
 
 void GatewayDaemon::answerReadiness(const HttpExchangePtr &exchange)
 {
     if (!Platform::isReadinessCheck(*exchange)) {
-        exchange->reply(NotFoundStatus, {}, "");
+        exchange->reply(HttpStatus::NotFound, {}, "");
         return;
     }
-    exchange->reply(isReady() ? OkStatus : UnavailableStatus, {}, "");
+    exchange->reply(isReady() ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, {}, "");
 }
 
 bool GatewayDaemon::isReady() const
@@ -351,7 +362,7 @@
         afterTargetChange();
     }
     if (m_entryFollower->hasSnapshot()) {
-        m_state.setEntryCount(m_roster.others().size() + 1, now);
+        m_state.setEntryCount(m_roster.size(), now);
     }
     for (const auto &[service, dispatcher] : m_state.dispatchers()) {
         logTargetChanges(dispatcher->takeChanges());
@@ -386,9 +397,7 @@
     }
     const microseconds age = m_loop.now() - *m_leavingSince;
     const milliseconds grace = m_settings.bounds.stopGrace;
-    const milliseconds accept(
-            static_cast<std::int64_t>(AcceptShareOfGrace * static_cast<double>(grace.count())));
-    if (age < accept) {
+    if (age < scaled(grace, AcceptShareOfGrace)) {
         return;
     }
     m_front->stopListening();
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -49,10 +49,14 @@
     void followStore();
     void onStoreLost(const std::string &reason);
     void onStoreRegained();
+    void onRouteTables(const std::vector<Platform::StoredItem> &items);
+    void onRouteTableChanges(const std::vector<Platform::StoredChange> &changes);
     void onRouteTable(const Platform::StoredItem &item);
     void onTargets(const std::vector<Platform::StoredItem> &items);
     void onTargetChanges(const std::vector<Platform::StoredChange> &changes);
-    void onEvacuations();
+    void onEvacuations(const std::vector<Platform::StoredItem> &items);
+    void onEvacuationChanges(const std::vector<Platform::StoredChange> &changes);
+    void applyEvacuations();
     void afterTargetChange();
     void answerLookup(const HttpExchangePtr &exchange);
     void answerReadiness(const HttpExchangePtr &exchange);
--- a/Source/gateway/GatewayMetrics.cpp
+++ b/Source/gateway/GatewayMetrics.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewayMetrics.h"
 
+#include "base/MetricFamily.h"
+
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
@@ -18,28 +20,21 @@
 
 prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
 {
-    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+    return registerFamily(prometheus::BuildGauge(), name, help, registry).Add({});
 }
 
 } // namespace
 
 GatewayMetrics::GatewayMetrics()
-    : m_requests(prometheus::BuildCounter()
-                         .Name("tarragon_gateway_requests_total")
-                         .Help("Requests that have ended, by route and outcome")
-                         .Register(m_registry))
-    , m_requestSeconds(prometheus::BuildHistogram()
-                               .Name("tarragon_gateway_request_seconds")
-                               .Help("Time from arrival to the end of the answer, by route")
-                               .Register(m_registry))
-    , m_sends(prometheus::BuildCounter()
-                      .Name("tarragon_gateway_sends_total")
-                      .Help("Requests sent to targets, by service and outcome")
-                      .Register(m_registry))
-    , m_retries(prometheus::BuildCounter()
-                        .Name("tarragon_gateway_retries_total")
-                        .Help("Requests sent once more, by service")
-                        .Register(m_registry))
+    : m_requests(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_requests_total",
+                                "Requests that have ended, by route and outcome", m_registry))
+    , m_requestSeconds(
+              registerFamily(prometheus::BuildHistogram(), "tarragon_gateway_request_seconds",
+                             "Time from arrival to the end of the answer, by route", m_registry))
+    , m_sends(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_sends_total",
+                             "Requests sent to targets, by service and outcome", m_registry))
+    , m_retries(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_retries_total",
+                               "Requests sent once more, by service", m_registry))
     , m_routeVersion(gauge(m_registry, "tarragon_gateway_route_version",
                            "Version of the route table in force"))
     , m_readyTargets(
@@ -50,14 +45,11 @@
               gauge(m_registry, "tarragon_gateway_store_lost", "1 while calls to the store fail"))
     , m_inProgress(gauge(m_registry, "tarragon_gateway_requests_in_progress",
                          "Requests that have not ended"))
-    , m_refusals(prometheus::BuildCounter()
-                         .Name("tarragon_gateway_refusals_total")
-                         .Help("Requests refused as not run, by service and reason")
-                         .Register(m_registry))
-    , m_loopLag(prometheus::BuildHistogram()
-                        .Name("tarragon_gateway_loop_lag_seconds")
-                        .Help("Time by which a periodic task of the event loop was late")
-                        .Register(m_registry)
+    , m_refusals(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_refusals_total",
+                                "Requests refused as not run, by service and reason", m_registry))
+    , m_loopLag(registerFamily(prometheus::BuildHistogram(), "tarragon_gateway_loop_lag_seconds",
+                               "Time by which a periodic task of the event loop was late",
+                               m_registry)
                         .Add({}, LagBuckets))
     , m_storeAge(gauge(m_registry, "tarragon_gateway_store_age_seconds",
                        "Time since a call to the store last succeeded"))
@@ -65,14 +57,11 @@
                            "Log lines that found no room since the start"))
     , m_linesSkipped(gauge(m_registry, "tarragon_gateway_log_lines_skipped",
                            "Lines of successful requests above the rate since the start"))
-    , m_retriesLeft(prometheus::BuildGauge()
-                            .Name("tarragon_gateway_retries_left")
-                            .Help("Repeats that the budget still allows, by service")
-                            .Register(m_registry))
-    , m_sendsInProgress(prometheus::BuildGauge()
-                                .Name("tarragon_gateway_sends_in_progress")
-                                .Help("Requests that are at targets, by service")
-                                .Register(m_registry))
+    , m_retriesLeft(registerFamily(prometheus::BuildGauge(), "tarragon_gateway_retries_left",
+                                   "Repeats that the budget still allows, by service", m_registry))
+    , m_sendsInProgress(registerFamily(prometheus::BuildGauge(),
+                                       "tarragon_gateway_sends_in_progress",
+                                       "Requests that are at targets, by service", m_registry))
 {}
 
 std::string GatewayMetrics::labelOf(const RouteName &route)
@@ -96,7 +85,7 @@
     if (histogram == nullptr) {
         histogram = &m_requestSeconds.Add({ { "route", label } }, SecondsBuckets);
     }
-    histogram->Observe(std::chrono::duration<double>(duration).count());
+    histogram->Observe(inSeconds(duration));
 }
 
 void GatewayMetrics::recordSend(const ServiceId &service, const std::string &outcome)
@@ -120,12 +109,12 @@
 
 void GatewayMetrics::recordLoopLag(microseconds lag)
 {
-    m_loopLag.Observe(std::max(std::chrono::duration<double>(lag).count(), 0.0));
+    m_loopLag.Observe(std::max(inSeconds(lag), 0.0));
 }
 
 void GatewayMetrics::setStoreAge(microseconds age)
 {
-    m_storeAge.Set(std::chrono::duration<double>(age).count());
+    m_storeAge.Set(inSeconds(age));
 }
 
 void GatewayMetrics::setLogLines(std::uint64_t dropped, std::uint64_t skipped)
--- a/Source/gateway/GatewayState.cpp
+++ b/Source/gateway/GatewayState.cpp
@@ -5,15 +5,6 @@
 
 namespace Tarragon {
 
-namespace {
-
-/// Part of the platform's retry bounds that entries use. Entries count in windows of their own,
-/// and one that starts again has forgotten what it has used.
-constexpr double RetryBoundUse = 0.6;
-constexpr double PartsPerMillion = 1e6;
-
-} // namespace
-
 GatewayState::GatewayState(const GatewaySettings &settings, const GatewayBounds &bounds)
     : m_place{ settings.domain, settings.region, settings.regions }
     , m_bounds(bounds)
@@ -72,9 +63,10 @@
 
 void GatewayState::limitRetries()
 {
+    const RetryLimits limits = ownRetryLimits();
     for (auto &[id, budget] : m_retryBudgets) {
-        budget.setShare(retryShare());
-        budget.setMinimum(leastRetries());
+        budget.setShare(limits.share);
+        budget.setMinimum(limits.least);
     }
 }
 
@@ -90,21 +82,13 @@
     if (it != m_retryBudgets.end()) {
         return it->second;
     }
-    return m_retryBudgets.emplace(service, RetryBudget(retryShare(), leastRetries())).first->second;
+    const RetryLimits limits = ownRetryLimits();
+    return m_retryBudgets.emplace(service, RetryBudget(limits.share, limits.least)).first->second;
 }
 
-Share GatewayState::retryShare() const
+RetryLimits GatewayState::ownRetryLimits() const
 {
-    return Share{ static_cast<std::int64_t>(m_bounds.retryShare * RetryBoundUse
-                                            * PartsPerMillion) };
-}
-
-int GatewayState::leastRetries() const
-{
-    if (m_entries == 0) {
-        return 0;
-    }
-    return static_cast<int>(m_bounds.extraRetries * RetryBoundUse / static_cast<double>(m_entries));
+    return retryLimits(m_bounds.retryShare, m_bounds.extraRetries, m_entries);
 }
 
 bool GatewayState::canServe() const
--- a/Source/gateway/GatewayState.h
+++ b/Source/gateway/GatewayState.h
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewaySettings.h"
 #include "routing/PartChooser.h"
+#include "routing/RetryLimits.h"
 #include "routing/RouteTable.h"
 #include "routing/ServiceDispatcher.h"
 #include "routing/TargetRegistry.h"
@@ -48,8 +49,7 @@
     std::size_t readyTargets() const;
 
 private:
-    Share retryShare() const;
-    int leastRetries() const;
+    RetryLimits ownRetryLimits() const;
     void limitRetries();
 
     EntryPlace m_place;
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -56,7 +56,7 @@
 void KindFollower::list(const std::string &after)
 {
     if (after.empty()) {
-        m_pages.clear();
+        m_listed = {};
     }
     m_callBegan = m_loop.now();
     // What is listed later replaces what is known and must not be older.
@@ -71,22 +71,17 @@
         onFailure(page.outcome, page.reason);
         return;
     }
-    if (m_pages.empty()) {
-        // Changes between two pages are seen by the watch.
-        m_listRevision = page.revision;
-    }
-    m_pages.insert(m_pages.end(), page.items.begin(), page.items.end());
     m_isWaiting = false;
     m_backoff.reset();
     m_health.onSuccess(m_loop.now());
-    if (page.hasMore && !page.items.empty()) {
-        list(page.items.back().name);
+    if (const std::optional<std::string> next = addPage(m_listed, page)) {
+        list(*next);
         return;
     }
-    m_revision = m_listRevision;
+    m_revision = m_listed.revision;
     m_hasSnapshot = true;
-    const std::vector<Platform::StoredItem> items = std::exchange(m_pages, {});
-    m_handlers.onSnapshot(items);
+    const Platform::ItemPage listed = std::exchange(m_listed, {});
+    m_handlers.onSnapshot(listed.items);
     watch();
 }
 
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -67,10 +67,10 @@
     /// Time for which the last watch was to wait.
     milliseconds m_watchTime{ 0 };
     Timer m_timer;
-    std::vector<Platform::StoredItem> m_pages;
+    /// The pages of a list that is being read.
+    Platform::ItemPage m_listed;
     /// Revision to watch from; 0 before the first list.
     std::uint64_t m_revision = 0;
-    std::uint64_t m_listRevision = 0;
     bool m_hasSnapshot = false;
     /// A call has failed and another follower looks for the store's return.
     bool m_isWaiting = false;
--- a/Source/gateway/RosterExchange.cpp
+++ b/Source/gateway/RosterExchange.cpp
@@ -12,6 +12,17 @@
 /// The next round repeats everything, so that waiting longer gains nothing.
 constexpr milliseconds ExchangeTimeout{ 400 };
 
+void fillItems(capnp::List<PeerRpc::RosterItem>::Builder list, const std::vector<RosterItem> &items)
+{
+    for (unsigned int i = 0; i < list.size(); ++i) {
+        PeerRpc::RosterItem::Builder item = list[i];
+        item.setInstance(items[i].instance.value());
+        item.setIncarnation(items[i].incarnation.value());
+        item.setBeat(items[i].beat);
+        item.setServing(items[i].isServing);
+    }
+}
+
 } // namespace
 
 RosterExchange::RosterExchange(EventLoop &loop, EntryRoster &roster, const Endpoint &rpc,
@@ -77,18 +88,6 @@
             });
 }
 
-void RosterExchange::fillItems(capnp::List<PeerRpc::RosterItem>::Builder list,
-                               const std::vector<RosterItem> &items) const
-{
-    for (unsigned int i = 0; i < list.size(); ++i) {
-        PeerRpc::RosterItem::Builder item = list[i];
-        item.setInstance(items[i].instance.value());
-        item.setIncarnation(items[i].incarnation.value());
-        item.setBeat(items[i].beat);
-        item.setServing(items[i].isServing);
-    }
-}
-
 void RosterExchange::merge(capnp::List<PeerRpc::RosterItem>::Reader list)
 {
     std::vector<RosterItem> items;
--- a/Source/gateway/RosterExchange.h
+++ b/Source/gateway/RosterExchange.h
@@ -25,8 +25,6 @@
 private:
     void round();
     void exchangeWith(const InstanceId &instance);
-    void fillItems(capnp::List<PeerRpc::RosterItem>::Builder list,
-                   const std::vector<RosterItem> &items) const;
     void merge(capnp::List<PeerRpc::RosterItem>::Reader list);
 
     EventLoop &m_loop;
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -2,7 +2,9 @@
 
 #include "base/Digest.h"
 #include "document/JsonFields.h"
+#include "net/HttpStatus.h"
 #include "net/LogLine.h"
+#include "routing/RetryLimits.h"
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -14,22 +16,11 @@
 
 namespace {
 
-/// Answers from this status on are failures.
-constexpr int LeastErrorStatus = 500;
-constexpr int NotFoundStatus = 404;
-constexpr int BadGatewayStatus = 502;
-constexpr int UnavailableStatus = 503;
-constexpr int GatewayTimeoutStatus = 504;
-
 /// A new entry knows its routes within a few calls to the store.
 constexpr milliseconds RetryWithoutTable{ 300 };
-/// Time that must be left for another target to be of use.
-constexpr milliseconds LeastRetryTime{ 30 };
 /// A connection within or between regions is made in up to 40 ms; a lost opening packet is sent
 /// again after a second, and another target is tried before that.
 constexpr milliseconds ConnectTimeout{ 250 };
-/// Time after which a caller whose request was declined by its targets may come back.
-constexpr milliseconds RetryAfterDeclined{ 100 };
 
 const log4cplus::Logger &logger()
 {
@@ -84,7 +75,8 @@
     }
     m_route = m_table->find(m_request.host, m_request.path);
     if (m_route == nullptr) {
-        replyOwn(NotFoundStatus, "no-route", "no route for the host and path", microseconds(0));
+        replyOwn(HttpStatus::NotFound, "no-route", "no route for the host and path",
+                 microseconds(0));
         return;
     }
     m_service = m_context.state.parts().next(*m_route);
@@ -218,14 +210,14 @@
         deliver(*m_attempt);
         return;
     }
-    replyOwn(outcome == "timeout" ? GatewayTimeoutStatus : BadGatewayStatus, outcome, reason,
-             microseconds(0));
+    replyOwn(outcome == "timeout" ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway, outcome,
+             reason, microseconds(0));
 }
 
 void RoutedRequest::refuse(const std::string &reason, microseconds retryAfter)
 {
     m_context.metrics.recordRefusal(m_service, reason);
-    replyOwn(UnavailableStatus, "refused", reason, retryAfter);
+    replyOwn(HttpStatus::ServiceUnavailable, "refused", reason, retryAfter);
 }
 
 void RoutedRequest::replyOwn(int status, const std::string &outcome, const std::string &reason,
@@ -287,7 +279,7 @@
                            microseconds duration) const
 {
     std::uint64_t skipped = 0;
-    if (outcome == "answered" && status < LeastErrorStatus) {
+    if (outcome == "answered" && !HttpStatus::isServerError(status)) {
         const std::optional<std::uint64_t> admitted =
                 m_context.successLines.admit(m_context.loop.now());
         if (!admitted.has_value()) {
--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -1,5 +1,7 @@
 #include "gateway/TargetAttempt.h"
 
+#include "net/HttpStatus.h"
+
 #include <utility>
 
 namespace Tarragon {
@@ -12,19 +14,11 @@
 /// Bytes waiting for a slow caller above which the target is not read.
 constexpr std::size_t CallerBacklogBytes = 256 * 1024;
 
-constexpr int FirstSuccess = 200;
-constexpr int FirstRedirect = 300;
-constexpr int FirstServerError = 500;
-
 /// Whether the status states that the request has not been run.
 bool isNotRunStatus(int status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-bool isSuccess(int status)
-{
-    return status >= FirstSuccess && status < FirstRedirect;
+    return status == HttpStatus::RequestTimeout || status == HttpStatus::MisdirectedRequest
+           || status == HttpStatus::TooManyRequests || status == HttpStatus::ServiceUnavailable;
 }
 
 } // namespace
@@ -90,7 +84,7 @@
         m_reason = "answer to another request, id \"" + m_answer.id.value() + "\"";
         return SendOutcome::Broken;
     }
-    if (isSuccess(m_answer.status) && !m_answer.isSealed) {
+    if (HttpStatus::isSuccess(m_answer.status) && !m_answer.isSealed) {
         m_reason = "success without the target's seal";
         return SendOutcome::Broken;
     }
@@ -98,7 +92,7 @@
         m_reason = "status " + std::to_string(m_answer.status) + " of unknown origin";
         return SendOutcome::Broken;
     }
-    return m_answer.status >= FirstServerError ? SendOutcome::Failed : SendOutcome::Answered;
+    return HttpStatus::isServerError(m_answer.status) ? SendOutcome::Failed : SendOutcome::Answered;
 }
 
 void TargetAttempt::onData(std::string_view data)
--- a/Source/model/ModelRun.cpp
+++ b/Source/model/ModelRun.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Digest.h"
 #include "model/LeastLoadedPolicy.h"
+#include "routing/RetryLimits.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,16 +16,11 @@
 constexpr microseconds WindowLength{ 1'000'000 };
 /// Time after the end of traffic in which running requests end.
 constexpr milliseconds Tail{ 20'000 };
-/// The retry budget of GatewayState under the platform's usual bounds: 0.6 of a fifth, and of 50
-/// extra retries for all entries.
-constexpr Share RetryShare{ 120'000 };
-constexpr double ExtraRetries = 30;
+/// The platform's usual bounds of repeats, for all entries together.
+constexpr double AllowedRetryPart = 0.2;
+constexpr double AllowedExtraRetries = 50;
 /// Traffic never ends altogether, as the next arrival is what notices its return.
 constexpr double LeastTrafficFactor = 0.001;
-/// Time that must be left for a further send, and when a declined caller may come back; as in
-/// RoutedRequest.
-constexpr milliseconds LeastRetryTime{ 30 };
-constexpr milliseconds RetryAfterDeclined{ 100 };
 
 bool lasts(TroubleKind kind)
 {
@@ -98,7 +94,7 @@
     for (const ModelDomain &it : m_plan.domains) {
         place.regions[it.id] = it.region;
     }
-    const int leastRetries = static_cast<int>(ExtraRetries / static_cast<double>(m_entries.size()));
+    const RetryLimits limits = retryLimits(AllowedRetryPart, AllowedExtraRetries, m_entries.size());
     for (const auto &[id, service] : m_plan.services) {
         HostedService hosted;
         hosted.id = id;
@@ -106,7 +102,7 @@
         policy->setEntryCount(m_entries.size());
         policy->setTargets(m_known, clock());
         entry.policies[id] = std::move(policy);
-        entry.budgets.emplace(id, RetryBudget(RetryShare, leastRetries));
+        entry.budgets.emplace(id, RetryBudget(limits.share, limits.least));
     }
 }
 
@@ -146,7 +142,7 @@
     for (const auto &[id, target] : m_targets) {
         // The same targets when it begins and when it ends.
         const std::uint64_t hash = stableHash(id.value(), m_seed + std::size_t(trouble.at.count()));
-        const bool isHit = static_cast<double>(hash >> 11U) * 0x1p-53 < trouble.share;
+        const bool isHit = unitInterval(hash) < trouble.share;
         const bool isOfService =
                 trouble.service.isEmpty() || trouble.service == target->entry().service;
         if (isHit && isOfService) {
--- a/Source/model/ModelTarget.cpp
+++ b/Source/model/ModelTarget.cpp
@@ -51,8 +51,7 @@
     const double known = recall(job.object) ? m_knownWork : 1;
     const double spread =
             std::max(LeastWorkFactor, std::normal_distribution<>(1, WorkSpread)(m_random));
-    const microseconds time(static_cast<std::int64_t>(static_cast<double>(job.work.count()) * known
-                                                      * spread * m_slowness));
+    const microseconds time = scaled(job.work, known * spread * m_slowness);
     m_busyTime += time;
     m_schedule.after(time, [this, answer = job.answer] { finish(answer); });
 }
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -4,6 +4,7 @@
 #include "net/Guard.h"
 #include "net/HttpExchangeState.h"
 #include "net/HttpServerState.h"
+#include "net/HttpStatus.h"
 #include "net/HttpSyntax.h"
 
 #include <event2/buffer.h>
@@ -27,21 +28,16 @@
 /// destroy the error on its way.
 constexpr seconds LingerTime{ 2 };
 
-constexpr int BadRequest = 400;
-constexpr int RequestTimeout = 408;
-constexpr int PayloadTooLarge = 413;
-constexpr int HeaderTooLarge = 431;
-
 std::string_view reasonPhrase(int status)
 {
     switch (status) {
-    case RequestTimeout:
+    case HttpStatus::RequestTimeout:
         return "Request Timeout";
-    case PayloadTooLarge:
+    case HttpStatus::ContentTooLarge:
         return "Content Too Large";
     case 417:
         return "Expectation Failed";
-    case HeaderTooLarge:
+    case HttpStatus::HeaderFieldsTooLarge:
         return "Request Header Fields Too Large";
     case 501:
         return "Not Implemented";
@@ -168,7 +164,7 @@
     const std::size_t limit = m_server->limits.headerBytes.value;
     const std::size_t headLength = found.pos < 0 ? length : std::size_t(found.pos) + HeadEnd.size();
     if (headLength > limit) {
-        reject(HeaderTooLarge, "request line and header fields above the limit");
+        reject(HttpStatus::HeaderFieldsTooLarge, "request line and header fields above the limit");
         return;
     }
     if (found.pos < 0) {
@@ -176,7 +172,7 @@
         if (m_scanned == 0) {
             m_headStart = now;
         } else if (now - m_headStart > m_server->limits.headerTimeout) {
-            reject(RequestTimeout, "request head not complete in time");
+            reject(HttpStatus::RequestTimeout, "request head not complete in time");
             return;
         }
         m_scanned = std::max<std::size_t>(1, length - std::min(length, HeadEnd.size() - 1));
@@ -232,9 +228,9 @@
                 return !tooLong;
             });
     if (tooLong) {
-        reject(PayloadTooLarge, "body above the limit");
+        reject(HttpStatus::ContentTooLarge, "body above the limit");
     } else if (result == ChunkedDecoder::Result::Malformed) {
-        reject(BadRequest, "malformed chunked body");
+        reject(HttpStatus::BadRequest, "malformed chunked body");
     } else if (result == ChunkedDecoder::Result::Done) {
         static constexpr std::string_view LastChunk = "0\r\n\r\n";
         evbuffer *end = evbuffer_new();
--- a/Source/net/HttpSyntax.cpp
+++ b/Source/net/HttpSyntax.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "net/HttpHeaders.h"
+#include "net/HttpStatus.h"
 
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -16,12 +17,6 @@
 
 namespace {
 
-constexpr int BadRequest = 400;
-constexpr int PayloadTooLarge = 413;
-constexpr int ExpectationFailed = 417;
-constexpr int NotImplemented = 501;
-constexpr int VersionNotSupported = 505;
-
 constexpr std::array<std::string_view, 7> Methods = { "GET",    "HEAD",    "POST", "PUT",
                                                       "DELETE", "OPTIONS", "PATCH" };
 
@@ -37,15 +32,6 @@
     return static_cast<unsigned char>(ch) >= 0x20 ? ch != 0x7f : ch == '\t';
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /// Whether the text is a host with an optional port: a name, an IPv4 address or an IPv6 address in
 /// brackets.
 bool isHost(std::string_view text)
@@ -125,20 +111,20 @@
     case std::string_view("Host").size():
         if (equalsIgnoringCase(name, "Host")) {
             if (++hosts > 1 || !isHost(value)) {
-                return fail(BadRequest, "malformed or repeated Host");
+                return fail(HttpStatus::BadRequest, "malformed or repeated Host");
             }
         }
         break;
     case std::string_view("Expect").size():
         if (equalsIgnoringCase(name, "Expect") && !equalsIgnoringCase(value, "100-continue")) {
-            return fail(ExpectationFailed, "unknown expectation");
+            return fail(HttpStatus::ExpectationFailed, "unknown expectation");
         }
         break;
     case std::string_view("Content-Length").size():
         if (equalsIgnoringCase(name, "Content-Length")) {
             const std::optional<std::uint64_t> length = parseContentLength(value);
             if (!length.has_value() || ++lengths > 1) {
-                return fail(BadRequest, "malformed or repeated Content-Length");
+                return fail(HttpStatus::BadRequest, "malformed or repeated Content-Length");
             }
             framing.contentLength = *length;
         }
@@ -146,10 +132,10 @@
     case std::string_view("Transfer-Encoding").size():
         if (equalsIgnoringCase(name, "Transfer-Encoding")) {
             if (++codings > 1) {
-                return fail(BadRequest, "repeated Transfer-Encoding");
+                return fail(HttpStatus::BadRequest, "repeated Transfer-Encoding");
             }
             if (!equalsIgnoringCase(value, "chunked")) {
-                return fail(NotImplemented, "transfer coding other than chunked");
+                return fail(HttpStatus::NotImplemented, "transfer coding other than chunked");
             }
             framing.chunked = true;
         }
@@ -162,6 +148,26 @@
 
 } // namespace
 
+bool isConnectionHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> Names = {
+        "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
+        "Te",         "Trailer",           "Upgrade",          "Proxy-Authorization",
+        "Expect",     "Transfer-Encoding",
+    };
+    return std::any_of(Names.begin(), Names.end(),
+                       [name](std::string_view it) { return equalsIgnoringCase(name, it); });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
 bool isHttpToken(std::string_view text)
 {
     return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
@@ -245,20 +251,21 @@
     const std::size_t methodEnd = line.find(' ');
     const std::size_t targetEnd = line.rfind(' ');
     if (methodEnd == std::string_view::npos || targetEnd <= methodEnd) {
-        return rejected(BadRequest, "malformed request line");
+        return rejected(HttpStatus::BadRequest, "malformed request line");
     }
     const std::string_view method = line.substr(0, methodEnd);
     const std::string_view target = line.substr(methodEnd + 1, targetEnd - methodEnd - 1);
     const std::string_view version = line.substr(targetEnd + 1);
     if (!isHttpToken(method) || !isTarget(target)) {
-        return rejected(BadRequest, "malformed method or target");
+        return rejected(HttpStatus::BadRequest, "malformed method or target");
     }
     if (version != "HTTP/1.1" && version != "HTTP/1.0") {
-        return rejected(version.starts_with("HTTP/") ? VersionNotSupported : BadRequest,
+        return rejected(version.starts_with("HTTP/") ? HttpStatus::VersionNotSupported
+                                                     : HttpStatus::BadRequest,
                         "unsupported version of HTTP");
     }
     if (std::find(Methods.begin(), Methods.end(), method) == Methods.end()) {
-        return rejected(NotImplemented, "unknown method");
+        return rejected(HttpStatus::NotImplemented, "unknown method");
     }
     FieldScan scan;
     std::string_view rest = head.substr(end + LineEnd.size());
@@ -266,11 +273,11 @@
         const std::string_view field = rest.substr(0, end);
         const std::size_t colon = field.find(':');
         if (colon == std::string_view::npos || !isHttpToken(field.substr(0, colon))) {
-            return rejected(BadRequest, "malformed field name");
+            return rejected(HttpStatus::BadRequest, "malformed field name");
         }
         const std::string_view value = trimmed(field.substr(colon + 1));
         if (!isHttpFieldValue(value)) {
-            return rejected(BadRequest, "control character in a field value");
+            return rejected(HttpStatus::BadRequest, "control character in a field value");
         }
         if (!scan.take(field.substr(0, colon), value)) {
             return scan.framing;
@@ -279,17 +286,18 @@
     }
     const HttpRequestFraming &framing = scan.framing;
     if (scan.hosts == 0 && version == "HTTP/1.1") {
-        return rejected(BadRequest, "no Host");
+        return rejected(HttpStatus::BadRequest, "no Host");
     }
     if (framing.chunked && (scan.lengths > 0 || version == "HTTP/1.0")) {
-        return rejected(BadRequest, "Transfer-Encoding with Content-Length or HTTP/1.0");
+        return rejected(HttpStatus::BadRequest,
+                        "Transfer-Encoding with Content-Length or HTTP/1.0");
     }
     const bool mayHaveBody = method == "POST" || method == "PUT" || method == "PATCH";
     if (!mayHaveBody && (framing.chunked || framing.contentLength > 0)) {
-        return rejected(BadRequest, "body with a method that has none");
+        return rejected(HttpStatus::BadRequest, "body with a method that has none");
     }
     if (framing.contentLength > maxBody.value) {
-        return rejected(PayloadTooLarge, "body above the limit");
+        return rejected(HttpStatus::ContentTooLarge, "body above the limit");
     }
     return framing;
 }
--- a/Source/net/HttpSyntax.h
+++ b/Source/net/HttpSyntax.h
@@ -23,6 +23,10 @@
 bool hasListToken(std::string_view value, std::string_view token);
 /// Whether two texts are equal without regard to case.
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
+/// Whether a header field concerns one connection only and is not passed on.
+bool isConnectionHeader(std::string_view name);
+/// Text without the blanks around it.
+std::string_view trimmed(std::string_view text);
 /// Decodes percent-encoded octets and plus signs of a query; others stay as they are.
 std::string percentDecoded(std::string_view text);
 /// Copies evhttp's fields.
--- a/Source/net/LogWriter.cpp
+++ b/Source/net/LogWriter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <string_view>
 #include <utility>
 
 #include <poll.h>
@@ -37,14 +38,16 @@
 {
     // The descriptor may be shared with other processes, so that it is not made non-blocking; a
     // pipe that is writable takes this much at once.
-    while (!m_buffer->pending().empty() && isWritable(m_descriptor)) {
-        const std::size_t n = std::min<std::size_t>(m_buffer->pending().size(), PIPE_BUF);
-        const ssize_t written = write(m_descriptor, m_buffer->pending().data(), n);
+    std::string_view rest = m_buffer->pending();
+    while (!rest.empty() && isWritable(m_descriptor)) {
+        const std::size_t n = std::min<std::size_t>(rest.size(), PIPE_BUF);
+        const ssize_t written = write(m_descriptor, rest.data(), n);
         if (written <= 0) {
-            return;
+            break;
         }
-        m_buffer->consume(static_cast<std::size_t>(written));
+        rest.remove_prefix(static_cast<std::size_t>(written));
     }
+    m_buffer->consume(m_buffer->pending().size() - rest.size());
 }
 
 } // namespace Tarragon
--- a/Source/routing/EntryRoster.h
+++ b/Source/routing/EntryRoster.h
@@ -76,6 +76,8 @@
     /// Entries that live, this one included; limits of the whole deployment are divided by it.
     std::size_t liveCount(MonotonicTime now) const;
     bool isLive(const InstanceId &instance, MonotonicTime now) const;
+    /// Registered entries, this one included.
+    std::size_t size() const { return m_members.size() + 1; }
     /// All registered entries but this one.
     std::vector<EntryRecord> others() const;
     const EntryRecord &self() const { return m_self; }
--- a/Source/routing/RegionShares.cpp
+++ b/Source/routing/RegionShares.cpp
@@ -1,5 +1,7 @@
 #include "routing/RegionShares.h"
 
+#include "base/Digest.h"
+
 #include <algorithm>
 
 namespace Tarragon {
@@ -53,8 +55,7 @@
 
 const RegionId &regionForHash(const RegionShares &shares, std::uint64_t hash)
 {
-    constexpr double Scale = 0x1p-53;
-    double point = static_cast<double>(hash >> 11U) * Scale;
+    double point = unitInterval(hash);
     for (const auto &[region, share] : shares) {
         if (point < share) {
             return region;
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -35,16 +35,6 @@
 /// Part of the return time by which callers are spread.
 constexpr double ReturnSpread = 0.2;
 
-double uniform(std::uint64_t hash)
-{
-    return static_cast<double>(hash >> 11U) * 0x1p-53;
-}
-
-microseconds scaled(microseconds time, double factor)
-{
-    return microseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
-}
-
 /// Adds a measurement to a route's mean; the first one is the mean.
 void smooth(std::map<RouteName, double> &means, const RouteName &route, double value)
 {
@@ -124,7 +114,8 @@
         Placement placement;
         placement.reason =
                 hasColdTarget(query, now) ? RefusalReason::Cold : RefusalReason::NoTarget;
-        placement.retryAfter = scaled(LongestReturn, 0.5 + ReturnSpread * uniform(query.request));
+        placement.retryAfter =
+                scaled(LongestReturn, 0.5 + ReturnSpread * unitInterval(query.request));
         return placement;
     }
     const Candidate *best = &homes.front();
@@ -326,7 +317,7 @@
     placement.wait = soonest->wait;
     placement.work = soonest->work;
     placement.waitLimit = limit;
-    placement.retryAfter = scaled(base, 1 + ReturnSpread * uniform(query.request));
+    placement.retryAfter = scaled(base, 1 + ReturnSpread * unitInterval(query.request));
     return placement;
 }
 
--- a/Source/routing/TargetLoad.cpp
+++ b/Source/routing/TargetLoad.cpp
@@ -22,7 +22,7 @@
 
 double decay(MonotonicTime since, MonotonicTime now, double halfLifeSeconds)
 {
-    const double age = std::chrono::duration<double>(now - since).count();
+    const double age = inSeconds(now - since);
     return std::exp2(-std::max(age, 0.0) / halfLifeSeconds);
 }
 
--- a/Source/routing/TokenBucket.h
+++ b/Source/routing/TokenBucket.h
@@ -29,7 +29,7 @@
 private:
     double available(MonotonicTime now) const
     {
-        const double age = std::chrono::duration<double>(now - m_filledAt).count();
+        const double age = inSeconds(now - m_filledAt);
         return std::min(m_burst, m_tokens + std::max(age, 0.0) * m_perSecond);
     }
     void refill(MonotonicTime now)
--- a/Source/steering/LinkBudget.cpp
+++ b/Source/steering/LinkBudget.cpp
@@ -29,7 +29,7 @@
 void LinkBudget::Bucket::fill(MonotonicTime now)
 {
     if (now > filledAt) {
-        const double passed = std::chrono::duration<double>(now - filledAt).count();
+        const double passed = inSeconds(now - filledAt);
         tokens = std::min(burst, tokens + bytesPerSecond * passed);
         filledAt = now;
     }
@@ -55,7 +55,7 @@
 void LinkBudget::setConfiguration(const Configuration &configuration, MonotonicTime now)
 {
     const auto seats = static_cast<double>(seatCount(configuration.topology, m_region));
-    const double burstSeconds = std::chrono::duration<double>(BurstTime).count();
+    const double burstSeconds = inSeconds(BurstTime);
     const auto bucketFor = [&](const Bucket *old, double rate) {
         Bucket bucket{ rate, rate * burstSeconds, 0, now };
         if (old != nullptr) {
--- a/Source/steering/PlanMaker.cpp
+++ b/Source/steering/PlanMaker.cpp
@@ -118,7 +118,7 @@
     const CivilTime measured = now - std::chrono::ceil<seconds>(load.age);
     const double ahead = largestPeakFactor(peaks, now, now + PeakHorizon);
     const double then = largestPeakFactor(peaks, measured, measured);
-    const double age = std::chrono::duration<double>(load.age).count();
+    const double age = inSeconds(load.age);
     const double factor = std::max(ahead / then, 1.0) * (1 + AgeMarginPerSecond * age);
     return { load.busySlots * factor, load.rate.value * factor };
 }
--- a/Tests/StandIns/platform/StandInStore.cpp
+++ b/Tests/StandIns/platform/StandInStore.cpp
@@ -1,11 +1,12 @@
 #include "StandIns/platform/StandInStore.h"
 
 #include "base/Error.h"
+#include "base/ParseNumber.h"
+#include "net/HttpStatus.h"
 
 #include <event2/http.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdlib>
 #include <optional>
 #include <utility>
@@ -21,25 +22,6 @@
 /// Objects in one answer.
 constexpr std::size_t PageLength = 50;
 
-constexpr int Ok = 200;
-constexpr int BadRequest = 400;
-constexpr int NotFound = 404;
-constexpr int MethodNotAllowed = 405;
-constexpr int Conflict = 409;
-constexpr int Gone = 410;
-constexpr int ServiceUnavailable = 503;
-
-std::optional<std::uint64_t> parseNumber(const std::string &text)
-{
-    std::uint64_t value = 0;
-    const char *end = text.data() + text.size();
-    const std::from_chars_result result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc() || result.ptr != end) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::string decoded(const std::string &text)
 {
     char *result = evhttp_uridecode(text.c_str(), 0, nullptr);
@@ -105,7 +87,7 @@
     if (m_faults.outage) {
         const std::list<Watch> watches = std::exchange(m_watches, {});
         for (const Watch &watch : watches) {
-            watch.exchange->reply(ServiceUnavailable, {}, "");
+            watch.exchange->reply(HttpStatus::ServiceUnavailable, {}, "");
         }
     }
 }
@@ -156,7 +138,7 @@
     try {
         answerControl(exchange);
     } catch (const std::exception &error) {
-        exchange->reply(BadRequest, {}, error.what());
+        exchange->reply(HttpStatus::BadRequest, {}, error.what());
     }
 }
 
@@ -175,10 +157,10 @@
     } else if (call == "GET /control/counters") {
         answer = counters();
     } else {
-        exchange->reply(NotFound, {}, "");
+        exchange->reply(HttpStatus::NotFound, {}, "");
         return;
     }
-    exchange->reply(Ok, jsonHeader(), answer.dump());
+    exchange->reply(HttpStatus::Ok, jsonHeader(), answer.dump());
 }
 
 void StandInStore::onStoreRequest(const HttpExchangePtr &exchange)
@@ -211,7 +193,7 @@
     showInstances();
     const std::string &path = exchange->path();
     if (!path.starts_with(ObjectsPath) || path.size() == ObjectsPath.size()) {
-        exchange->reply(NotFound, {}, "");
+        exchange->reply(HttpStatus::NotFound, {}, "");
         return;
     }
     const std::string rest = path.substr(ObjectsPath.size());
@@ -230,13 +212,13 @@
     const bool isList = exchange->method() == "GET" && !isWatch;
     const bool isCreation = exchange->method() == "POST";
     if (!isWatch && !isList && !isCreation) {
-        exchange->reply(MethodNotAllowed, {}, "");
+        exchange->reply(HttpStatus::MethodNotAllowed, {}, "");
         return;
     }
     ++m_counters[isWatch ? "watch" : (isList ? "list" : "put")];
     if (m_faults.outage) {
         ++m_counters["unavailable"];
-        answer(exchange, ServiceUnavailable, nullptr);
+        answer(exchange, HttpStatus::ServiceUnavailable, nullptr);
     } else if (isWatch) {
         watch(exchange, kind);
     } else if (isList) {
@@ -251,20 +233,20 @@
 {
     const std::string &method = exchange->method();
     if (method != "GET" && method != "PUT" && method != "DELETE") {
-        exchange->reply(MethodNotAllowed, {}, "");
+        exchange->reply(HttpStatus::MethodNotAllowed, {}, "");
         return;
     }
     ++m_counters[method == "GET" ? "get" : (method == "PUT" ? "put" : "delete")];
     if (m_faults.outage) {
         ++m_counters["unavailable"];
-        answer(exchange, ServiceUnavailable, nullptr);
+        answer(exchange, HttpStatus::ServiceUnavailable, nullptr);
         return;
     }
     const StandInObjects::Object *object = m_objects.find(kind, name);
     if (object == nullptr) {
-        answer(exchange, NotFound, nullptr);
+        answer(exchange, HttpStatus::NotFound, nullptr);
     } else if (method == "GET") {
-        answer(exchange, Ok, object->toJson());
+        answer(exchange, HttpStatus::Ok, object->toJson());
     } else if (method == "PUT") {
         replace(exchange, kind, name);
     } else {
@@ -281,7 +263,7 @@
     for (const StandInObjects::Object &it : objects) {
         items.push_back(it.toJson());
     }
-    answer(exchange, Ok,
+    answer(exchange, HttpStatus::Ok,
            { { "items", std::move(items) },
              { "has_more", hasMore },
              { "as_of", m_objects.revision() } });
@@ -291,13 +273,13 @@
 {
     const nlohmann::json body = nlohmann::json::parse(exchange->body(), nullptr, false);
     if (!body.is_object() || !body.contains("metadata") || !body.contains("spec")) {
-        answer(exchange, BadRequest, "expected an object with metadata and spec");
+        answer(exchange, HttpStatus::BadRequest, "expected an object with metadata and spec");
         return;
     }
     const std::string name = body["metadata"].value("name", "");
     if (const StandInObjects::Object *object = m_objects.find(kind, name)) {
         ++m_counters["conflicts"];
-        answer(exchange, Conflict, object->toJson());
+        answer(exchange, HttpStatus::Conflict, object->toJson());
         return;
     }
     m_objects.put(kind, name, body["spec"]);
@@ -309,14 +291,14 @@
 {
     const nlohmann::json body = nlohmann::json::parse(exchange->body(), nullptr, false);
     if (!body.is_object() || !body.contains("metadata") || !body.contains("spec")) {
-        answer(exchange, BadRequest, "expected an object with metadata and spec");
+        answer(exchange, HttpStatus::BadRequest, "expected an object with metadata and spec");
         return;
     }
     const StandInObjects::Object *object = m_objects.find(kind, name);
     const std::uint64_t revision = body["metadata"].value("revision", object->revision);
     if (revision != object->revision) {
         ++m_counters["conflicts"];
-        answer(exchange, Conflict, object->toJson());
+        answer(exchange, HttpStatus::Conflict, object->toJson());
         return;
     }
     m_objects.put(kind, name, body["spec"]);
@@ -327,10 +309,11 @@
                           const std::string &name)
 {
     const StandInObjects::Object *object = m_objects.find(kind, name);
-    const std::optional<std::uint64_t> revision = parseNumber(exchange->query("revision"));
+    const std::optional<std::uint64_t> revision =
+            parseNumber<std::uint64_t>(exchange->query("revision"));
     if (revision.has_value() && *revision != object->revision) {
         ++m_counters["conflicts"];
-        answer(exchange, Conflict, object->toJson());
+        answer(exchange, HttpStatus::Conflict, object->toJson());
         return;
     }
     const nlohmann::json removed = object->toJson();
@@ -340,10 +323,12 @@
 
 void StandInStore::watch(const HttpExchangePtr &exchange, const std::string &kind)
 {
-    const std::optional<std::uint64_t> afterRevision = parseNumber(exchange->query("watch"));
-    const std::optional<std::uint64_t> waitMs = parseNumber(exchange->query("wait_ms"));
+    const std::optional<std::uint64_t> afterRevision =
+            parseNumber<std::uint64_t>(exchange->query("watch"));
+    const std::optional<std::uint64_t> waitMs =
+            parseNumber<std::uint64_t>(exchange->query("wait_ms"));
     if (!afterRevision.has_value() || !waitMs.has_value()) {
-        answer(exchange, BadRequest, "watch or wait_ms is missing or no number");
+        answer(exchange, HttpStatus::BadRequest, "watch or wait_ms is missing or no number");
         return;
     }
     if (answerChanges(exchange, kind, *afterRevision, *waitMs == 0)) {
@@ -374,7 +359,7 @@
     const std::optional<std::vector<StandInObjects::Change>> changes =
             m_objects.changesSince(kind, after);
     if (!changes.has_value()) {
-        answer(exchange, Gone, nullptr);
+        answer(exchange, HttpStatus::Gone, nullptr);
         return true;
     }
     if (changes->empty() && !waitIsOver) {
@@ -384,7 +369,8 @@
     for (const StandInObjects::Change &it : *changes) {
         events.push_back({ { "deleted", it.isRemoval }, { "object", it.object.toJson() } });
     }
-    answer(exchange, Ok, { { "events", std::move(events) }, { "as_of", m_objects.revision() } });
+    answer(exchange, HttpStatus::Ok,
+           { { "events", std::move(events) }, { "as_of", m_objects.revision() } });
     return true;
 }
 
@@ -395,7 +381,7 @@
         ++m_counters["lostAnswers"];
         after(m_faults.delay, [exchange] { exchange->abort(); });
     } else {
-        answer(exchange, Ok, object);
+        answer(exchange, HttpStatus::Ok, object);
     }
     answerChangedWatches();
 }
--- a/Tests/entry/RequestHeadTest.cpp
+++ b/Tests/entry/RequestHeadTest.cpp
@@ -1,5 +1,7 @@
 #include "entry/RequestHead.h"
 
+#include "net/HttpSyntax.h"
+
 #include "entry/Settings.h"
 
 #include <gtest/gtest.h>
