--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -65,15 +65,23 @@
                           [this](const Platform::ItemPage &page) { onPage(page); });
 }
 
-void KindFollower::onPage(const Platform::ItemPage &page)
+bool KindFollower::noteOutcome(CallOutcome outcome, const std::string &reason)
 {
-    if (page.outcome != CallOutcome::Done) {
-        onFailure(page.outcome, page.reason);
-        return;
+    if (outcome != CallOutcome::Done) {
+        onFailure(outcome, reason);
+        return false;
     }
     m_isWaiting = false;
     m_backoff.reset();
     m_health.onSuccess(m_loop.now());
+    return true;
+}
+
+void KindFollower::onPage(const Platform::ItemPage &page)
+{
+    if (!noteOutcome(page.outcome, page.reason)) {
+        return;
+    }
     if (const std::optional<std::string> next = addPage(m_listed, page)) {
         list(*next);
         return;
@@ -98,13 +106,9 @@
 
 void KindFollower::onChanges(const Platform::ChangePage &page)
 {
-    if (page.outcome != CallOutcome::Done) {
-        onFailure(page.outcome, page.reason);
+    if (!noteOutcome(page.outcome, page.reason)) {
         return;
     }
-    m_isWaiting = false;
-    m_backoff.reset();
-    m_health.onSuccess(m_loop.now());
     if (page.revision < m_revision) {
         // Data from before what is known already.
         watchLater();
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -52,6 +52,9 @@
     void watchLater();
     void onChanges(const Platform::ChangePage &page);
     void next();
+    /// Takes how a call ended. Returns whether it was answered; otherwise the next one is
+    /// scheduled.
+    bool noteOutcome(Platform::CallOutcome outcome, const std::string &reason);
     void onFailure(Platform::CallOutcome outcome, const std::string &reason);
     void onRegained();
 
