Net: Keep a connection's unread bytes in one place, in order

Cause: what a caller had pipelined was moved aside when an answer had been written and read again a turn of the loop later. Change: all bytes go through one buffer from which evhttp is handed whole heads and bodies only.

--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -60,6 +60,7 @@
         throw Error("libevent could not make a bufferevent");
     }
     m_timer = evtimer_new(server.loop.base(), onTimer, this);
+    m_unread = evbuffer_new();
     evbuffer_add_cb(bufferevent_get_input(m_bufferEvent), onInputChanged, this);
     const std::size_t readAhead =
             std::max<std::size_t>(MaxReadAheadBytes, server.limits.headerBytes.value * 2);
@@ -69,9 +70,7 @@
 
 HttpServerConnection::~HttpServerConnection()
 {
-    if (m_held != nullptr) {
-        evbuffer_free(m_held);
-    }
+    evbuffer_free(m_unread);
     event_free(m_timer);
 }
 
@@ -130,12 +129,15 @@
 {
     switch (m_phase) {
     case Phase::Head:
+        takeInput();
         readHead();
         break;
     case Phase::Body:
-        passToEvhttp();
+        takeInput();
+        readBody();
         break;
     case Phase::ChunkedBody:
+        takeInput();
         readChunkedBody();
         break;
     case Phase::Exchange:
@@ -145,22 +147,26 @@
     }
 }
 
+void HttpServerConnection::takeInput()
+{
+    evbuffer_add_buffer(m_unread, bufferevent_get_input(m_bufferEvent));
+}
+
 void HttpServerConnection::readHead()
 {
-    evbuffer *input = bufferevent_get_input(m_bufferEvent);
     std::array<char, 2> start{};
-    while (m_scanned == 0 && evbuffer_copyout(input, start.data(), start.size()) == 2
+    while (m_scanned == 0 && evbuffer_copyout(m_unread, start.data(), start.size()) == 2
            && start[0] == '\r' && start[1] == '\n') {
-        evbuffer_drain(input, start.size());
+        evbuffer_drain(m_unread, start.size());
     }
-    const std::size_t length = evbuffer_get_length(input);
+    const std::size_t length = evbuffer_get_length(m_unread);
     if (length == 0) {
         return;
     }
     static constexpr std::string_view HeadEnd = "\r\n\r\n";
     evbuffer_ptr from{};
-    evbuffer_ptr_set(input, &from, m_scanned, EVBUFFER_PTR_SET);
-    const evbuffer_ptr found = evbuffer_search(input, HeadEnd.data(), HeadEnd.size(), &from);
+    evbuffer_ptr_set(m_unread, &from, m_scanned, EVBUFFER_PTR_SET);
+    const evbuffer_ptr found = evbuffer_search(m_unread, HeadEnd.data(), HeadEnd.size(), &from);
     const std::size_t limit = m_server->limits.headerBytes.value;
     const std::size_t headLength = found.pos < 0 ? length : std::size_t(found.pos) + HeadEnd.size();
     if (headLength > limit) {
@@ -180,7 +186,7 @@
     }
     m_scanned = 0;
     const char *data =
-            reinterpret_cast<const char *>(evbuffer_pullup(input, ev_ssize_t(headLength)));
+            reinterpret_cast<const char *>(evbuffer_pullup(m_unread, ev_ssize_t(headLength)));
     const HttpRequestFraming framing =
             checkRequestHead(std::string_view(data, headLength), m_server->limits.bodyBytes);
     if (framing.rejectStatus != 0) {
@@ -188,39 +194,31 @@
         return;
     }
     m_hasChunkedBody = framing.chunked;
-    if (framing.chunked) {
-        if (m_held == nullptr) {
-            m_held = evbuffer_new();
-        }
-        evbuffer *head = evbuffer_new();
-        evbuffer_remove_buffer(input, head, headLength);
-        evbuffer_add_buffer(m_held, input);
-        evbuffer_prepend_buffer(input, head);
-        evbuffer_free(head);
-        m_decoder = ChunkedDecoder();
-        m_chunkedBody.clear();
-        m_phase = Phase::ChunkedBody;
-        passToEvhttp();
-        if (m_phase == Phase::ChunkedBody) {
-            readChunkedBody();
-        }
-        return;
+    m_chunkedBody.clear();
+    m_decoder = ChunkedDecoder();
+    m_bodyLength = framing.contentLength;
+    m_phase = framing.chunked ? Phase::ChunkedBody : Phase::Body;
+    passToEvhttp(headLength);
+    if (m_phase == Phase::ChunkedBody) {
+        readChunkedBody();
+    } else if (m_phase == Phase::Body) {
+        readBody();
     }
-    m_phase = Phase::Body;
-    if (framing.contentLength > 0) {
-        // evhttp takes a body only when all of it is in the input buffer.
-        bufferevent_setwatermark(m_bufferEvent, EV_READ, 0,
-                                 MaxReadAheadBytes + framing.contentLength);
+}
+
+void HttpServerConnection::readBody()
+{
+    // evhttp takes a body only when all of it is in the input buffer.
+    if (evbuffer_get_length(m_unread) >= m_bodyLength) {
+        passToEvhttp(m_bodyLength);
     }
-    passToEvhttp();
 }
 
 void HttpServerConnection::readChunkedBody()
 {
-    evbuffer_add_buffer(m_held, bufferevent_get_input(m_bufferEvent));
     bool tooLong = false;
     const ChunkedDecoder::Result result =
-            m_decoder.decode(m_held, [this, &tooLong](std::string_view data) {
+            m_decoder.decode(m_unread, [this, &tooLong](std::string_view data) {
                 tooLong = m_chunkedBody.size() + data.size() > m_server->limits.bodyBytes.value;
                 if (!tooLong) {
                     m_chunkedBody.append(data);
@@ -233,16 +231,18 @@
         reject(HttpStatus::BadRequest, "malformed chunked body");
     } else if (result == ChunkedDecoder::Result::Done) {
         static constexpr std::string_view LastChunk = "0\r\n\r\n";
-        evbuffer *end = evbuffer_new();
-        evbuffer_add(end, LastChunk.data(), LastChunk.size());
-        evbuffer_prepend_buffer(bufferevent_get_input(m_bufferEvent), end);
-        evbuffer_free(end);
-        passToEvhttp();
+        evbuffer_prepend(m_unread, LastChunk.data(), LastChunk.size());
+        passToEvhttp(LastChunk.size());
     }
 }
 
-void HttpServerConnection::passToEvhttp()
+void HttpServerConnection::passToEvhttp(std::size_t n)
 {
+    evbuffer *piece = evbuffer_new();
+    evbuffer_remove_buffer(m_unread, piece, n);
+    // The end of the input buffer is frozen; the buffer is empty here.
+    evbuffer_prepend_buffer(bufferevent_get_input(m_bufferEvent), piece);
+    evbuffer_free(piece);
     HttpServer::State *server = m_server;
     HttpServerConnection *previous = server->current;
     server->current = this;
@@ -316,14 +316,8 @@
     self->m_scanned = 0;
     self->waitForRequests();
     // evhttp would parse what is in the input buffer without the checks of readHead().
-    evbuffer *input = bufferevent_get_input(self->m_bufferEvent);
-    if (evbuffer_get_length(input) > 0) {
-        if (self->m_held == nullptr) {
-            self->m_held = evbuffer_new();
-        }
-        evbuffer_add_buffer(self->m_held, input);
-    }
-    if (self->m_held != nullptr && evbuffer_get_length(self->m_held) > 0) {
+    self->takeInput();
+    if (evbuffer_get_length(self->m_unread) > 0) {
         event_active(self->m_timer, EV_TIMEOUT, 0);
     }
 }
@@ -342,8 +336,7 @@
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     if (self->m_phase == Phase::Rejected) {
         self->closeNow();
-    } else if (self->m_phase == Phase::Head && self->m_held != nullptr) {
-        evbuffer_prepend_buffer(bufferevent_get_input(self->m_bufferEvent), self->m_held);
+    } else if (self->m_phase == Phase::Head) {
         self->readInput();
     }
 }
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -52,7 +52,7 @@
     enum class Phase {
         /// Waiting for a complete request head.
         Head,
-        /// evhttp reads a body with a Content-Length.
+        /// Waiting for all of a body with a Content-Length.
         Body,
         ChunkedBody,
         /// A request has been handed over; its response has not been written yet.
@@ -76,9 +76,13 @@
 
     void wrapCallbacks();
     void readInput();
+    /// Moves what has arrived behind the unread bytes.
+    void takeInput();
     void readHead();
+    void readBody();
     void readChunkedBody();
-    void passToEvhttp();
+    /// Lets evhttp read this many of the unread bytes, and no others.
+    void passToEvhttp(std::size_t n);
     void reject(int status, std::string_view reason);
     void closeNow();
     void endCount();
@@ -89,17 +93,21 @@
     bufferevent_data_cb m_evhttpRead = nullptr;
     bufferevent_data_cb m_evhttpWrite = nullptr;
     bufferevent_event_cb m_evhttpEvent = nullptr;
-    /// Resumes reading of held input, or ends a rejected connection.
+    /// Resumes reading of unread bytes, or ends a rejected connection.
     event *m_timer = nullptr;
-    /// Input behind the request in progress.
-    evbuffer *m_held = nullptr;
+    /// All bytes that have been taken from the input buffer and not been read, in the order of
+    /// their arrival. What is still in the input buffer comes behind them; evhttp finds there only
+    /// what passToEvhttp() has moved.
+    evbuffer *m_unread = nullptr;
     Phase m_phase = Phase::Head;
-    /// Bytes of the input in which no end of the head was found.
+    /// Unread bytes in which no end of the head was found.
     std::size_t m_scanned = 0;
     MonotonicTime m_headStart;
     bool m_counted = false;
     /// The idle time that counts while the peer sends nothing; null during an exchange that waits.
     const timeval *m_idleTimeout = nullptr;
+    /// Length of the body behind the head that was read last, if the head states it.
+    std::size_t m_bodyLength = 0;
     ChunkedDecoder m_decoder;
     std::string m_chunkedBody;
     bool m_hasChunkedBody = false;
