Routing: Keep to what targets say of leaving and of pauses, and bound answers without end

Cause: Server-Leaving and Retry-After of targets were not read, so a target that leaves or turns requests away got more of them; a late copy of a refusal was taken for the refusal of the next request on its connection before its id was looked at, so that a payment could run twice; a failure kept as a fallback went on being collected without a bound; interim responses could come without end. Change: leaving holds until the target has started again, whatever the registry says; a home that asks for a pause has no room until its end, which is bounded by 30 s, counts as no failure and is told to callers; ids are compared first; a held answer is not read beyond 24 KiB; eight interim responses end a call.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -358,7 +358,8 @@
 void GatewayDaemon::tick()
 {
     const MonotonicTime now = m_loop.now();
-    if (m_state.registry().expire(now)) {
+    const bool isLeaving = m_state.collectLeaving(now);
+    if (m_state.registry().expire(now) || isLeaving) {
         afterTargetChange();
     }
     if (m_entryFollower->hasSnapshot()) {
--- a/Source/gateway/GatewayState.cpp
+++ b/Source/gateway/GatewayState.cpp
@@ -31,8 +31,21 @@
     return true;
 }
 
+bool GatewayState::collectLeaving(MonotonicTime now)
+{
+    bool hasAny = false;
+    for (const auto &[id, dispatcher] : m_dispatchers) {
+        for (const LeavingTarget &it : dispatcher->takeLeaving()) {
+            m_registry.noteLeaving(it.id, it.bornMs, now);
+            hasAny = true;
+        }
+    }
+    return hasAny;
+}
+
 void GatewayState::refreshTargets(MonotonicTime now)
 {
+    collectLeaving(now);
     if (m_seenRevision == m_registry.revision()) {
         return;
     }
--- a/Source/gateway/GatewayState.h
+++ b/Source/gateway/GatewayState.h
@@ -25,6 +25,8 @@
     /// Null before the first table.
     const RouteTablePtr &table() const { return m_table; }
     TargetRegistry &registry() { return m_registry; }
+    /// Tells the registry of targets that have said that they are leaving. Returns whether any has.
+    bool collectLeaving(MonotonicTime now);
     /// Hands changed targets to the dispatchers.
     void refreshTargets(MonotonicTime now);
     /// Takes the number of entries by which limits of the whole deployment are divided; 0 while it
--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -1,6 +1,10 @@
 #include "gateway/TargetAttempt.h"
 
 #include "net/HttpStatus.h"
+#include "net/LogLine.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
 
 #include <utility>
 
@@ -14,6 +18,12 @@
 /// Bytes waiting for a slow caller above which the target is not read.
 constexpr std::size_t CallerBacklogBytes = 256 * 1024;
 
+const log4cplus::Logger &logger()
+{
+    static const log4cplus::Logger instance = log4cplus::Logger::getInstance("gateway");
+    return instance;
+}
+
 /// Whether the status states that the request has not been run.
 bool isNotRunStatus(int status)
 {
@@ -43,6 +53,9 @@
 void TargetAttempt::send(HttpClient &client, const HttpRequest &request)
 {
     m_sentAt = m_loop.now();
+    if (const KnownTarget *known = m_dispatcher.target(m_target)) {
+        m_bornMs = known->entry.bornMs;
+    }
     m_dispatcher.onSent(m_target, m_sentAt);
     HttpCallHandlers handlers;
     handlers.onHead = [this](const HttpResponseHead &head) { onHead(head); };
@@ -61,29 +74,53 @@
 {
     m_headAt = m_loop.now();
     m_answer = Platform::decodeAnswer(head);
-    if (m_answer.load.has_value()) {
-        m_dispatcher.onReport(m_target, *m_answer.load, *m_headAt);
-    }
     m_judged = judgeHead();
     if (m_judged == SendOutcome::Broken) {
         // Nothing of it may reach the caller, and what follows belongs to nobody.
         m_call.reset();
         decide(SendOutcome::Broken, Verdict::MayHaveRun);
+        return;
+    }
+    if (m_judged != SendOutcome::WrongTarget) {
+        reportHead();
+    }
+}
+
+void TargetAttempt::reportHead()
+{
+    if (m_answer.load.has_value()) {
+        m_dispatcher.onReport(m_target, *m_answer.load, *m_headAt);
+    }
+    if (m_answer.isLeaving) {
+        m_dispatcher.onLeaving(m_target, m_bornMs);
+    }
+    milliseconds granted{ 0 };
+    if (m_answer.pause.has_value()) {
+        granted = m_dispatcher.onPauseAsked(m_target, *m_answer.pause, *m_headAt);
+    }
+    if (m_answer.isPauseUnreadable || granted != m_answer.pause.value_or(granted)) {
+        LOG4CPLUS_WARN(logger(), LogLine("gateway", "pause-corrected")
+                                         .add("target", m_target)
+                                         .add("readable", !m_answer.isPauseUnreadable)
+                                         .add("statedMs", m_answer.pause.value_or(granted))
+                                         .add("grantedMs", granted)
+                                         .text());
     }
 }
 
 SendOutcome TargetAttempt::judgeHead()
 {
+    // Also a late copy of a refusal says nothing of this request.
+    if (!m_answer.id.isEmpty() && m_answer.id != m_request) {
+        m_reason = "answer to another request, id \"" + m_answer.id.value() + "\"";
+        return SendOutcome::Broken;
+    }
     if (m_answer.isOtherTarget) {
         return SendOutcome::WrongTarget;
     }
     if (m_answer.isDeclined) {
         return SendOutcome::Declined;
     }
-    if (!m_answer.id.isEmpty() && m_answer.id != m_request) {
-        m_reason = "answer to another request, id \"" + m_answer.id.value() + "\"";
-        return SendOutcome::Broken;
-    }
     if (HttpStatus::isSuccess(m_answer.status) && !m_answer.isSealed) {
         m_reason = "success without the target's seal";
         return SendOutcome::Broken;
@@ -106,11 +143,21 @@
         return;
     }
     m_body.append(data);
+    if (m_body.size() > HeldAnswerBytes) {
+        // Nobody takes it for now, and it may have no end.
+        m_call->pause();
+    }
     if (!isDecided() && m_body.size() > HeldAnswerBytes) {
-        decide(m_judged, Verdict::Ran);
+        decide(m_judged, judgedVerdict());
     }
 }
 
+Verdict TargetAttempt::judgedVerdict() const
+{
+    const bool hasRun = m_judged == SendOutcome::Answered || m_judged == SendOutcome::Failed;
+    return hasRun ? Verdict::Ran : Verdict::NotRun;
+}
+
 void TargetAttempt::onComplete()
 {
     m_isComplete = true;
@@ -122,8 +169,7 @@
         endDelivery();
         return;
     }
-    const bool hasRun = m_judged == SendOutcome::Answered || m_judged == SendOutcome::Failed;
-    decide(m_judged, hasRun ? Verdict::Ran : Verdict::NotRun);
+    decide(m_judged, judgedVerdict());
 }
 
 void TargetAttempt::onFailure(const HttpFailure &failure)
@@ -188,6 +234,8 @@
     m_body.clear();
     if (m_isBroken) {
         endDelivery();
+    } else {
+        m_call->resume();
     }
 }
 
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -49,6 +49,10 @@
     void onFailure(const HttpFailure &failure);
     /// Judges the answer's head; Answered and Failed are answers of the target.
     SendOutcome judgeHead();
+    /// What the answer's head says about the request having run.
+    Verdict judgedVerdict() const;
+    /// Tells the dispatcher what the answer's head says of the target.
+    void reportHead();
     void decide(SendOutcome outcome, Verdict verdict);
     void reportEnd(SendOutcome outcome);
     void endDelivery();
@@ -61,6 +65,8 @@
     TargetId m_target;
     Placement m_placement;
     DecidedSlot m_decided;
+    /// Start of the run of the target that the request was sent to.
+    std::uint64_t m_bornMs = 0;
     MonotonicTime m_sentAt;
     std::optional<MonotonicTime> m_headAt;
     Platform::TargetAnswer m_answer;
@@ -70,6 +76,7 @@
     /// Until the outcome is known the target may be at work.
     Verdict m_verdict = Verdict::MayHaveRun;
     std::string m_reason;
+    /// The part of the answer's body that has come and is not passed on yet, up to a bound.
     std::string m_body;
     /// Bytes of the answer's body that have come.
     std::uint64_t m_bytes = 0;
--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -46,6 +46,8 @@
 constexpr int EvhttpTimeoutSeconds = 604'800;
 
 constexpr int Continue = 100;
+/// Interim responses to one request; a server needs one to ask for a body.
+constexpr int MaxInterimHeads = 8;
 constexpr int FirstFinalStatus = 200;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
@@ -175,6 +177,7 @@
     m_allSent = false;
     m_sendBroken = false;
     m_headSeen = false;
+    m_interimHeads = 0;
     m_reusable = false;
     m_chunked = false;
     m_acceptUnframed = request.acceptUnframed;
@@ -410,7 +413,8 @@
     }
     const int status = request->response_code;
     if (status == Continue) {
-        return true;
+        return ++m_interimHeads <= MaxInterimHeads
+               || rejectHead(HttpStage::AwaitHeaders, "too many interim responses");
     }
     if (status < FirstFinalStatus || status > LastStatus) {
         return rejectHead(HttpStage::AwaitHeaders, "unexpected status " + std::to_string(status));
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -96,6 +96,8 @@
     /// Whether the connection broke before all of the request was sent.
     bool m_sendBroken = false;
     bool m_headSeen = false;
+    /// Interim responses to the request in progress.
+    int m_interimHeads = 0;
     bool m_reusable = false;
     bool m_chunked = false;
     bool m_acceptUnframed = false;
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -32,6 +32,8 @@
 /// Bounds of the time after which a refused caller is asked to return.
 constexpr milliseconds ShortestReturn{ 40 };
 constexpr milliseconds LongestReturn{ 1'000 };
+/// Longest pause that is granted to a target; one that needs longer asks again.
+constexpr milliseconds LongestPause{ 30'000 };
 /// Part of the return time by which callers are spread.
 constexpr double ReturnSpread = 0.2;
 
@@ -118,14 +120,15 @@
                 scaled(LongestReturn, 0.5 + ReturnSpread * unitInterval(query.request));
         return placement;
     }
-    const Candidate *best = &homes.front();
+    const Candidate *best = nullptr;
     for (const Candidate &it : homes) {
-        if (isMuchSooner(it, *best)) {
+        const bool isPaused = it.pause > microseconds(0);
+        if (!isPaused && (best == nullptr || isMuchSooner(it, *best))) {
             best = &it;
         }
     }
     const microseconds limit = scaled(query.route->latencyGoal, m_options.waitShareOfGoal);
-    if (best->wait > limit) {
+    if (best == nullptr || best->wait > limit) {
         return refuse(RefusalReason::Busy, homes, query, limit, now);
     }
     // A guess of the work is no reason to refuse.
@@ -151,6 +154,7 @@
     const RegionId preferred = regionOf(query);
     const bool isLarge = hasLargeAnswers(query.route->name);
     std::vector<Candidate> homes;
+    std::vector<Candidate> paused;
     bool hasPreferred = false;
     for (TargetState *it : ranking(query, preferred, isLarge, now)) {
         // Near targets may be too few for long answers; the region that has room stands in.
@@ -158,13 +162,18 @@
         if ((homes.size() >= m_options.homesPerObject && !isStandIn) || !mayTake(*it, now)) {
             continue;
         }
+        // An object keeps its homes for the time of a pause; other requests go anywhere.
+        if (!query.object.has_value() && pauseOf(*it, now) > microseconds(0)) {
+            paused.push_back(assess(*it, *query.route, now));
+            continue;
+        }
         hasPreferred = hasPreferred || it->region == preferred;
         homes.push_back(assess(*it, *query.route, now));
         if (homes.size() >= m_options.homesPerObject && (!isLarge || hasPreferred)) {
             break;
         }
     }
-    return homes;
+    return homes.empty() ? paused : homes;
 }
 
 bool ServiceDispatcher::hasColdTarget(const PlacementQuery &query, MonotonicTime now) const
@@ -262,6 +271,11 @@
     return now < state.known.coldUntil && m_service.coldRequestsPerSecond > 0;
 }
 
+microseconds ServiceDispatcher::pauseOf(const TargetState &state, MonotonicTime now)
+{
+    return std::max(state.pausedUntil - now, microseconds(0));
+}
+
 bool ServiceDispatcher::mayTake(const TargetState &state, MonotonicTime now) const
 {
     // Without the number of entries the share of the cold rate is unknown.
@@ -287,7 +301,8 @@
 {
     const double slowness = state.load.slowness(now) * (isCold(state, now) ? ColdSlowness : 1.0);
     const microseconds work = scaled(expectedWork(route), slowness);
-    return Candidate{ &state, state.load.wait(state.known.entry.slots, work, now), work };
+    return Candidate{ &state, state.load.wait(state.known.entry.slots, work, now), work,
+                      pauseOf(state, now) };
 }
 
 Placement ServiceDispatcher::refuse(RefusalReason reason, const std::vector<Candidate> &homes,
@@ -298,7 +313,8 @@
     const Candidate *soonest = nullptr;
     MonotonicTime returnAt;
     for (const Candidate &it : homes) {
-        const MonotonicTime roomAt = std::max(now + (it.wait - limit), it.state->promisedUntil);
+        const MonotonicTime roomAt =
+                std::max(now + std::max(it.wait - limit, it.pause), it.state->promisedUntil);
         if (soonest == nullptr || roomAt < returnAt) {
             soonest = &it;
             returnAt = roomAt;
@@ -308,13 +324,13 @@
     const double entries = static_cast<double>(std::max<std::size_t>(m_entries, 1));
     const microseconds taken =
             scaled(soonest->work, entries / soonest->state->known.entry.slots.value);
-    const microseconds base =
-            std::clamp<microseconds>(returnAt - now, ShortestReturn, LongestReturn);
-    soonest->state->promisedUntil = now + std::min<microseconds>(base + taken, LongestReturn);
+    const microseconds longest = std::max<microseconds>(LongestReturn, soonest->pause);
+    const microseconds base = std::clamp<microseconds>(returnAt - now, ShortestReturn, longest);
+    soonest->state->promisedUntil = now + std::min<microseconds>(base + taken, longest);
     Placement placement;
     placement.reason = reason;
     placement.busyHome = soonest->state->known.entry.id;
-    placement.wait = soonest->wait;
+    placement.wait = std::max(soonest->wait, soonest->pause);
     placement.work = soonest->work;
     placement.waitLimit = limit;
     placement.retryAfter = scaled(base, 1 + ReturnSpread * unitInterval(query.request));
@@ -346,6 +362,28 @@
     }
 }
 
+void ServiceDispatcher::onLeaving(const TargetId &target, std::uint64_t bornMs)
+{
+    const auto it = m_targets.find(target);
+    if (it == m_targets.end() || it->second.known.entry.bornMs != bornMs
+        || it->second.known.standing == TargetStanding::Leaving) {
+        return;
+    }
+    it->second.known.standing = TargetStanding::Leaving;
+    m_leaving.push_back(LeavingTarget{ target, bornMs });
+}
+
+milliseconds ServiceDispatcher::onPauseAsked(const TargetId &target, milliseconds stated,
+                                             MonotonicTime now)
+{
+    const milliseconds granted = std::clamp(stated, milliseconds(0), LongestPause);
+    const auto it = m_targets.find(target);
+    if (it != m_targets.end()) {
+        it->second.pausedUntil = std::max(it->second.pausedUntil, now + granted);
+    }
+    return granted;
+}
+
 void ServiceDispatcher::onEnded(const TargetId &target, const RouteName &route, SendOutcome outcome,
                                 microseconds duration, bool hadToWait, MonotonicTime now)
 {
@@ -355,7 +393,10 @@
         TargetState &state = it->second;
         state.load.onEnded();
         const bool wasSuspended = state.outcomes.isSuspended(now);
-        state.outcomes.onOutcome(outcome, now);
+        // A target that asks for a pause is sound.
+        const bool asksPause =
+                outcome == SendOutcome::Declined && pauseOf(state, now) > microseconds(0);
+        state.outcomes.onOutcome(asksPause ? SendOutcome::Abandoned : outcome, now);
         if (state.outcomes.isSuspended(now) != wasSuspended) {
             m_changes.push_back(
                     TargetChange{ target, m_service.id, wasSuspended ? "trusted" : "suspended" });
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -38,6 +38,13 @@
     microseconds left{ 0 };
 };
 
+/// A run of a target, told by its start, that has said that it is leaving.
+struct LeavingTarget
+{
+    TargetId id;
+    std::uint64_t bornMs = 0;
+};
+
 /// Why a request is not placed.
 enum class RefusalReason {
     /// No target of the service may be used.
@@ -106,6 +113,13 @@
     void onSent(const TargetId &target, MonotonicTime now);
     /// The target has reported its load. To be called before onEnded() of the same request.
     void onReport(const TargetId &target, const LoadReport &report, MonotonicTime now);
+    /// The run of the target that started then has said that it is leaving: it gets nothing more.
+    void onLeaving(const TargetId &target, std::uint64_t bornMs);
+    /// Targets that have said so since the last call, for the registry.
+    std::vector<LeavingTarget> takeLeaving() { return std::exchange(m_leaving, {}); }
+    /// The target is overloaded and wants nothing more for this time. To be called before onEnded()
+    /// of the same request. Returns the time that is kept to; 0 if the stated one is of no use.
+    milliseconds onPauseAsked(const TargetId &target, milliseconds stated, MonotonicTime now);
     /// A sent request has ended. The duration is that from sending to the answer's head; it counts
     /// if the request was answered and had not been expected to wait.
     void onEnded(const TargetId &target, const RouteName &route, SendOutcome outcome,
@@ -132,6 +146,8 @@
         TargetLoad load;
         TargetOutcomes outcomes;
         TokenBucket coldRate;
+        /// The target has asked for a pause until then.
+        MonotonicTime pausedUntil;
         /// Callers were told to come back for the room that there will be until then.
         MonotonicTime promisedUntil;
     };
@@ -141,6 +157,8 @@
         TargetState *state = nullptr;
         microseconds wait{ 0 };
         microseconds work{ 0 };
+        /// Rest of a pause that the target has asked for; nothing is sent before its end.
+        microseconds pause{ 0 };
     };
 
     /// The targets that the request may go to, the first one preferred.
@@ -155,6 +173,7 @@
     RegionId regionOf(const PlacementQuery &query) const;
     bool isUsable(const TargetState &state, const PlacementQuery &query) const;
     bool isCold(const TargetState &state, MonotonicTime now) const;
+    static microseconds pauseOf(const TargetState &state, MonotonicTime now);
     bool mayTake(const TargetState &state, MonotonicTime now) const;
     /// Suspended targets are spared only while most of the service is not suspended.
     bool sparesSuspended(MonotonicTime now) const;
@@ -174,6 +193,7 @@
     States m_targets;
     RegionSlots m_slots;
     std::vector<TargetChange> m_changes;
+    std::vector<LeavingTarget> m_leaving;
     /// Mean work of each route, in microseconds.
     std::map<RouteName, double> m_work;
     /// Mean length of each route's answers, in bytes.
--- a/Source/routing/TargetRegistry.cpp
+++ b/Source/routing/TargetRegistry.cpp
@@ -81,6 +81,31 @@
     erase(it);
 }
 
+void TargetRegistry::noteLeaving(const TargetId &id, std::uint64_t bornMs, MonotonicTime now)
+{
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end() || it->second.entry.bornMs != bornMs) {
+        return;
+    }
+    KnownTarget &target = it->second;
+    const bool isKnown = hasSaidLeaving(target.entry);
+    m_leaving[id] = Leaving{ bornMs, target.entry.address, now };
+    if (isKnown) {
+        return;
+    }
+    refreshStanding(target);
+    ++m_revision;
+    note(target, "said-leaving");
+}
+
+bool TargetRegistry::hasSaidLeaving(const DiscoveredTarget &entry) const
+{
+    const auto it = m_leaving.find(entry.id);
+    // Without a start the address tells runs apart.
+    return it != m_leaving.end() && it->second.bornMs == entry.bornMs
+           && (entry.bornMs != 0 || it->second.address == entry.address);
+}
+
 void TargetRegistry::onStoreLost()
 {
     m_storeLost = true;
@@ -132,6 +157,10 @@
             dropped = true;
         }
     }
+    const MonotonicTime oldest = now - m_options.leavingMemory;
+    std::erase_if(m_leaving, [this, oldest](const std::pair<const TargetId, Leaving> &it) {
+        return it.second.at < oldest && !m_targets.contains(it.first);
+    });
     return dropped;
 }
 
@@ -147,7 +176,7 @@
 
 void TargetRegistry::refreshStanding(KnownTarget &target) const
 {
-    if (target.entry.isDraining) {
+    if (target.entry.isDraining || hasSaidLeaving(target.entry)) {
         target.standing = TargetStanding::Leaving;
     } else if (m_evacuated.contains(target.entry.domain)) {
         target.standing = TargetStanding::Evacuated;
--- a/Source/routing/TargetRegistry.h
+++ b/Source/routing/TargetRegistry.h
@@ -24,6 +24,9 @@
     /// A target is taken for cold this long after the evacuation of its failure domain, during
     /// which it may have restarted without the registry showing it yet.
     microseconds evacuationColdness{ 3'000'000 };
+    /// Time for which it is remembered of a target without an entry that it said it was leaving.
+    /// Its entry may lapse and be written again meanwhile.
+    microseconds leavingMemory{ 600'000'000 };
 };
 
 /// How a target may be used.
@@ -53,8 +56,8 @@
 {
     TargetId target;
     ServiceId service;
-    /// "joined", "draining", "removed", "held", "returned", "restarted", "evacuated" or "restored";
-    /// of ServiceDispatcher "suspended" or "trusted".
+    /// "joined", "draining", "said-leaving", "removed", "held", "returned", "restarted",
+    /// "evacuated" or "restored"; of ServiceDispatcher "suspended" or "trusted".
     std::string what;
 };
 
@@ -75,13 +78,17 @@
     void set(const DiscoveredTarget &target, MonotonicTime now);
     /// An entry was removed.
     void remove(const TargetId &target, MonotonicTime now);
+    /// A run of the target, told by its start, has said itself that it is leaving. That holds,
+    /// whatever the registry says, until the target has started again.
+    void noteLeaving(const TargetId &target, std::uint64_t bornMs, MonotonicTime now);
     /// Calls to the store have begun to fail.
     void onStoreLost();
     /// Calls to the store succeed again.
     void onStoreBack(MonotonicTime now);
     /// Takes the failure domains that are to get no work.
     void setEvacuated(const std::set<FailureDomainId> &domains, MonotonicTime now);
-    /// Drops the held targets whose time is over. Returns whether any was dropped.
+    /// Drops the held targets, and what is remembered of targets that have left, whose time is
+    /// over. Returns whether any target was dropped.
     bool expire(MonotonicTime now);
 
     const Targets &targets() const { return m_targets; }
@@ -97,6 +104,15 @@
         MonotonicTime at;
     };
 
+    /// What a target has said of its leaving.
+    struct Leaving
+    {
+        std::uint64_t bornMs = 0;
+        Endpoint address;
+        MonotonicTime at;
+    };
+
+    bool hasSaidLeaving(const DiscoveredTarget &entry) const;
     void note(const KnownTarget &target, const std::string &what);
     void refreshStanding(KnownTarget &target) const;
     void erase(Targets::iterator it);
@@ -107,6 +123,7 @@
 
     TargetRegistryOptions m_options;
     Targets m_targets;
+    std::map<TargetId, Leaving> m_leaving;
     std::set<FailureDomainId> m_evacuated;
     bool m_storeLost = false;
     std::optional<MonotonicTime> m_storeBackAt;
--- a/Tests/gateway/GatewayFixture.h
+++ b/Tests/gateway/GatewayFixture.h
@@ -62,11 +62,14 @@
     }
 
     /// Puts a table with the routes /read/ (repeatable) and /pay/ (not) in force.
-    void adoptTable(std::uint64_t version = 1)
+    void adoptTable(std::uint64_t version = 1, milliseconds timeout = milliseconds(1'000))
     {
         RouteTable table;
         table.version = RouteVersion(version);
         table.routes = { makeRoute("read", true), makeRoute("pay", false) };
+        for (Route &it : table.routes) {
+            it.timeout = timeout;
+        }
         HostedService service;
         service.id = ServiceId("service");
         table.services.emplace(service.id, service);
--- a/Tests/gateway/RoutedRequestTest.cpp
+++ b/Tests/gateway/RoutedRequestTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gmock/gmock.h>
 
+#include <set>
+
 namespace Tarragon {
 namespace {
 
@@ -266,5 +268,135 @@
     EXPECT_TRUE(broken.failure.has_value());
 }
 
+// Guards against a late copy of a refusal that is taken for the refusal of the next request on its
+// connection, which has run: it would run twice.
+TEST_F(RoutedRequestTest, LateCopyOfARefusalRefusesNothing)
+{
+    adoptTable();
+    int arrivals = 0;
+    addTarget("t1", [&arrivals](RawSocket &socket, const std::string &) {
+        const std::string refusal = answer(503, "Attempt-Id: a0\r\nNot-Executed: 1\r\n", "");
+        // The copy comes when the connection is in use again; the request is at work meanwhile.
+        socket.send(++arrivals == 1 ? answer(200, sealed(), "first") : refusal);
+    });
+    EXPECT_EQ(post("/pay/1").status(), 200);
+    const CallerResult result = post("/pay/1");
+    EXPECT_EQ(result.status(), 502);
+    EXPECT_EQ(m_arrivals.size(), 2u);
+}
+
+// Guards against new work for a target that has said that it is leaving, whatever the registry says
+// until the target has started again.
+TEST_F(RoutedRequestTest, TargetThatSaysItLeavesGetsNothingMore)
+{
+    adoptTable();
+    const RawListener &listener =
+            addTarget("t1", answering(answer(200, sealed() + "Server-Leaving: 1\r\n", "last")));
+    EXPECT_EQ(get("/read/1").response->body, "last");
+    EXPECT_EQ(get("/read/1").status(), 503);
+    m_state->refreshTargets(m_loop.now());
+    EXPECT_EQ(get("/read/1").status(), 503);
+    m_state->registry().remove(TargetId("t1"), m_loop.now());
+    m_state->refreshTargets(m_loop.now());
+    addTargetAt("t1", listener.port());
+    const CallerResult refused = get("/read/1");
+    EXPECT_EQ(refused.status(), 503);
+    EXPECT_NE(refused.header("Retry-After"), "");
+    EXPECT_EQ(m_arrivals.size(), 1u);
+}
+
+// Guards against a target that turns requests away for a time and gets them all the same, against
+// callers who are told to return before that time is over, and against the belief that it fails.
+TEST_F(RoutedRequestTest, PauseThatATargetAsksForIsKept)
+{
+    adoptTable();
+    const std::string refusal = "Attempt-Id: a1\r\nNot-Executed: 1\r\nRetry-After: 0.4\r\n";
+    addTarget("t1", [this, refusal](RawSocket &socket, const std::string &) {
+        socket.send(m_arrivals.size() == 1 ? answer(503, refusal, "")
+                                           : answer(200, sealed(), "later"));
+    });
+    const MonotonicTime began = m_loop.now();
+    EXPECT_EQ(post("/pay/1").status(), 503);
+    const CallerResult result = post("/pay/1");
+    EXPECT_EQ(result.status(), 503);
+    const double told = std::stod(result.header("Retry-After"));
+    EXPECT_GE(told, 0.2);
+    EXPECT_EQ(m_arrivals.size(), 1u);
+    runFor(milliseconds(410) - (m_loop.now() - began));
+    EXPECT_EQ(post("/pay/1").status(), 200);
+}
+
+// Guards against a target that closes itself by a time that makes no sense.
+TEST_F(RoutedRequestTest, PauseThatMakesNoSenseIsBounded)
+{
+    adoptTable();
+    for (const char *value : { "-5", "soon", "nan", "Fri, 04 Dec 2026 00:00:00 GMT" }) {
+        SCOPED_TRACE(value);
+        m_arrivals.clear();
+        m_listeners.clear();
+        m_state->registry().remove(TargetId("t1"), m_loop.now());
+        m_state->refreshTargets(m_loop.now());
+        addTarget("t1", answering(answer(503,
+                                         std::string("Attempt-Id: a1\r\nNot-Executed: 1\r\n")
+                                                 + "Retry-After: " + value + "\r\n",
+                                         "")));
+        EXPECT_EQ(post("/pay/1").status(), 503);
+        EXPECT_EQ(post("/pay/1").status(), 503);
+        EXPECT_EQ(m_arrivals.size(), 2u);
+    }
+}
+
+// Guards against memory that grows with failures whose bodies have no end, kept for the case that
+// no other target does better: 50 of them, with 6 MB each on offer, while another caller is served.
+TEST_F(RoutedRequestTest, FailuresWithoutEndAreNotCollected)
+{
+    adoptTable(1, milliseconds(10'000));
+    std::vector<RawSocket *> endless;
+    const std::string flood(6'000'000, 'x');
+    std::set<std::string> failed;
+    const Script script = [&](RawSocket &socket, const std::string &request) {
+        const std::size_t at = request.find("Attempt-Id: ") + 12;
+        const std::string id = request.substr(at, request.find('\r', at) - at);
+        if (id == "a1") {
+            socket.send(answer(200, sealed(), "served"));
+        } else if (failed.insert(id).second) {
+            endless.push_back(&socket);
+            socket.send("HTTP/1.1 500 x\r\nContent-Length: 900000000\r\n" + sealed(id) + "\r\n"
+                        + flood);
+        }
+    };
+    addTarget("t1", script);
+    addTarget("t2", script);
+    std::vector<HttpCallPtr> calls;
+    constexpr std::size_t Count = 50;
+    // The budget of repeats follows from requests that were served.
+    for (int i = 0; i < 20; ++i) {
+        get("/read/1");
+    }
+    int ended = 0;
+    for (std::size_t i = 0; i < Count; ++i) {
+        HttpRequest request = callerRequest("GET", "/read/1", "b" + std::to_string(i));
+        request.headers.set("Request-Deadline", "10000");
+        calls.push_back(m_client.fetch(
+                request, ByteCount{ 900'000'000 }, [&ended](const HttpResponse &) { ++ended; },
+                [&ended](const HttpFailure &) { ++ended; }));
+    }
+    runUntil([&endless] { return endless.size() >= 30; });
+    runFor(milliseconds(1'500));
+    std::size_t taken = 0;
+    std::size_t open = 0;
+    for (const RawSocket *it : endless) {
+        // The rest waits in this test's own buffers and in those of the kernel.
+        open += it->isPeerClosed() ? 0 : 1;
+        taken += it->isPeerClosed() ? 0 : flood.size() - std::min(flood.size(), it->unsentBytes());
+    }
+    EXPECT_GT(open, 0u);
+    // A kernel's socket buffers take up to 4 MB of a connection that is not read.
+    constexpr std::size_t MostInBuffers = 4'500'000;
+    EXPECT_LT(taken, open * MostInBuffers);
+    EXPECT_EQ(get("/read/1").response->body, "served");
+    EXPECT_EQ(ended, 0);
+}
+
 } // namespace
 } // namespace Tarragon
--- a/Tests/net/HttpClientTest.cpp
+++ b/Tests/net/HttpClientTest.cpp
@@ -259,6 +259,25 @@
     EXPECT_EQ(record.head->status, 200);
 }
 
+// Guards against a call that is held, with its memory, by interim responses without end.
+TEST_F(HttpClientTest, InterimResponsesWithoutEndAreAFailure)
+{
+    std::string bytes;
+    for (int i = 0; i < 10'000; ++i) {
+        bytes += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    m_listener.accepted().connect([&bytes](RawSocket &socket) {
+        socket.dataReceived().connect([&socket, &bytes] { socket.send(bytes); });
+    });
+    CallRecord record;
+    start(record, request("POST"));
+    runUntil([&record] { return record.isEnded(); });
+    EXPECT_FALSE(record.completed);
+    ASSERT_TRUE(record.failure.has_value());
+    EXPECT_FALSE(record.failure->timedOut);
+    EXPECT_TRUE(record.failure->anySent);
+}
+
 // Guards against a failed attempt to connect being reported as a request that may have run, and
 // against handlers that run before send() has returned.
 TEST_F(HttpClientTest, RefusedConnectionIsAConnectFailure)
--- a/Tests/routing/ServiceDispatcherTest.cpp
+++ b/Tests/routing/ServiceDispatcherTest.cpp
@@ -301,5 +301,58 @@
     EXPECT_EQ(place(1, 0).reason, RefusalReason::NoTarget);
 }
 
+// Guards against requests that are sent to a target that asked for a pause, and answers this load:
+// a full home turns requests away for two seconds. Its objects go to their other home; when both
+// pause, callers are told at once when the first one takes requests again.
+TEST_F(ServiceDispatcherTest, PausedHomesGetNothingAndCallersLearnTheTime)
+{
+    setTargets(targetsInNorth(8), 0);
+    const std::string first = targetOf(17, 0);
+    EXPECT_EQ(m_dispatcher.onPauseAsked(TargetId(first), milliseconds(2'000), at(0)),
+              milliseconds(2'000));
+    finish(first, SendOutcome::Declined, 0);
+    const std::string second = targetOf(17, 0.1);
+    EXPECT_NE(second, first);
+    m_dispatcher.onPauseAsked(TargetId(second), milliseconds(3'000), at(0.5));
+    const Placement refused = place(17, 0.6);
+    ASSERT_FALSE(refused.target.has_value());
+    EXPECT_EQ(refused.reason, RefusalReason::Busy);
+    EXPECT_GE(refused.retryAfter, milliseconds(1'400));
+    EXPECT_LE(refused.retryAfter, milliseconds(1'800));
+    EXPECT_EQ(targetOf(17, 2.01), first);
+    EXPECT_TRUE(m_dispatcher.takeChanges().empty());
+}
+
+// Guards against a target that excludes itself for days, and against callers without an object who
+// are refused although other targets have room.
+TEST_F(ServiceDispatcherTest, PausesAreBoundedAndConcernOneTarget)
+{
+    setTargets(targetsInNorth(3), 0);
+    EXPECT_EQ(m_dispatcher.onPauseAsked(TargetId("n0"), milliseconds(100'000'000), at(0)),
+              milliseconds(30'000));
+    EXPECT_EQ(m_dispatcher.onPauseAsked(TargetId("n1"), milliseconds(-5'000), at(0)),
+              milliseconds(0));
+    for (std::uint64_t request = 0; request < 100; ++request) {
+        PlacementQuery anywhere = query(m_route, request);
+        anywhere.object.reset();
+        const Placement placement = m_dispatcher.place(anywhere, at(1));
+        ASSERT_TRUE(placement.target.has_value());
+        EXPECT_NE(*placement.target, TargetId("n0"));
+    }
+}
+
+// Guards against new work, between two refreshes of the registry, for a target that said it leaves.
+TEST_F(ServiceDispatcherTest, TargetThatSaysItLeavesGetsNothingFromThatMoment)
+{
+    setTargets(targetsInNorth(8), 0);
+    const std::string home = targetOf(17, 0);
+    m_dispatcher.onLeaving(TargetId(home), 2);
+    EXPECT_EQ(targetOf(17, 0), home);
+    m_dispatcher.onLeaving(TargetId(home), 1);
+    EXPECT_NE(targetOf(17, 0), home);
+    EXPECT_EQ(m_dispatcher.takeLeaving().size(), 1u);
+    EXPECT_EQ(m_dispatcher.takeLeaving().size(), 0u);
+}
+
 } // namespace
 } // namespace Tarragon
--- a/Tests/routing/TargetRegistryTest.cpp
+++ b/Tests/routing/TargetRegistryTest.cpp
@@ -128,5 +128,25 @@
     EXPECT_GT(m_registry.targets().at(TargetId("t0")).coldUntil, at(9));
 }
 
+// Guards against a target that has said that it is leaving and is used again because its entry,
+// which lapsed meanwhile, still names it ready.
+TEST_F(TargetRegistryTest, LeavingThatATargetHasSaidHoldsUntilItStartsAgain)
+{
+    addTargets(6);
+    m_registry.noteLeaving(TargetId("t1"), 1, at(1));
+    EXPECT_EQ(standing("t1"), TargetStanding::Leaving);
+    m_registry.remove(TargetId("t1"), at(2));
+    m_registry.expire(at(2));
+    DiscoveredTarget again = target("t1", "s1");
+    m_registry.set(again, at(3));
+    EXPECT_EQ(standing("t1"), TargetStanding::Leaving);
+    again.bornMs = 2;
+    m_registry.set(again, at(4));
+    EXPECT_EQ(standing("t1"), TargetStanding::Ready);
+    // What an earlier run said late is not held against the present one.
+    m_registry.noteLeaving(TargetId("t1"), 1, at(5));
+    EXPECT_EQ(standing("t1"), TargetStanding::Ready);
+}
+
 } // namespace
 } // namespace Tarragon
