--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -25,6 +25,7 @@
 /// Targets change most often, many of them together. The pause is a fifth of the shortest time in
 /// which a leaving target must get nothing more, 2.5 s.
 constexpr FollowOptions TargetFollowing{ milliseconds(500), true, false };
+constexpr FollowOptions OperatorFollowing{ milliseconds(300), true, false };
 /// Records of entries may be known late: who lives is learnt by gossip.
 constexpr FollowOptions EntryFollowing{ milliseconds(1'000), true, true };
 /// Time that callers may keep a lookup's answer. Longer answers cost fewer lookups, shorter ones
@@ -74,12 +75,16 @@
     , m_context{ loop, m_client, m_state, m_metrics, m_successLines }
     , m_roster(recordOf(settings, m_incarnation), m_incarnation.value())
     , m_registration(loop, m_store, m_roster, m_incarnation.value())
-    , m_exchange(loop, m_roster, settings.rpc, m_incarnation.value())
+    , m_exchange(loop, m_roster, settings.rpc, m_incarnation.value(), peerHandlers())
+    , m_relay(loop, m_roster, m_health, m_store, m_exchange, settings.isFirstStart)
     , m_tickedAt(loop.now())
 {
     m_health.lost().connect(sigc::mem_fun(*this, &GatewayDaemon::onStoreLost));
     m_health.regained().connect(sigc::mem_fun(*this, &GatewayDaemon::onStoreRegained));
-    m_registration.changed().connect([this] { m_exchange.setRecords(m_registration.records()); });
+    m_registration.changed().connect([this] {
+        m_exchange.setRecords(m_registration.records());
+        m_relay.start();
+    });
     listen();
     followStore();
     m_registration.start();
@@ -122,22 +127,38 @@
                                           m_incarnation.value() ^ stableHash(kind), options);
 }
 
+PeerHandlers GatewayDaemon::peerHandlers()
+{
+    PeerHandlers handlers;
+    handlers.relay = [this](PeerRpc::Peer::RelayParams::Reader question,
+                            PeerRpc::Peer::RelayResults::Builder answer) {
+        m_relay.answer(question, answer);
+    };
+    return handlers;
+}
+
 void GatewayDaemon::followStore()
 {
     m_routeFollower = follow(Platform::DesiredStateKind,
                              { sigc::mem_fun(*this, &GatewayDaemon::onRouteTables),
-                               sigc::mem_fun(*this, &GatewayDaemon::onRouteTableChanges) });
+                               sigc::mem_fun(*this, &GatewayDaemon::onRouteTableChanges) },
+                             OperatorFollowing);
     m_targetFollower = follow(Platform::TargetKind,
                               { sigc::mem_fun(*this, &GatewayDaemon::onTargets),
                                 sigc::mem_fun(*this, &GatewayDaemon::onTargetChanges) },
                               TargetFollowing);
     m_evacuationFollower = follow(Platform::EvacuationKind,
                                   { sigc::mem_fun(*this, &GatewayDaemon::onEvacuations),
-                                    sigc::mem_fun(*this, &GatewayDaemon::onEvacuationChanges) });
+                                    sigc::mem_fun(*this, &GatewayDaemon::onEvacuationChanges) },
+                                  OperatorFollowing);
     m_entryFollower = follow(Platform::EntryKind,
                              { sigc::mem_fun(m_registration, &EntryRegistration::onSnapshot),
                                sigc::mem_fun(m_registration, &EntryRegistration::onChanges) },
                              EntryFollowing);
+    for (KindFollower *it :
+         { m_routeFollower.get(), m_targetFollower.get(), m_evacuationFollower.get() }) {
+        m_relay.add(*it);
+    }
     m_routeFollower->start();
     m_targetFollower->start();
     m_evacuationFollower->start();
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -5,6 +5,7 @@
 #include "gateway/GatewaySettings.h"
 #include "gateway/KindFollower.h"
 #include "gateway/RosterExchange.h"
+#include "gateway/StoreRelay.h"
 #include "net/HttpServer.h"
 #include "net/RpcRuntime.h"
 
@@ -47,6 +48,8 @@
     std::unique_ptr<KindFollower> follow(const std::string &kind, KindFollower::Handlers handlers,
                                          const FollowOptions &options = {});
     void followStore();
+    /// What neighbours may call beside the exchange of rosters.
+    PeerHandlers peerHandlers();
     void onStoreLost(const std::string &reason);
     void onStoreRegained();
     void onRouteTables(const std::vector<Platform::StoredItem> &items);
@@ -80,6 +83,7 @@
     EntryRoster m_roster;
     EntryRegistration m_registration;
     RosterExchange m_exchange;
+    StoreRelay m_relay;
     std::unique_ptr<KindFollower> m_routeFollower;
     std::unique_ptr<KindFollower> m_targetFollower;
     std::unique_ptr<KindFollower> m_evacuationFollower;
--- a/Source/gateway/GatewaySettings.cpp
+++ b/Source/gateway/GatewaySettings.cpp
@@ -83,6 +83,8 @@
     reader.require("metrics", settings.metrics, EndpointFormat{});
     reader.require("store", settings.store, EndpointFormat{});
     readRegions(reader, settings.regions);
+    reader.optional("firstStart", settings.isFirstStart,
+                    ChoiceFormat<bool>{ { { "true", true }, { "false", false } } });
     readBounds(reader, settings.bounds);
     readLog(reader, settings);
     reader.finish();
--- a/Source/gateway/GatewaySettings.h
+++ b/Source/gateway/GatewaySettings.h
@@ -31,6 +31,8 @@
     Endpoint store;
     /// All failure domains with their regions.
     std::map<FailureDomainId, RegionId> regions;
+    /// Whether all entries of the deployment start now for the first time.
+    bool isFirstStart = false;
     GatewayBounds bounds;
     std::string logLevel = "INFO";
     /// Lines of successful requests that are logged in a second at most.
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -28,6 +28,8 @@
 /// the first two of them.
 constexpr milliseconds ShortestPause{ 100 };
 constexpr milliseconds LongestPause{ 400 };
+/// Time after which a first list is used although nothing newer has come: the store has gone since.
+constexpr milliseconds ConfirmTime{ 2'000 };
 /// Pause of those that wait for another follower, in case that one's calls are still unanswered.
 constexpr milliseconds WaitingPause{ 2'000 };
 
@@ -57,10 +59,13 @@
 {
     if (after.empty()) {
         m_listed = {};
+        m_isListed = false;
+        m_unconfirmed.reset();
     }
     m_callBegan = m_loop.now();
+    m_isCalling = true;
     // What is listed later replaces what is known and must not be older.
-    const bool allowStale = m_options.mayStartStale && !m_hasSnapshot;
+    const bool allowStale = m_options.mayStartStale && !m_wasListed;
     m_call = m_store.list(m_kind, after, ListTimeout, allowStale,
                           [this](const Platform::ItemPage &page) { onPage(page); });
 }
@@ -79,6 +84,7 @@
 
 void KindFollower::onPage(const Platform::ItemPage &page)
 {
+    m_isCalling = false;
     if (!noteOutcome(page.outcome, page.reason)) {
         return;
     }
@@ -86,19 +92,107 @@
         list(*next);
         return;
     }
+    // Kinds that are always read so need no confirmation.
+    const bool mayBeStale = m_options.mayStartStale && !m_options.mayWatchStale && !m_wasListed;
+    m_wasListed = true;
+    m_isListed = true;
     m_revision = m_listed.revision;
-    m_hasSnapshot = true;
-    const Platform::ItemPage listed = std::exchange(m_listed, {});
-    m_handlers.onSnapshot(listed.items);
+    m_log.begin(m_revision);
+    m_unconfirmed = std::exchange(m_listed, {}).items;
+    if (mayBeStale) {
+        m_confirmTimer = m_loop.schedule(ConfirmTime, [this] { confirm(); });
+    } else {
+        confirm();
+    }
     watch();
 }
 
+void KindFollower::confirm()
+{
+    m_confirmTimer.reset();
+    if (!m_unconfirmed.has_value()) {
+        return;
+    }
+    m_hasSnapshot = true;
+    const std::vector<Platform::StoredItem> items = std::move(*m_unconfirmed);
+    m_unconfirmed.reset();
+    m_handlers.onSnapshot(items);
+}
+
+void KindFollower::setSource(ChangeSource source)
+{
+    if (source == m_source) {
+        return;
+    }
+    m_source = source;
+    if (!m_isListed) {
+        // The list goes on.
+        return;
+    }
+    m_call.reset();
+    m_isCalling = false;
+    m_isWaiting = false;
+    m_timer.reset();
+    if (source == ChangeSource::Store) {
+        // Nobody knows what came before.
+        m_log.begin(m_revision);
+        watch();
+    }
+}
+
+void KindFollower::takeNews(const Platform::ChangePage &page)
+{
+    if (!m_isListed || m_source == ChangeSource::Store) {
+        return;
+    }
+    confirm();
+    if (page.revision > m_revision) {
+        apply(page);
+    }
+}
+
+void KindFollower::apply(const Platform::ChangePage &page)
+{
+    m_revision = page.revision;
+    m_log.add(page);
+    if (!page.changes.empty()) {
+        m_handlers.onChanges(page.changes);
+    }
+}
+
+void KindFollower::readOnce()
+{
+    if (m_isListed && m_source != ChangeSource::Store && !m_isCalling) {
+        callWatch(ShortestWatch);
+    }
+}
+
+void KindFollower::breakWatch(const std::string &reason)
+{
+    if (m_isListed && m_source == ChangeSource::Store && m_isCalling) {
+        m_call.reset();
+        m_isCalling = false;
+        onFailure(CallOutcome::Unknown, reason);
+    }
+}
+
 void KindFollower::watch()
 {
-    // The first call after a failure must not wait on a store that does not answer.
-    m_watchTime = m_backoff.isAtRest() && !m_isWaiting ? WatchTime : ShortestWatch;
+    if (m_source != ChangeSource::Store) {
+        return;
+    }
+    // The first call after a failure must not wait on a store that does not answer, nor the one
+    // that shows whether a list was stale.
+    const bool mayWait = m_backoff.isAtRest() && !m_isWaiting && !m_unconfirmed.has_value();
+    callWatch(mayWait ? WatchTime : ShortestWatch);
+}
+
+void KindFollower::callWatch(milliseconds wait)
+{
+    m_watchTime = wait;
     const milliseconds slack = m_watchTime == WatchTime ? WatchSlack : ListTimeout;
     m_callBegan = m_loop.now();
+    m_isCalling = true;
     m_call = m_store.watch(m_kind, m_revision, m_watchTime, m_watchTime + slack,
                            m_options.mayWatchStale,
                            [this](const Platform::ChangePage &page) { onChanges(page); });
@@ -106,6 +200,7 @@
 
 void KindFollower::onChanges(const Platform::ChangePage &page)
 {
+    m_isCalling = false;
     if (!noteOutcome(page.outcome, page.reason)) {
         return;
     }
@@ -114,9 +209,9 @@
         watchLater();
         return;
     }
-    m_revision = page.revision;
+    confirm();
+    apply(page);
     if (!page.changes.empty()) {
-        m_handlers.onChanges(page.changes);
         watchLater();
     } else if (m_loop.now() - m_callBegan < std::min(m_watchTime, ShortestPause)) {
         // It did not wait for changes.
@@ -142,6 +237,7 @@
                                      .text());
     if (historyGone) {
         m_revision = 0;
+        m_isListed = false;
         m_timer = m_loop.schedule(ShortestPause, [this] { next(); });
         return;
     }
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -1,15 +1,27 @@
 #pragma once
 
+#include "gateway/ChangeLog.h"
 #include "gateway/StoreHealth.h"
 #include "net/Backoff.h"
 #include "net/EventLoop.h"
 #include "platform/ObjectStore.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace Tarragon {
 
+/// Where the changes of a kind come from.
+enum class ChangeSource {
+    /// Not decided yet; nothing is asked for beyond the list.
+    Undecided,
+    /// Watches of the store.
+    Store,
+    /// Neighbours that watch the store, through takeNews().
+    Neighbours,
+};
+
 /// How a kind is followed.
 struct FollowOptions
 {
@@ -42,12 +54,32 @@
     KindFollower &operator=(const KindFollower &) = delete;
 
     void start() { list(""); }
-    /// Whether all objects of the kind have been read once.
+    const std::string &kind() const { return m_kind; }
+    /// Whether all objects of the kind have been handed over once.
     bool hasSnapshot() const { return m_hasSnapshot; }
+    /// Whether a list has been read and goes on by changes.
+    bool isListed() const { return m_isListed; }
+    /// Revision up to which a listed kind is known.
+    std::uint64_t revision() const { return m_revision; }
+    ChangeSource source() const { return m_source; }
+    /// Takes changes from elsewhere from now on. Without a call it is the store.
+    void setSource(ChangeSource source);
+    /// Takes the changes behind revision() that a neighbour knows.
+    void takeNews(const Platform::ChangePage &page);
+    /// Reads from the store, once, what neighbours cannot tell.
+    void readOnce();
+    /// Gives up the watch in progress, because the way to the store is interrupted.
+    void breakWatch(const std::string &reason);
+    /// What watches of the store have brought.
+    const ChangeLog &log() const { return m_log; }
 
 private:
     void list(const std::string &after);
     void onPage(const Platform::ItemPage &page);
+    /// Hands over the first list, which may have been stale, once it is known to be current.
+    void confirm();
+    void apply(const Platform::ChangePage &page);
+    void callWatch(milliseconds wait);
     void watch();
     void watchLater();
     void onChanges(const Platform::ChangePage &page);
@@ -75,6 +107,15 @@
     /// Revision to watch from; 0 before the first list.
     std::uint64_t m_revision = 0;
     bool m_hasSnapshot = false;
+    bool m_isListed = false;
+    /// Whether any list has been read.
+    bool m_wasListed = false;
+    /// A first list that may be stale and is held until newer data has come.
+    std::optional<std::vector<Platform::StoredItem>> m_unconfirmed;
+    Timer m_confirmTimer;
+    ChangeSource m_source = ChangeSource::Store;
+    bool m_isCalling = false;
+    ChangeLog m_log;
     /// A call has failed and another follower looks for the store's return.
     bool m_isWaiting = false;
 };
--- a/Source/gateway/RosterExchange.cpp
+++ b/Source/gateway/RosterExchange.cpp
@@ -26,12 +26,11 @@
 } // namespace
 
 RosterExchange::RosterExchange(EventLoop &loop, EntryRoster &roster, const Endpoint &rpc,
-                               std::uint64_t seed)
+                               std::uint64_t seed, PeerHandlers handlers)
     : m_loop(loop)
     , m_roster(roster)
     , m_network(loop, roster.self().instance, seed)
 {
-    PeerHandlers handlers;
     handlers.gossip = [this](capnp::List<PeerRpc::RosterItem>::Reader mine,
                              PeerRpc::Peer::GossipResults::Builder theirs) {
         merge(mine);
--- /dev/null
+++ b/Source/gateway/StoreRelay.cpp
@@ -0,0 +1,324 @@
+#include "gateway/StoreRelay.h"
+
+#include "net/LogLine.h"
+#include "platform/RegistryDecoder.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Tarragon {
+
+namespace {
+
+/// Entries of a failure domain that watch the store: one may fail without anyone noticing.
+constexpr std::size_t Watchers = 2;
+/// Smallest failure domain in which changes are relayed; in smaller ones nearly all watch anyway.
+constexpr std::size_t LeastDomainSize = 4;
+/// Pause between questions. With the watchers' own pause of 0.5 s it keeps what is told to a
+/// second, of at least 2.5 s that the platform allows.
+constexpr milliseconds RoundPeriod{ 500 };
+/// Entries of one failure domain answer in a few milliseconds unless they are overloaded.
+constexpr milliseconds AnswerTimeout{ 400 };
+/// Time without an answer after which an entry watches the store itself. Two lost answers.
+constexpr milliseconds Silence{ 1'200 };
+/// Time for which a watcher that did not answer is not asked while another one is.
+constexpr milliseconds FailureMemory{ 2'000 };
+/// Answers in a row after which an entry that watches the store relies on watchers again.
+constexpr int AnswersToTrust = 3;
+/// Time to hear from a watcher after a start, and after the first start of all entries, which
+/// register within about a second.
+constexpr milliseconds DecisionTime{ 700 };
+constexpr milliseconds FirstDecisionTime{ 2'000 };
+/// Longest news of a kind. Longer ones would fill the link of a watcher that all neighbours ask.
+constexpr std::size_t MaxNewsBytes = 65'536;
+/// A watcher whose way to the store is cut makes its neighbours late, so that it looks more often
+/// than a silent watch would show; the calls are those that cost least.
+constexpr milliseconds PathCheckPeriod{ 1'000 };
+constexpr milliseconds PathCheckTimeout{ 800 };
+
+const log4cplus::Logger &logger()
+{
+    static const log4cplus::Logger instance = log4cplus::Logger::getInstance("store");
+    return instance;
+}
+
+std::string_view toString(ChangeSource source)
+{
+    switch (source) {
+    case ChangeSource::Undecided:
+        return "undecided";
+    case ChangeSource::Store:
+        return "store";
+    case ChangeSource::Neighbours:
+        return "neighbours";
+    }
+    return "";
+}
+
+std::size_t lengthOf(const std::vector<std::string> &specs)
+{
+    std::size_t length = 0;
+    for (const std::string &it : specs) {
+        length += it.size();
+    }
+    return length;
+}
+
+void fillNews(PeerRpc::KindNews::Builder news, const std::optional<Platform::ChangePage> &page)
+{
+    news.setCoverage(PeerRpc::NewsCoverage::READ_STORE);
+    if (!page.has_value()) {
+        return;
+    }
+    std::vector<std::string> specs;
+    specs.reserve(page->changes.size());
+    for (const Platform::StoredChange &it : page->changes) {
+        specs.push_back(it.isRemoval ? std::string() : it.item.spec.dump());
+    }
+    if (lengthOf(specs) > MaxNewsBytes) {
+        return;
+    }
+    news.setCoverage(PeerRpc::NewsCoverage::COMPLETE);
+    news.setRevision(page->revision);
+    capnp::List<PeerRpc::StoredChange>::Builder list =
+            news.initChanges(static_cast<unsigned int>(specs.size()));
+    for (unsigned int i = 0; i < list.size(); ++i) {
+        const Platform::StoredChange &change = page->changes[i];
+        list[i].setName(change.item.name);
+        list[i].setRevision(change.item.revision);
+        list[i].setRemoved(change.isRemoval);
+        list[i].setSpec(specs[i]);
+    }
+}
+
+/// Throws if a spec cannot be read.
+Platform::ChangePage pageOf(PeerRpc::KindNews::Reader news)
+{
+    Platform::ChangePage page;
+    page.outcome = Platform::CallOutcome::Done;
+    page.revision = news.getRevision();
+    for (const PeerRpc::StoredChange::Reader it : news.getChanges()) {
+        Platform::StoredChange change;
+        change.item.name = it.getName();
+        change.item.revision = it.getRevision();
+        change.isRemoval = it.getRemoved();
+        if (!change.isRemoval) {
+            const capnp::Text::Reader spec = it.getSpec();
+            change.item.spec = nlohmann::json::parse(spec.begin(), spec.end());
+        }
+        page.changes.push_back(std::move(change));
+    }
+    return page;
+}
+
+} // namespace
+
+StoreRelay::StoreRelay(EventLoop &loop, EntryRoster &roster, StoreHealth &health,
+                       Platform::ObjectStore &store, RosterExchange &exchange, bool isFirstStart)
+    : m_loop(loop)
+    , m_roster(roster)
+    , m_health(health)
+    , m_store(store)
+    , m_exchange(exchange)
+    , m_decideBy(loop.now() + (isFirstStart ? FirstDecisionTime : DecisionTime))
+{}
+
+void StoreRelay::add(KindFollower &follower)
+{
+    m_followers.push_back(&follower);
+    follower.setSource(m_source);
+}
+
+void StoreRelay::start()
+{
+    if (!m_timer.isActive()) {
+        m_timer = m_loop.scheduleEvery(RoundPeriod, [this] { round(); });
+        round();
+    }
+}
+
+void StoreRelay::round()
+{
+    const MonotonicTime now = m_loop.now();
+    const std::vector<InstanceId> watchers = m_roster.watchers(Watchers, now);
+    const bool isWatcher =
+            std::find(watchers.begin(), watchers.end(), m_roster.self().instance) != watchers.end();
+    if (m_roster.domainSize() < LeastDomainSize || isWatcher) {
+        const bool isEarly = m_source == ChangeSource::Undecided && now < m_decideBy
+                             && m_decideBy - now > DecisionTime;
+        if (!isEarly) {
+            setSource(ChangeSource::Store);
+            checkPath();
+        }
+        return;
+    }
+    const bool isHeard = m_heardAt.has_value() && now - *m_heardAt <= Silence;
+    if (!isHeard && (m_source != ChangeSource::Undecided || now >= m_decideBy)) {
+        m_answers = 0;
+        setSource(ChangeSource::Store);
+    }
+    ask(watchers);
+}
+
+void StoreRelay::ask(const std::vector<InstanceId> &watchers)
+{
+    const MonotonicTime now = m_loop.now();
+    std::vector<InstanceId> asked;
+    std::copy_if(watchers.begin(), watchers.end(), std::back_inserter(asked),
+                 [this, now](const InstanceId &it) {
+                     const auto failed = m_failedAt.find(it);
+                     return failed == m_failedAt.end() || now - failed->second > FailureMemory;
+                 });
+    if (asked.empty()) {
+        return;
+    }
+    const InstanceId watcher = asked[m_turn++ % asked.size()];
+    PeerClient *client = m_exchange.client(watcher);
+    if (client == nullptr) {
+        return;
+    }
+    std::vector<const KindFollower *> listed;
+    std::copy_if(m_followers.begin(), m_followers.end(), std::back_inserter(listed),
+                 [](const KindFollower *it) { return it->isListed(); });
+    client->call(
+            &PeerRpc::Peer::Client::relayRequest, AnswerTimeout,
+            [&listed](PeerRpc::Peer::RelayParams::Builder params) {
+                capnp::List<PeerRpc::KindPosition>::Builder positions =
+                        params.initPositions(static_cast<unsigned int>(listed.size()));
+                for (unsigned int i = 0; i < positions.size(); ++i) {
+                    positions[i].setKind(listed[i]->kind());
+                    positions[i].setRevision(listed[i]->revision());
+                }
+            },
+            [this, watcher](PeerOutcome outcome,
+                            const PeerRpc::Peer::RelayResults::Reader *results) {
+                onAnswer(watcher, outcome == PeerOutcome::Done ? results : nullptr);
+            });
+}
+
+void StoreRelay::onAnswer(const InstanceId &watcher,
+                          const PeerRpc::Peer::RelayResults::Reader *answer)
+{
+    const MonotonicTime now = m_loop.now();
+    if (answer == nullptr || !answer->getWatching()) {
+        m_failedAt[watcher] = now;
+        return;
+    }
+    m_failedAt.erase(watcher);
+    m_heardAt = now;
+    ++m_answers;
+    const microseconds sinceReturn = milliseconds(static_cast<std::int64_t>(
+            std::min<std::uint64_t>(answer->getSinceStoreReturnMs(), 1'000'000'000)));
+    static constexpr seconds OutageMemory{ 3 };
+    if (sinceReturn < OutageMemory) {
+        // Objects that vanish shortly after an outage may only have lapsed during it.
+        m_health.onOutageSeen(now - sinceReturn);
+    }
+    if (m_source == ChangeSource::Undecided
+        || (m_source == ChangeSource::Store && m_answers >= AnswersToTrust)) {
+        setSource(ChangeSource::Neighbours);
+    }
+    for (const PeerRpc::KindNews::Reader it : answer->getNews()) {
+        takeNews(it);
+    }
+}
+
+void StoreRelay::takeNews(PeerRpc::KindNews::Reader news)
+{
+    KindFollower *follower = find(news.getKind());
+    if (follower == nullptr) {
+        return;
+    }
+    if (news.getCoverage() != PeerRpc::NewsCoverage::COMPLETE) {
+        follower->readOnce();
+        return;
+    }
+    try {
+        follower->takeNews(pageOf(news));
+    } catch (const std::exception &error) {
+        LOG4CPLUS_WARN(logger(), LogLine("store", "news-refused")
+                                         .add("kind", follower->kind())
+                                         .add("reason", error.what())
+                                         .text());
+        follower->readOnce();
+    }
+}
+
+void StoreRelay::setSource(ChangeSource source)
+{
+    if (source == m_source) {
+        return;
+    }
+    m_source = source;
+    for (KindFollower *it : m_followers) {
+        it->setSource(source);
+    }
+    LOG4CPLUS_INFO(logger(),
+                   LogLine("store", "change-source").add("source", toString(source)).text());
+}
+
+bool StoreRelay::isWatching() const
+{
+    return m_source == ChangeSource::Store && !m_health.isLost()
+           && std::all_of(m_followers.begin(), m_followers.end(),
+                          [](const KindFollower *it) { return it->hasSnapshot(); });
+}
+
+void StoreRelay::answer(PeerRpc::Peer::RelayParams::Reader question,
+                        PeerRpc::Peer::RelayResults::Builder answer)
+{
+    m_askedAt = m_loop.now();
+    answer.setSinceStoreReturnMs(std::numeric_limits<std::uint64_t>::max());
+    answer.setWatching(isWatching());
+    if (!isWatching()) {
+        return;
+    }
+    if (m_health.regainedAt().has_value()) {
+        const microseconds since = m_loop.now() - *m_health.regainedAt();
+        answer.setSinceStoreReturnMs(static_cast<std::uint64_t>(
+                std::chrono::duration_cast<milliseconds>(since).count()));
+    }
+    const capnp::List<PeerRpc::KindPosition>::Reader positions = question.getPositions();
+    capnp::List<PeerRpc::KindNews>::Builder news = answer.initNews(positions.size());
+    for (unsigned int i = 0; i < positions.size(); ++i) {
+        news[i].setKind(positions[i].getKind());
+        const KindFollower *follower = find(positions[i].getKind());
+        fillNews(news[i], follower == nullptr ? std::nullopt
+                                              : follower->log().since(positions[i].getRevision()));
+    }
+}
+
+void StoreRelay::checkPath()
+{
+    const MonotonicTime now = m_loop.now();
+    static constexpr seconds NeighbourMemory{ 3 };
+    const bool isAsked = m_askedAt.has_value() && now - *m_askedAt < NeighbourMemory;
+    if (!isAsked || m_health.isLost() || now - m_pathCheckedAt < PathCheckPeriod) {
+        return;
+    }
+    m_pathCheckedAt = now;
+    m_pathCheck = m_store.list(Platform::EvacuationKind, "", PathCheckTimeout, true,
+                               [this, now](const Platform::ItemPage &page) {
+                                   if (page.outcome == Platform::CallOutcome::Done) {
+                                       m_health.onSuccess(m_loop.now());
+                                       return;
+                                   }
+                                   m_health.onFailure("path check: " + page.reason, now);
+                                   for (KindFollower *it : m_followers) {
+                                       it->breakWatch("path check failed");
+                                   }
+                               });
+}
+
+KindFollower *StoreRelay::find(const std::string &kind) const
+{
+    const auto it = std::find_if(m_followers.begin(), m_followers.end(),
+                                 [&kind](const KindFollower *it) { return it->kind() == kind; });
+    return it == m_followers.end() ? nullptr : *it;
+}
+
+} // namespace Tarragon
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -244,6 +244,35 @@
   serving @3 :Bool;
 }
 
+struct KindPosition {
+  # How far the sender knows the objects of a kind of the platform's store.
+  kind @0 :Text;
+  revision @1 :UInt64;
+}
+
+struct StoredChange {
+  name @0 :Text;
+  revision @1 :UInt64;
+  removed @2 :Bool;
+  # JSON; empty of a removed object.
+  spec @3 :Text;
+}
+
+enum NewsCoverage {
+  # All changes behind the sender's revision are there.
+  complete @0;
+  # The receiver does not know them all, or they are too long: the sender reads the store.
+  readStore @1;
+}
+
+struct KindNews {
+  kind @0 :Text;
+  coverage @1 :NewsCoverage;
+  # Up to which the changes go.
+  revision @2 :UInt64;
+  changes @3 :List(StoredChange);
+}
+
 interface Peer {
   # Sends the caller's state and returns the receiver's. A version above the receiver's own makes
   # it fetch what it misses.
@@ -272,4 +301,9 @@
 
   # Exchanges what both know of the life of all entries.
   gossip @8 (mine :List(RosterItem)) -> (theirs :List(RosterItem));
+
+  # Asks an entry that watches the store for what has changed. It is not watching if its own calls
+  # to the store fail. Times since the store's return count from the end of its last outage.
+  relay @9 (positions :List(KindPosition))
+      -> (watching :Bool, sinceStoreReturnMs :UInt64, news :List(KindNews));
 }
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -80,6 +80,15 @@
 CAPNP_DECLARE_SCHEMA(e0096d4667a226db);
 CAPNP_DECLARE_SCHEMA(92c29e225453fa85);
 CAPNP_DECLARE_SCHEMA(c6d31389b912fe9f);
+CAPNP_DECLARE_SCHEMA(eb3d17be999b58af);
+CAPNP_DECLARE_SCHEMA(f0da5c42e69e447f);
+CAPNP_DECLARE_SCHEMA(d2384c7fdc78cfce);
+enum class NewsCoverage_d2384c7fdc78cfce: uint16_t {
+  COMPLETE,
+  READ_STORE,
+};
+CAPNP_DECLARE_ENUM(NewsCoverage, d2384c7fdc78cfce);
+CAPNP_DECLARE_SCHEMA(edfb2b6bf9c54c17);
 CAPNP_DECLARE_SCHEMA(d5f4e88c326a42cb);
 CAPNP_DECLARE_SCHEMA(fa6c2cbc6f290e47);
 CAPNP_DECLARE_SCHEMA(acc90a34937e4247);
@@ -99,6 +108,8 @@
 CAPNP_DECLARE_SCHEMA(d1451fd52f8e6ddc);
 CAPNP_DECLARE_SCHEMA(ae5f9f4a40887fcc);
 CAPNP_DECLARE_SCHEMA(c462606b5f68823e);
+CAPNP_DECLARE_SCHEMA(93e018ca66db20b5);
+CAPNP_DECLARE_SCHEMA(fe0dfac1989f30d4);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -470,6 +481,53 @@
   };
 };
 
+struct KindPosition {
+  KindPosition() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb3d17be999b58af, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StoredChange {
+  StoredChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f0da5c42e69e447f, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::NewsCoverage_d2384c7fdc78cfce NewsCoverage;
+
+struct KindNews {
+  KindNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(edfb2b6bf9c54c17, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -496,6 +554,8 @@
   struct StatusResults;
   struct GossipParams;
   struct GossipResults;
+  struct RelayParams;
+  struct RelayResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -775,6 +835,36 @@
   };
 };
 
+struct Peer::RelayParams {
+  RelayParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(93e018ca66db20b5, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::RelayResults {
+  RelayResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe0dfac1989f30d4, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -3269,6 +3359,294 @@
 };
 #endif  // !CAPNP_LITE
 
+class KindPosition::Reader {
+public:
+  typedef KindPosition Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKind() const;
+  inline  ::capnp::Text::Reader getKind() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class KindPosition::Builder {
+public:
+  typedef KindPosition Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKind();
+  inline  ::capnp::Text::Builder getKind();
+  inline void setKind( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKind(unsigned int size);
+  inline void adoptKind(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKind();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class KindPosition::Pipeline {
+public:
+  typedef KindPosition Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoredChange::Reader {
+public:
+  typedef StoredChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool getRemoved() const;
+
+  inline bool hasSpec() const;
+  inline  ::capnp::Text::Reader getSpec() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoredChange::Builder {
+public:
+  typedef StoredChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+  inline bool hasSpec();
+  inline  ::capnp::Text::Builder getSpec();
+  inline void setSpec( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSpec(unsigned int size);
+  inline void adoptSpec(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSpec();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoredChange::Pipeline {
+public:
+  typedef StoredChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class KindNews::Reader {
+public:
+  typedef KindNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKind() const;
+  inline  ::capnp::Text::Reader getKind() const;
+
+  inline  ::Tarragon::PeerRpc::NewsCoverage getCoverage() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class KindNews::Builder {
+public:
+  typedef KindNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKind();
+  inline  ::capnp::Text::Builder getKind();
+  inline void setKind( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKind(unsigned int size);
+  inline void adoptKind(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKind();
+
+  inline  ::Tarragon::PeerRpc::NewsCoverage getCoverage();
+  inline void setCoverage( ::Tarragon::PeerRpc::NewsCoverage value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class KindNews::Pipeline {
+public:
+  typedef KindNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -3306,6 +3684,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Tarragon::PeerRpc::Peer::GossipParams,  ::Tarragon::PeerRpc::Peer::GossipResults> gossipRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RelayParams,  ::Tarragon::PeerRpc::Peer::RelayResults> relayRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3358,6 +3738,10 @@
   typedef  ::Tarragon::PeerRpc::Peer::GossipResults GossipResults;
   typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
   virtual ::kj::Promise<void> gossip(GossipContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::RelayParams RelayParams;
+  typedef  ::Tarragon::PeerRpc::Peer::RelayResults RelayResults;
+  typedef ::capnp::CallContext<RelayParams, RelayResults> RelayContext;
+  virtual ::kj::Promise<void> relay(RelayContext context);
 
   inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4732,9 +5116,171 @@
 };
 
 #if !CAPNP_LITE
-class Peer::GossipParams::Pipeline {
+class Peer::GossipParams::Pipeline {
+public:
+  typedef GossipParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::GossipResults::Reader {
+public:
+  typedef GossipResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTheirs() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader getTheirs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::GossipResults::Builder {
+public:
+  typedef GossipResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTheirs();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder getTheirs();
+  inline void setTheirs( ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder initTheirs(unsigned int size);
+  inline void adoptTheirs(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>> disownTheirs();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::GossipResults::Pipeline {
+public:
+  typedef GossipResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::RelayParams::Reader {
+public:
+  typedef RelayParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPositions() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Reader getPositions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RelayParams::Builder {
+public:
+  typedef RelayParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPositions();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Builder getPositions();
+  inline void setPositions( ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Builder initPositions(unsigned int size);
+  inline void adoptPositions(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>> disownPositions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RelayParams::Pipeline {
 public:
-  typedef GossipParams Pipelines;
+  typedef RelayParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4748,9 +5294,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::GossipResults::Reader {
+class Peer::RelayResults::Reader {
 public:
-  typedef GossipResults Reads;
+  typedef RelayResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4765,8 +5311,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTheirs() const;
-  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader getTheirs() const;
+  inline bool getWatching() const;
+
+  inline  ::uint64_t getSinceStoreReturnMs() const;
+
+  inline bool hasNews() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Reader getNews() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4780,9 +5330,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::GossipResults::Builder {
+class Peer::RelayResults::Builder {
 public:
-  typedef GossipResults Builds;
+  typedef RelayResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4796,12 +5346,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTheirs();
-  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder getTheirs();
-  inline void setTheirs( ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>::Builder initTheirs(unsigned int size);
-  inline void adoptTheirs(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::RosterItem,  ::capnp::Kind::STRUCT>> disownTheirs();
+  inline bool getWatching();
+  inline void setWatching(bool value);
+
+  inline  ::uint64_t getSinceStoreReturnMs();
+  inline void setSinceStoreReturnMs( ::uint64_t value);
+
+  inline bool hasNews();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Builder getNews();
+  inline void setNews( ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Builder initNews(unsigned int size);
+  inline void adoptNews(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>> disownNews();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4813,9 +5369,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::GossipResults::Pipeline {
+class Peer::RelayResults::Pipeline {
 public:
-  typedef GossipResults Pipelines;
+  typedef RelayResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7760,6 +8316,246 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool KindPosition::Reader::hasKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KindPosition::Builder::hasKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KindPosition::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KindPosition::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KindPosition::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KindPosition::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KindPosition::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KindPosition::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t KindPosition::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KindPosition::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KindPosition::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoredChange::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredChange::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoredChange::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoredChange::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoredChange::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoredChange::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StoredChange::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StoredChange::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoredChange::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoredChange::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoredChange::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoredChange::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StoredChange::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoredChange::Reader::hasSpec() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredChange::Builder::hasSpec() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoredChange::Reader::getSpec() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoredChange::Builder::getSpec() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoredChange::Builder::setSpec( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoredChange::Builder::initSpec(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoredChange::Builder::adoptSpec(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoredChange::Builder::disownSpec() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool KindNews::Reader::hasKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KindNews::Builder::hasKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KindNews::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KindNews::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KindNews::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KindNews::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KindNews::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KindNews::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::Tarragon::PeerRpc::NewsCoverage KindNews::Reader::getCoverage() const {
+  return _reader.getDataField< ::Tarragon::PeerRpc::NewsCoverage>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Tarragon::PeerRpc::NewsCoverage KindNews::Builder::getCoverage() {
+  return _builder.getDataField< ::Tarragon::PeerRpc::NewsCoverage>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KindNews::Builder::setCoverage( ::Tarragon::PeerRpc::NewsCoverage value) {
+  _builder.setDataField< ::Tarragon::PeerRpc::NewsCoverage>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KindNews::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KindNews::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KindNews::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KindNews::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KindNews::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Reader KindNews::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Builder KindNews::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void KindNews::Builder::setChanges( ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Builder KindNews::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void KindNews::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>> KindNews::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -8388,6 +9184,102 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::RelayParams::Reader::hasPositions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RelayParams::Builder::hasPositions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Reader Peer::RelayParams::Reader::getPositions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Builder Peer::RelayParams::Builder::getPositions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RelayParams::Builder::setPositions( ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>::Builder Peer::RelayParams::Builder::initPositions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RelayParams::Builder::adoptPositions(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>> Peer::RelayParams::Builder::disownPositions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindPosition,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::RelayResults::Reader::getWatching() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::RelayResults::Builder::getWatching() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RelayResults::Builder::setWatching(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::RelayResults::Reader::getSinceStoreReturnMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::RelayResults::Builder::getSinceStoreReturnMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RelayResults::Builder::setSinceStoreReturnMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::RelayResults::Reader::hasNews() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RelayResults::Builder::hasNews() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Reader Peer::RelayResults::Reader::getNews() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Builder Peer::RelayResults::Builder::getNews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RelayResults::Builder::setNews( ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>::Builder Peer::RelayResults::Builder::initNews(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RelayResults::Builder::adoptNews(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>> Peer::RelayResults::Builder::disownNews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::KindNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/peer/PeerHandlers.h
+++ b/Source/peer/PeerHandlers.h
@@ -27,6 +27,8 @@
     sigc::slot<void(capnp::List<PeerRpc::RosterItem>::Reader mine,
                     PeerRpc::Peer::GossipResults::Builder theirs)>
             gossip;
+    sigc::slot<void(PeerRpc::Peer::RelayParams::Reader, PeerRpc::Peer::RelayResults::Builder)>
+            relay;
 };
 
 } // namespace Tarragon
--- a/Source/peer/PeerServer.cpp
+++ b/Source/peer/PeerServer.cpp
@@ -74,6 +74,11 @@
         return handle(m_handlers->gossip, context.getParams().getMine(), context.getResults());
     }
 
+    kj::Promise<void> relay(RelayContext context) override
+    {
+        return handle(m_handlers->relay, context.getParams(), context.getResults());
+    }
+
 private:
     std::shared_ptr<const PeerHandlers> m_handlers;
 };
--- a/Source/routing/EntryRoster.cpp
+++ b/Source/routing/EntryRoster.cpp
@@ -1,5 +1,7 @@
 #include "routing/EntryRoster.h"
 
+#include "base/Digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -104,6 +106,35 @@
                                  [this, now](const auto &it) { return isLive(it.second, now); }));
 }
 
+std::vector<InstanceId> EntryRoster::watchers(std::size_t count, MonotonicTime now) const
+{
+    std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
+    ranked.emplace_back(stableHash(m_self.instance.value()), m_self.instance);
+    for (const auto &[id, member] : m_members) {
+        const bool isSilent = member.risenAt.has_value() && !isLive(member, now);
+        if (member.record.domain == m_self.domain && !isSilent) {
+            ranked.emplace_back(stableHash(id.value()), id);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(ranked.size(), count));
+    std::vector<InstanceId> watchers;
+    watchers.reserve(ranked.size());
+    for (const auto &[rank, id] : ranked) {
+        watchers.push_back(id);
+    }
+    return watchers;
+}
+
+std::size_t EntryRoster::domainSize() const
+{
+    return 1
+           + static_cast<std::size_t>(
+                   std::count_if(m_members.begin(), m_members.end(), [this](const auto &it) {
+                       return it.second.record.domain == m_self.domain;
+                   }));
+}
+
 bool EntryRoster::isLive(const InstanceId &instance, MonotonicTime now) const
 {
     const auto it = m_members.find(instance);
--- a/Source/routing/EntryRoster.h
+++ b/Source/routing/EntryRoster.h
@@ -76,6 +76,12 @@
     /// Entries that live, this one included; limits of the whole deployment are divided by it.
     std::size_t liveCount(MonotonicTime now) const;
     bool isLive(const InstanceId &instance, MonotonicTime now) const;
+    /// The entries of the own failure domain that watch the store for it, at most this many: the
+    /// first by a rank on which all agree, without those that have fallen silent. Entries that were
+    /// never heard count, as at the start nobody has been.
+    std::vector<InstanceId> watchers(std::size_t count, MonotonicTime now) const;
+    /// Registered entries of the own failure domain, this one included.
+    std::size_t domainSize() const;
     /// Registered entries, this one included.
     std::size_t size() const { return m_members.size() + 1; }
     /// All registered entries but this one.
--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -18,6 +18,7 @@
   "thess-a": "gr-north"
 
   "athens-a": "gr-attica"
+firstStart: true
 bounds:
   retryShare: 0.2
   extraRetries: 58
@@ -41,6 +42,7 @@
     EXPECT_EQ(settings->bounds.stopGrace, seconds(6));
     EXPECT_EQ(settings->bounds.longestLookupTtl, milliseconds(2'500));
     EXPECT_EQ(settings->logLevel, "WARN");
+    EXPECT_TRUE(settings->isFirstStart);
 }
 
 // Guards against faulty settings that are taken, or whose fault cannot be found.
@@ -51,6 +53,7 @@
         { "region: \"gr-north\"", "regoin: \"gr-north\"" },
         { "extraRetries: 58", "extraRetries: many" },
         { "level: WARN", "level: LOUD" },
+        { "firstStart: true", "firstStart: perhaps" },
         { "instance: \"edge-1\"", "" },
     };
     for (const auto &[from, to] : faults) {
--- a/Tests/routing/EntryRosterTest.cpp
+++ b/Tests/routing/EntryRosterTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 
 namespace Tarragon {
@@ -166,5 +168,27 @@
     EXPECT_EQ(regions("west"), (std::set<std::string>{ "north", "south" }));
 }
 
+// Guards against entries of a failure domain that disagree about who watches the store for it, and
+// against one that has died being relied on.
+TEST_F(EntryRosterTest, EntriesOfADomainAgreeOnItsWatchers)
+{
+    makeFleet(60);
+    run(0, 8);
+    std::map<FailureDomainId, std::vector<InstanceId>> watchers;
+    for (std::size_t i = 0; i < m_fleet.size(); ++i) {
+        const std::vector<InstanceId> own = m_fleet[i]->watchers(2, at(8));
+        ASSERT_EQ(own.size(), 2u);
+        EXPECT_EQ(watchers.try_emplace(m_records[i].domain, own).first->second, own);
+    }
+    const InstanceId dead = watchers.at(FailureDomainId("d0")).front();
+    m_up[std::stoul(dead.value().substr(1))] = false;
+    run(8, 16);
+    const std::size_t neighbour = dead == InstanceId("e0") ? 6 : 0;
+    const std::vector<InstanceId> now = m_fleet[neighbour]->watchers(2, at(16));
+    EXPECT_EQ(now.size(), 2u);
+    EXPECT_EQ(std::count(now.begin(), now.end(), dead), 0);
+    EXPECT_EQ(m_fleet[neighbour]->domainSize(), 10u);
+}
+
 } // namespace
 } // namespace Tarragon
