--- a/Source/gateway/StoreRelay.cpp
+++ b/Source/gateway/StoreRelay.cpp
@@ -208,9 +208,6 @@
         m_failedAt[watcher] = now;
         return;
     }
-    m_failedAt.erase(watcher);
-    m_heardAt = now;
-    ++m_answers;
     const microseconds sinceReturn = milliseconds(static_cast<std::int64_t>(
             std::min<std::uint64_t>(answer->getSinceStoreReturnMs(), 1'000'000'000)));
     static constexpr seconds OutageMemory{ 3 };
@@ -219,12 +216,16 @@
         m_health.onOutageSeen(now - sinceReturn);
     }
     if (m_source == ChangeSource::Undecided
-        || (m_source == ChangeSource::Store && m_answers >= AnswersToTrust)) {
+        || (m_source == ChangeSource::Store && m_answers + 1 >= AnswersToTrust)) {
         setSource(ChangeSource::Neighbours);
     }
     for (const PeerRpc::KindNews::Reader it : answer->getNews()) {
         takeNews(it);
     }
+    // An answer that cannot be read has thrown, and counts as none.
+    m_failedAt.erase(watcher);
+    m_heardAt = now;
+    ++m_answers;
 }
 
 void StoreRelay::takeNews(PeerRpc::KindNews::Reader news)
