--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -97,6 +97,11 @@
 
 void RoutedRequest::dispatch()
 {
+    if (left() <= microseconds(0)) {
+        // It came without time, or this process was paused before a further send.
+        onDeadline();
+        return;
+    }
     PlacementQuery query;
     query.route = m_route;
     query.request = stableHash(m_request.id.value());
--- a/Source/gateway/StoreRelay.cpp
+++ b/Source/gateway/StoreRelay.cpp
@@ -1,5 +1,6 @@
 #include "gateway/StoreRelay.h"
 
+#include "document/JsonFields.h"
 #include "net/LogLine.h"
 #include "platform/RegistryDecoder.h"
 
@@ -77,7 +78,7 @@
     std::vector<std::string> specs;
     specs.reserve(page->changes.size());
     for (const Platform::StoredChange &it : page->changes) {
-        specs.push_back(it.isRemoval ? std::string() : it.item.spec.dump());
+        specs.push_back(it.isRemoval ? std::string() : dumpJson(it.item.spec));
     }
     if (lengthOf(specs) > MaxNewsBytes) {
         return;
--- a/Tests/gateway/KindFollowerTest.cpp
+++ b/Tests/gateway/KindFollowerTest.cpp
@@ -132,6 +132,71 @@
     EXPECT_EQ(lists[1].find("allow_stale"), std::string::npos);
 }
 
+// Guards against a restarted entry that uses a target which has left, because its first list was
+// older than the target's end.
+TEST_F(KindFollowerTest, StaleFirstListIsHeldUntilNewerDataHasCome)
+{
+    std::vector<std::string> seen;
+    HttpExchangePtr watch;
+    HttpServer replica(m_loop, "127.0.0.1", 0, {}, [&watch](const HttpExchangePtr &exchange) {
+        if (exchange->uri().find("watch=") != std::string::npos) {
+            watch = exchange;
+            return;
+        }
+        const nlohmann::json left = { { "metadata", { { "name", "left" }, { "revision", 3 } } },
+                                      { "spec", { { "x", 1 } } } };
+        exchange->reply(
+                200, {},
+                nlohmann::json{ { "items", { left } }, { "has_more", false }, { "as_of", 9 } }
+                        .dump());
+    });
+    Platform::ObjectStore store(m_client, Endpoint{ "127.0.0.1", replica.port() });
+    KindFollower follower(m_loop, store, m_health, "servers",
+                          { [&seen](const std::vector<Platform::StoredItem> &items) {
+                               for (const Platform::StoredItem &it : items) {
+                                   seen.push_back("listed " + it.name);
+                               }
+                           },
+                            [&seen](const std::vector<Platform::StoredChange> &changes) {
+                                for (const Platform::StoredChange &it : changes) {
+                                    seen.push_back((it.isRemoval ? "removed " : "set ")
+                                                   + it.item.name);
+                                }
+                            } },
+                          1, FollowOptions{ milliseconds(100), true, false });
+    follower.start();
+    runUntil([&watch] { return watch != nullptr; });
+    EXPECT_FALSE(follower.hasSnapshot());
+    EXPECT_TRUE(seen.empty());
+    const nlohmann::json removal = {
+        { "object", { { "metadata", { { "name", "left" }, { "revision", 8 } } }, { "spec", {} } } },
+        { "deleted", true }
+    };
+    watch->reply(200, {}, nlohmann::json{ { "events", { removal } }, { "as_of", 12 } }.dump());
+    watch = nullptr;
+    // Both come in one turn of the loop, so that no request sees what lies between them.
+    runUntil([&seen] { return !seen.empty(); });
+    EXPECT_EQ(seen, (std::vector<std::string>{ "listed left", "removed left" }));
+}
+
+// Guards against an entry that never serves because the store has gone after its first list.
+TEST_F(KindFollowerTest, StaleFirstListIsUsedWhenTheStoreHasGone)
+{
+    set("t1", 1);
+    m_follower = std::make_unique<KindFollower>(
+            m_loop, m_store, m_health, "servers",
+            KindFollower::Handlers{
+                    [this](const std::vector<Platform::StoredItem> &) { ++m_snapshots; },
+                    [](const std::vector<Platform::StoredChange> &) {} },
+            1, FollowOptions{ milliseconds(100), true, false });
+    m_follower->setSource(ChangeSource::Undecided);
+    m_follower->start();
+    runUntil([this] { return m_follower->isListed(); });
+    m_standIn.control({ { "outage", true }, { "outageKind", "refused" } });
+    EXPECT_EQ(m_snapshots, 0);
+    runUntil([this] { return m_snapshots == 1; });
+}
+
 // Guards against stale data that undoes what is known, and against watches without pause while the
 // store answers them at once.
 TEST_F(KindFollowerTest, StaleDataIsNotTaken)
--- a/Tests/gateway/RoutedRequestTest.cpp
+++ b/Tests/gateway/RoutedRequestTest.cpp
@@ -221,6 +221,20 @@
     EXPECT_GE(m_loop.now() - sent, milliseconds(110));
 }
 
+// Guards against work for a caller whose time is over, as after a pause of this process: it is
+// refused at once and reaches no target.
+TEST_F(RoutedRequestTest, RequestWithoutTimeReachesNoTarget)
+{
+    adoptTable();
+    addTarget("t1", answering(answer(200, sealed(), "late")));
+    for (const char *left : { "0", "-4000" }) {
+        HttpRequest request = callerRequest("POST", "/pay/1", "a1");
+        request.headers.set("Request-Deadline", left);
+        EXPECT_EQ(send(request).status(), 503);
+    }
+    EXPECT_TRUE(m_arrivals.empty());
+}
+
 // Guards against work that goes on for a caller who has left.
 TEST_F(RoutedRequestTest, CallerWhoLeavesCancelsItsRequest)
 {
