Gateway: Begin to watch later at a first start, and spare neighbours calls for what they have not missed

Watchers whose stale list was newer than a neighbour's could not tell that nothing had changed in between: 253 calls (news-missing). Change: watchers begin after 2.5 s, others decide after 5 s; a list with as many objects and none newer proves that nothing was missed. Test: ChangeLogTest.ListsThatDifferInNothingNeedNoHistory.

--- a/Source/gateway/ChangeLog.cpp
+++ b/Source/gateway/ChangeLog.cpp
@@ -2,8 +2,9 @@
 
 namespace Tarragon {
 
-void ChangeLog::begin(std::uint64_t revision)
+void ChangeLog::begin(std::uint64_t revision, const std::optional<ListedState> &list)
 {
+    m_list = list.has_value() && list->revision == revision ? list : std::nullopt;
     m_pages.clear();
     m_changes = 0;
     m_first = revision;
@@ -23,14 +24,19 @@
     m_changes += page.changes.size();
     while (m_changes > MaxChanges) {
         m_first = m_pages.front().revision;
+        m_list.reset();
         m_changes -= m_pages.front().changes.size();
         m_pages.pop_front();
     }
 }
 
-std::optional<Platform::ChangePage> ChangeLog::since(std::uint64_t revision) const
+std::optional<Platform::ChangePage> ChangeLog::since(std::uint64_t revision,
+                                                     const std::optional<std::size_t> &listed) const
 {
-    if (m_first == 0 || revision < m_first) {
+    // Nothing was made or changed in between, and so many objects mean that none was removed.
+    const bool hasMissedNothing = m_list.has_value() && listed.has_value()
+                                  && m_list->newest <= revision && m_list->count == *listed;
+    if (m_first == 0 || (revision < m_first && !hasMissedNothing)) {
         return std::nullopt;
     }
     Platform::ChangePage result;
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -97,7 +97,11 @@
     m_wasListed = true;
     m_isListed = true;
     m_revision = m_listed.revision;
-    m_log.begin(m_revision);
+    m_list = ListedState{ m_revision, m_listed.items.size(), 0 };
+    for (const Platform::StoredItem &it : m_listed.items) {
+        m_list.newest = std::max(m_list.newest, it.revision);
+    }
+    m_log.begin(m_revision, m_list);
     m_unconfirmed = std::exchange(m_listed, {}).items;
     if (mayBeStale) {
         m_confirmTimer = m_loop.schedule(ConfirmTime, [this] { confirm(); });
@@ -135,11 +139,16 @@
     m_timer.reset();
     if (source == ChangeSource::Store) {
         // Nobody knows what came before.
-        m_log.begin(m_revision);
+        m_log.begin(m_revision, m_list);
         watch();
     }
 }
 
+std::optional<ListedState> KindFollower::unchangedList() const
+{
+    return m_isListed && m_revision == m_list.revision ? std::optional(m_list) : std::nullopt;
+}
+
 void KindFollower::takeNews(const Platform::ChangePage &page)
 {
     if (!m_isListed || m_source == ChangeSource::Store) {
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -61,6 +61,8 @@
     bool isListed() const { return m_isListed; }
     /// Revision up to which a listed kind is known.
     std::uint64_t revision() const { return m_revision; }
+    /// The last list, while nothing has changed since.
+    std::optional<ListedState> unchangedList() const;
     ChangeSource source() const { return m_source; }
     /// Takes changes from elsewhere from now on. Without a call it is the store.
     void setSource(ChangeSource source);
@@ -108,6 +110,7 @@
     std::uint64_t m_revision = 0;
     bool m_hasSnapshot = false;
     bool m_isListed = false;
+    ListedState m_list;
     /// Whether any list has been read.
     bool m_wasListed = false;
     /// A first list that may be stale and is held until newer data has come.
--- a/Source/gateway/StoreRelay.cpp
+++ b/Source/gateway/StoreRelay.cpp
@@ -30,10 +30,13 @@
 constexpr milliseconds FailureMemory{ 2'000 };
 /// Answers in a row after which an entry that watches the store relies on watchers again.
 constexpr int AnswersToTrust = 3;
-/// Time to hear from a watcher after a start, and after the first start of all entries, which
-/// register within about a second.
+/// Time to hear from a watcher after a start.
 constexpr milliseconds DecisionTime{ 700 };
-constexpr milliseconds FirstDecisionTime{ 2'000 };
+/// The same at the first start of all entries. Their records are known after about two seconds, as
+/// lists of them are stale and changes come in batches of a second; callers come after eight.
+constexpr milliseconds FirstDecisionTime{ 5'000 };
+/// Time from the first start of all entries until the watchers begin.
+constexpr milliseconds FirstWatchTime{ 2'500 };
 /// Longest news of a kind. Longer ones would fill the link of a watcher that all neighbours ask.
 constexpr std::size_t MaxNewsBytes = 65'536;
 /// A watcher whose way to the store is cut makes its neighbours late, so that it looks more often
@@ -125,6 +128,7 @@
     , m_health(health)
     , m_store(store)
     , m_exchange(exchange)
+    , m_watchFrom(loop.now() + (isFirstStart ? FirstWatchTime : milliseconds(0)))
     , m_decideBy(loop.now() + (isFirstStart ? FirstDecisionTime : DecisionTime))
 {}
 
@@ -149,9 +153,7 @@
     const bool isWatcher =
             std::find(watchers.begin(), watchers.end(), m_roster.self().instance) != watchers.end();
     if (m_roster.domainSize() < LeastDomainSize || isWatcher) {
-        const bool isEarly = m_source == ChangeSource::Undecided && now < m_decideBy
-                             && m_decideBy - now > DecisionTime;
-        if (!isEarly) {
+        if (now >= m_watchFrom) {
             setSource(ChangeSource::Store);
             checkPath();
         }
@@ -193,6 +195,9 @@
                 for (unsigned int i = 0; i < positions.size(); ++i) {
                     positions[i].setKind(listed[i]->kind());
                     positions[i].setRevision(listed[i]->revision());
+                    if (const std::optional<ListedState> list = listed[i]->unchangedList()) {
+                        positions[i].initList().setCount(list->count);
+                    }
                 }
             },
             [this, watcher](PeerOutcome outcome,
@@ -236,6 +241,10 @@
         return;
     }
     if (news.getCoverage() != PeerRpc::NewsCoverage::COMPLETE) {
+        LOG4CPLUS_INFO(logger(), LogLine("store", "news-missing")
+                                         .add("kind", follower->kind())
+                                         .add("revision", follower->revision())
+                                         .text());
         follower->readOnce();
         return;
     }
@@ -287,10 +296,15 @@
     const capnp::List<PeerRpc::KindPosition>::Reader positions = question.getPositions();
     capnp::List<PeerRpc::KindNews>::Builder news = answer.initNews(positions.size());
     for (unsigned int i = 0; i < positions.size(); ++i) {
-        news[i].setKind(positions[i].getKind());
-        const KindFollower *follower = find(positions[i].getKind());
-        fillNews(news[i], follower == nullptr ? std::nullopt
-                                              : follower->log().since(positions[i].getRevision()));
+        const PeerRpc::KindPosition::Reader position = positions[i];
+        news[i].setKind(position.getKind());
+        const std::optional<std::size_t> listed =
+                position.hasList() ? std::optional<std::size_t>(position.getList().getCount())
+                                   : std::nullopt;
+        const KindFollower *follower = find(position.getKind());
+        fillNews(news[i], follower == nullptr
+                                  ? std::nullopt
+                                  : follower->log().since(position.getRevision(), listed));
     }
 }
 
--- a/Source/gateway/StoreRelay.h
+++ b/Source/gateway/StoreRelay.h
@@ -56,6 +56,9 @@
     RosterExchange &m_exchange;
     std::vector<KindFollower *> m_followers;
     ChangeSource m_source = ChangeSource::Undecided;
+    /// Before this time the entry does not watch the store, as it may turn out not to be a watcher.
+    MonotonicTime m_watchFrom;
+    /// From this time on the entry watches the store unless a watcher answers.
     MonotonicTime m_decideBy;
     /// When a watcher last answered.
     std::optional<MonotonicTime> m_heardAt;
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -248,6 +248,12 @@
   # How far the sender knows the objects of a kind of the platform's store.
   kind @0 :Text;
   revision @1 :UInt64;
+  # Objects that a list of exactly this revision had. Null if changes have come since.
+  list @2 :ListedObjects;
+}
+
+struct ListedObjects {
+  count @0 :UInt64;
 }
 
 struct StoredChange {
--- a/Source/peer/Peer.capnp.c++
+++ b/Source/peer/Peer.capnp.c++
@@ -2618,38 +2618,45 @@
   0, 4, i_c6d31389b912fe9f, nullptr, nullptr, { &s_c6d31389b912fe9f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_eb3d17be999b58af = {
+static const ::capnp::_::AlignedData<63> b_eb3d17be999b58af = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     175,  88, 155, 153, 190,  23,  61, 235,
      11,   0,   0,   0,   1,   0,   1,   0,
      99,  78,  15, 169, 229, 194, 209, 183,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  75, 105, 110, 100,  80,
     111, 115, 105, 116, 105, 111, 110,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  42,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  74,   0,   0,   0,
+     73,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
     107, 105, 110, 100,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2665,16 +2672,71 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 105, 115, 116,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    138,  11,  43,  45, 215,  40, 138, 255,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_eb3d17be999b58af = b_eb3d17be999b58af.words;
 #if !CAPNP_LITE
-static const uint16_t m_eb3d17be999b58af[] = {0, 1};
-static const uint16_t i_eb3d17be999b58af[] = {0, 1};
+static const ::capnp::_::RawSchema* const d_eb3d17be999b58af[] = {
+  &s_ff8a28d72d2b0b8a,
+};
+static const uint16_t m_eb3d17be999b58af[] = {0, 2, 1};
+static const uint16_t i_eb3d17be999b58af[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_eb3d17be999b58af = {
-  0xeb3d17be999b58af, b_eb3d17be999b58af.words, 48, nullptr, m_eb3d17be999b58af,
-  0, 2, i_eb3d17be999b58af, nullptr, nullptr, { &s_eb3d17be999b58af, nullptr, nullptr, 0, 0, nullptr }
+  0xeb3d17be999b58af, b_eb3d17be999b58af.words, 63, d_eb3d17be999b58af, m_eb3d17be999b58af,
+  1, 3, i_eb3d17be999b58af, nullptr, nullptr, { &s_eb3d17be999b58af, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_ff8a28d72d2b0b8a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    138,  11,  43,  45, 215,  40, 138, 255,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     99,  78,  15, 169, 229, 194, 209, 183,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  76, 105, 115, 116, 101,
+    100,  79,  98, 106, 101,  99, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+     99, 111, 117, 110, 116,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ff8a28d72d2b0b8a = b_ff8a28d72d2b0b8a.words;
+#if !CAPNP_LITE
+static const uint16_t m_ff8a28d72d2b0b8a[] = {0};
+static const uint16_t i_ff8a28d72d2b0b8a[] = {0};
+const ::capnp::_::RawSchema s_ff8a28d72d2b0b8a = {
+  0xff8a28d72d2b0b8a, b_ff8a28d72d2b0b8a.words, 33, nullptr, m_ff8a28d72d2b0b8a,
+  0, 1, i_ff8a28d72d2b0b8a, nullptr, nullptr, { &s_ff8a28d72d2b0b8a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<78> b_f0da5c42e69e447f = {
@@ -4259,6 +4321,14 @@
 constexpr ::capnp::_::RawSchema const* KindPosition::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ListedObjects
+constexpr uint16_t ListedObjects::_capnpPrivate::dataWordSize;
+constexpr uint16_t ListedObjects::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ListedObjects::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ListedObjects::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // StoredChange
 constexpr uint16_t StoredChange::_capnpPrivate::dataWordSize;
 constexpr uint16_t StoredChange::_capnpPrivate::pointerCount;
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -81,6 +81,7 @@
 CAPNP_DECLARE_SCHEMA(92c29e225453fa85);
 CAPNP_DECLARE_SCHEMA(c6d31389b912fe9f);
 CAPNP_DECLARE_SCHEMA(eb3d17be999b58af);
+CAPNP_DECLARE_SCHEMA(ff8a28d72d2b0b8a);
 CAPNP_DECLARE_SCHEMA(f0da5c42e69e447f);
 CAPNP_DECLARE_SCHEMA(d2384c7fdc78cfce);
 enum class NewsCoverage_d2384c7fdc78cfce: uint16_t {
@@ -489,7 +490,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eb3d17be999b58af, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(eb3d17be999b58af, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ListedObjects {
+  ListedObjects() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ff8a28d72d2b0b8a, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3381,6 +3397,9 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline bool hasList() const;
+  inline  ::Tarragon::PeerRpc::ListedObjects::Reader getList() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3419,6 +3438,13 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline bool hasList();
+  inline  ::Tarragon::PeerRpc::ListedObjects::Builder getList();
+  inline void setList( ::Tarragon::PeerRpc::ListedObjects::Reader value);
+  inline  ::Tarragon::PeerRpc::ListedObjects::Builder initList();
+  inline void adoptList(::capnp::Orphan< ::Tarragon::PeerRpc::ListedObjects>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::ListedObjects> disownList();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3437,6 +3463,83 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Tarragon::PeerRpc::ListedObjects::Pipeline getList();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ListedObjects::Reader {
+public:
+  typedef ListedObjects Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ListedObjects::Builder {
+public:
+  typedef ListedObjects Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCount();
+  inline void setCount( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ListedObjects::Pipeline {
+public:
+  typedef ListedObjects Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8364,6 +8467,59 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool KindPosition::Reader::hasList() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KindPosition::Builder::hasList() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::ListedObjects::Reader KindPosition::Reader::getList() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ListedObjects>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::ListedObjects::Builder KindPosition::Builder::getList() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ListedObjects>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::ListedObjects::Pipeline KindPosition::Pipeline::getList() {
+  return  ::Tarragon::PeerRpc::ListedObjects::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void KindPosition::Builder::setList( ::Tarragon::PeerRpc::ListedObjects::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ListedObjects>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::ListedObjects::Builder KindPosition::Builder::initList() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ListedObjects>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void KindPosition::Builder::adoptList(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::ListedObjects>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ListedObjects>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::ListedObjects> KindPosition::Builder::disownList() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::ListedObjects>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ListedObjects::Reader::getCount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ListedObjects::Builder::getCount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ListedObjects::Builder::setCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoredChange::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Tests/gateway/ChangeLogTest.cpp
+++ b/Tests/gateway/ChangeLogTest.cpp
@@ -51,5 +51,22 @@
     EXPECT_EQ(log.since(100)->changes.size(), ChangeLog::MaxChanges);
 }
 
+// Guards against calls to the store by neighbours who listed a little earlier and missed nothing,
+// and against missing what was made, changed or removed in between.
+TEST(ChangeLogTest, ListsThatDifferInNothingNeedNoHistory)
+{
+    ChangeLog log;
+    log.begin(30, ListedState{ 30, 5, 12 });
+    log.add(pageOf(40, 1));
+    ASSERT_TRUE(log.since(20, 5).has_value());
+    EXPECT_EQ(log.since(20, 5)->changes.size(), 1u);
+    EXPECT_FALSE(log.since(20).has_value()) << "it may have missed a removal";
+    EXPECT_FALSE(log.since(20, 6).has_value()) << "one was removed since";
+    EXPECT_FALSE(log.since(20, 4).has_value());
+    EXPECT_FALSE(log.since(11, 5).has_value()) << "one was made or changed at 12";
+    log.begin(50, ListedState{ 30, 5, 12 });
+    EXPECT_FALSE(log.since(20, 5).has_value()) << "the list is older than the log";
+}
+
 } // namespace
 } // namespace Tarragon
