Routing: Keep exchanges between failure domains few however large they are

Change: the entries of a domain together begin six exchanges with others in a round; the rest stays at home. Test: ExchangesBetweenDomainsDoNotGrowWithTheirEntries, 295 entries in virtual time: every entry is seen to live within 2.0 s, the limit is 3 s. Fails before: one exchange an entry.

--- a/Source/routing/EntryRoster.cpp
+++ b/Source/routing/EntryRoster.cpp
@@ -34,21 +34,25 @@
 std::vector<InstanceId> EntryRoster::beginRound()
 {
     ++m_beat;
-    std::vector<InstanceId> candidates;
-    candidates.reserve(m_members.size());
+    std::vector<InstanceId> neighbours;
+    std::vector<InstanceId> strangers;
     for (const auto &[id, member] : m_members) {
-        candidates.push_back(id);
+        (member.record.domain == m_self.domain ? neighbours : strangers).push_back(id);
     }
-    std::shuffle(candidates.begin(), candidates.end(), m_random);
-    const auto neighbour =
-            std::find_if(candidates.begin(), candidates.end(), [this](const InstanceId &id) {
-                return m_members.at(id).record.domain == m_self.domain;
-            });
-    if (neighbour != candidates.end()) {
-        std::iter_swap(candidates.begin(), neighbour);
+    std::shuffle(neighbours.begin(), neighbours.end(), m_random);
+    std::shuffle(strangers.begin(), strangers.end(), m_random);
+    // One of the own domain comes first; where there is none, all are of others.
+    const double share = m_options.domainExchanges / static_cast<double>(neighbours.size() + 1);
+    const bool goesFar = std::bernoulli_distribution(std::min(share, 1.0))(m_random);
+    const std::size_t near = goesFar ? 1 : m_options.fanOut;
+    std::vector<InstanceId> chosen(neighbours.begin(),
+                                   neighbours.begin()
+                                           + std::ptrdiff_t(std::min(near, neighbours.size())));
+    if (goesFar) {
+        const std::size_t far = std::min(strangers.size(), m_options.fanOut - chosen.size());
+        chosen.insert(chosen.end(), strangers.begin(), strangers.begin() + std::ptrdiff_t(far));
     }
-    candidates.resize(std::min(candidates.size(), m_options.fanOut));
-    return candidates;
+    return chosen;
 }
 
 std::vector<RosterItem> EntryRoster::items() const
--- a/Source/routing/EntryRoster.h
+++ b/Source/routing/EntryRoster.h
@@ -50,6 +50,10 @@
     microseconds silence{ 3'000'000 };
     /// Entries that one entry talks to in a round.
     std::size_t fanOut = 2;
+    /// Exchanges with other failure domains that all entries of a domain begin together in a round,
+    /// in the mean. Bytes between domains are priced and must not grow with the entries of a
+    /// domain.
+    double domainExchanges = 6;
 };
 
 /// Which entries live, learnt by gossip: every entry raises a beat of its own and exchanges what it
@@ -64,7 +68,7 @@
     /// Whether this entry takes callers.
     void setServing(bool isServing) { m_isServing = isServing; }
     /// Raises the own beat. Returns the entries to talk to in this round: one of the own failure
-    /// domain, as bytes between failure domains are priced, and others of any.
+    /// domain in each, and in some, the fewer the larger the domain, one of another.
     std::vector<InstanceId> beginRound();
     /// What to tell another entry.
     std::vector<RosterItem> items() const;
--- a/Tests/routing/EntryRosterTest.cpp
+++ b/Tests/routing/EntryRosterTest.cpp
@@ -21,7 +21,7 @@
     static constexpr double Round = 0.4;
     static constexpr int Domains = 6;
 
-    void makeFleet(int count)
+    void makeFleet(int count, const EntryRosterOptions &options = {})
     {
         for (int i = 0; i < count; ++i) {
             EntryRecord record;
@@ -33,7 +33,7 @@
             m_records.push_back(record);
         }
         for (int i = 0; i < count; ++i) {
-            m_fleet.push_back(std::make_unique<EntryRoster>(m_records[i], i + 1));
+            m_fleet.push_back(std::make_unique<EntryRoster>(m_records[i], i + 1, options));
             m_fleet.back()->setRecords(m_records);
             m_fleet.back()->setServing(true);
             m_up.push_back(true);
@@ -49,6 +49,7 @@
                 }
                 for (const InstanceId &it : m_fleet[i]->beginRound()) {
                     const std::size_t j = std::stoul(it.value().substr(1));
+                    m_farExchanges += m_records[i].domain == m_records[j].domain ? 0 : 1;
                     if (m_up[j]) {
                         m_fleet[j]->merge(m_fleet[i]->items(), at(time));
                         m_fleet[i]->merge(m_fleet[j]->items(), at(time));
@@ -61,6 +62,8 @@
     std::vector<EntryRecord> m_records;
     std::vector<std::unique_ptr<EntryRoster>> m_fleet;
     std::vector<bool> m_up;
+    /// Exchanges between failure domains.
+    int m_farExchanges = 0;
 };
 
 // Guards against lookups that name a dead entry longer than 6 s, in a small and a large fleet.
@@ -100,6 +103,27 @@
     }
 }
 
+// Guards against bytes between failure domains that grow with the entries of each, and against news
+// that comes round too slowly for it: entries must be seen to live well within the 3 s after which
+// they are not named.
+TEST_F(EntryRosterTest, ExchangesBetweenDomainsDoNotGrowWithTheirEntries)
+{
+    EntryRosterOptions options;
+    options.silence = milliseconds(2'000);
+    makeFleet(295, options);
+    run(0, 8);
+    m_farExchanges = 0;
+    constexpr int Rounds = 30;
+    for (int round = 0; round < Rounds; ++round) {
+        const double time = 8 + round * Round;
+        run(time, time + Round / 2);
+        for (const std::unique_ptr<EntryRoster> &it : m_fleet) {
+            ASSERT_EQ(it->liveCount(at(time)), m_fleet.size()) << "round " << round;
+        }
+    }
+    EXPECT_LT(m_farExchanges, Rounds * Domains * 7);
+}
+
 // Guards against callers sent to an entry that stops.
 TEST_F(EntryRosterTest, LeavingEntriesAreNotNamed)
 {
