--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -220,13 +220,11 @@
     }
     confirm();
     apply(page);
-    if (!page.changes.empty()) {
-        watchLater();
-    } else if (m_loop.now() - m_callBegan < std::min(m_watchTime, ShortestPause)) {
-        // It did not wait for changes.
-        watchLater();
-    } else {
+    const bool hasWaited = m_loop.now() - m_callBegan >= std::min(m_watchTime, ShortestPause);
+    if (page.changes.empty() && hasWaited) {
         watch();
+    } else {
+        watchLater();
     }
 }
 
--- a/Tests/net/PipeliningTest.cpp
+++ b/Tests/net/PipeliningTest.cpp
@@ -180,7 +180,9 @@
             }
             script.bytes += "0\r\n\r\n";
         }
-        script.expected.push_back("[POST " + path + " " + body + "]");
+        std::string seen = "[POST ";
+        seen.append(path).append(" ").append(body).append("]");
+        script.expected.push_back(seen);
     }
     return script;
 }
