Gateway: Let restarted entries confirm their first lists by the store

Change: but for the first start of all, a first list is confirmed by one call to the store at once, and entries that start together ask each other again although the first question failed. Test: RestartedEntryConfirmsItsListWithoutNeighbours.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -24,10 +24,10 @@
 constexpr milliseconds TickPeriod{ 100 };
 /// Targets change most often, many of them together. The pause is a fifth of the shortest time in
 /// which a leaving target must get nothing more, 2.5 s.
-constexpr FollowOptions TargetFollowing{ milliseconds(500), true, false };
-constexpr FollowOptions OperatorFollowing{ milliseconds(300), true, false };
+constexpr milliseconds TargetBatchTime{ 500 };
+constexpr milliseconds OperatorBatchTime{ 300 };
 /// Records of entries may be known late: who lives is learnt by gossip.
-constexpr FollowOptions EntryFollowing{ milliseconds(1'000), true, true };
+constexpr FollowOptions EntryFollowing{ milliseconds(1'000), true, true, false };
 /// Time that callers may keep a lookup's answer. Longer answers cost fewer lookups, shorter ones
 /// move callers away from an entry that stops.
 constexpr milliseconds LookupTtl{ 3'000 };
@@ -139,18 +139,21 @@
 
 void GatewayDaemon::followStore()
 {
+    const bool confirmsAtOnce = !m_settings.isFirstStart;
+    const FollowOptions targetFollowing{ TargetBatchTime, true, false, confirmsAtOnce };
+    const FollowOptions operatorFollowing{ OperatorBatchTime, true, false, confirmsAtOnce };
     m_routeFollower = follow(Platform::DesiredStateKind,
                              { sigc::mem_fun(*this, &GatewayDaemon::onRouteTables),
                                sigc::mem_fun(*this, &GatewayDaemon::onRouteTableChanges) },
-                             OperatorFollowing);
+                             operatorFollowing);
     m_targetFollower = follow(Platform::TargetKind,
                               { sigc::mem_fun(*this, &GatewayDaemon::onTargets),
                                 sigc::mem_fun(*this, &GatewayDaemon::onTargetChanges) },
-                              TargetFollowing);
+                              targetFollowing);
     m_evacuationFollower = follow(Platform::EvacuationKind,
                                   { sigc::mem_fun(*this, &GatewayDaemon::onEvacuations),
                                     sigc::mem_fun(*this, &GatewayDaemon::onEvacuationChanges) },
-                                  OperatorFollowing);
+                                  operatorFollowing);
     m_entryFollower = follow(Platform::EntryKind,
                              { sigc::mem_fun(m_registration, &EntryRegistration::onSnapshot),
                                sigc::mem_fun(m_registration, &EntryRegistration::onChanges) },
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -108,7 +108,11 @@
     } else {
         confirm();
     }
-    watch();
+    if (mayBeStale && m_options.confirmsAtOnce && m_source != ChangeSource::Store) {
+        readOnce();
+    } else {
+        watch();
+    }
 }
 
 void KindFollower::confirm()
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -33,6 +33,9 @@
     bool mayStartStale = false;
     /// Whether watches may return such data.
     bool mayWatchStale = false;
+    /// Whether a first list that may be stale is brought up to date by the store at once, whoever
+    /// tells of changes later. Entries that start again have callers waiting.
+    bool confirmsAtOnce = false;
 };
 
 /// Keeps up with the objects of one kind: lists them once and then watches, and lists again when
--- a/Source/gateway/StoreRelay.cpp
+++ b/Source/gateway/StoreRelay.cpp
@@ -174,7 +174,9 @@
     std::copy_if(watchers.begin(), watchers.end(), std::back_inserter(asked),
                  [this, now](const InstanceId &it) {
                      const auto failed = m_failedAt.find(it);
-                     return failed == m_failedAt.end() || now - failed->second > FailureMemory;
+                     // Entries that start together answer a little later.
+                     return m_source == ChangeSource::Undecided || failed == m_failedAt.end()
+                            || now - failed->second > FailureMemory;
                  });
     if (asked.empty()) {
         return;
--- a/Tests/gateway/KindFollowerTest.cpp
+++ b/Tests/gateway/KindFollowerTest.cpp
@@ -179,6 +179,26 @@
     EXPECT_EQ(seen, (std::vector<std::string>{ "listed left", "removed left" }));
 }
 
+// Guards against callers who are refused while a restarted entry waits for neighbours that start
+// themselves, as after a loss of power of all entries: 1,775 of 3,812 requests in two seconds.
+TEST_F(KindFollowerTest, RestartedEntryConfirmsItsListWithoutNeighbours)
+{
+    set("t1", 1);
+    m_follower = std::make_unique<KindFollower>(
+            m_loop, m_store, m_health, "servers",
+            KindFollower::Handlers{
+                    [this](const std::vector<Platform::StoredItem> &) { ++m_snapshots; },
+                    [](const std::vector<Platform::StoredChange> &) {} },
+            1, FollowOptions{ milliseconds(100), true, false, true });
+    m_follower->setSource(ChangeSource::Undecided);
+    const MonotonicTime began = m_loop.now();
+    m_follower->start();
+    runUntil([this] { return m_snapshots == 1; });
+    // A list that nobody confirms is held for two seconds.
+    EXPECT_LT(m_loop.now() - began, milliseconds(1'900));
+    EXPECT_EQ(m_follower->source(), ChangeSource::Undecided);
+}
+
 // Guards against an entry that never serves because the store has gone after its first list.
 TEST_F(KindFollowerTest, StaleFirstListIsUsedWhenTheStoreHasGone)
 {
