--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -28,8 +28,7 @@
     void dispatch();
     void send(const Placement &placement);
     void onDecided(TargetAttempt &attempt);
-    /// Whether the request may be sent once more after the attempt.
-    /// Whether to try another target; if not, notes the reason.
+    /// Whether to try another target after the attempt; if not, notes the reason.
     bool mayRetry(const TargetAttempt &attempt);
     void deliver(TargetAttempt &attempt);
     /// Ends with an answer of the target that was kept while another one was tried, if there is
@@ -63,11 +62,11 @@
     std::unique_ptr<TargetAttempt> m_attempt;
     /// An answer with a failure of the target, for the case that no other target does better.
     std::unique_ptr<TargetAttempt> m_fallback;
-    /// Time after which a refused caller was asked to return.
     /// The refusal of the last placement.
     std::optional<Placement> m_refusal;
     /// Why the last send was not followed by another one; empty if there was no such decision.
     std::string_view m_noRetry;
+    /// Time after which a refused caller was asked to return.
     milliseconds m_retryAfter{ 0 };
     std::vector<std::unique_ptr<TargetAttempt>> m_ended;
     Timer m_timer;
