--- a/Tests/gateway/KindFollowerTest.cpp
+++ b/Tests/gateway/KindFollowerTest.cpp
@@ -38,6 +38,19 @@
     {
         m_standIn.objects().put("servers", name, { { "x", value } });
     }
+    /// Makes the follower one of a single object whose first list may be stale, and which does not
+    /// know yet who tells it of changes.
+    void makeUndecidedFollower(bool confirmsAtOnce)
+    {
+        set("t1", 1);
+        m_follower = std::make_unique<KindFollower>(
+                m_loop, m_store, m_health, "servers",
+                KindFollower::Handlers{
+                        [this](const std::vector<Platform::StoredItem> &) { ++m_snapshots; },
+                        [](const std::vector<Platform::StoredChange> &) {} },
+                1, FollowOptions{ milliseconds(100), true, false, confirmsAtOnce });
+        m_follower->setSource(ChangeSource::Undecided);
+    }
     /// Writes through the store's API, so that watches are told.
     void write(const std::string &name, int value)
     {
@@ -183,14 +196,7 @@
 // themselves, as after a loss of power of all entries: 1,775 of 3,812 requests in two seconds.
 TEST_F(KindFollowerTest, RestartedEntryConfirmsItsListWithoutNeighbours)
 {
-    set("t1", 1);
-    m_follower = std::make_unique<KindFollower>(
-            m_loop, m_store, m_health, "servers",
-            KindFollower::Handlers{
-                    [this](const std::vector<Platform::StoredItem> &) { ++m_snapshots; },
-                    [](const std::vector<Platform::StoredChange> &) {} },
-            1, FollowOptions{ milliseconds(100), true, false, true });
-    m_follower->setSource(ChangeSource::Undecided);
+    makeUndecidedFollower(true);
     const MonotonicTime began = m_loop.now();
     m_follower->start();
     runUntil([this] { return m_snapshots == 1; });
@@ -202,14 +208,7 @@
 // Guards against an entry that never serves because the store has gone after its first list.
 TEST_F(KindFollowerTest, StaleFirstListIsUsedWhenTheStoreHasGone)
 {
-    set("t1", 1);
-    m_follower = std::make_unique<KindFollower>(
-            m_loop, m_store, m_health, "servers",
-            KindFollower::Handlers{
-                    [this](const std::vector<Platform::StoredItem> &) { ++m_snapshots; },
-                    [](const std::vector<Platform::StoredChange> &) {} },
-            1, FollowOptions{ milliseconds(100), true, false });
-    m_follower->setSource(ChangeSource::Undecided);
+    makeUndecidedFollower(false);
     m_follower->start();
     runUntil([this] { return m_follower->isListed(); });
     m_standIn.control({ { "outage", true }, { "outageKind", "refused" } });
