Net: Keep timers from calling back early

Cause: libevent counts a timer's delay from the begin of the loop's turn, by a clock that ticks in milliseconds. The same stood behind a deadline that was answered up to 1 ms too early, and a watch's wait.

Change: a timer that was called early is armed again for the rest.

Repeating timers are as before.

Conclusion: pauses and deadlines hold by the clock that the code reads.

--- a/Source/net/EventLoop.cpp
+++ b/Source/net/EventLoop.cpp
@@ -89,7 +89,7 @@
 
 Timer EventLoop::schedule(microseconds delay, sigc::slot<void()> callback)
 {
-    return Timer(std::make_unique<Timer::State>(m_base, delay, false, std::move(callback)));
+    return Timer(std::make_unique<Timer::State>(*this, delay, false, std::move(callback)));
 }
 
 void EventLoop::post(sigc::slot<void()> callback)
@@ -106,7 +106,7 @@
 
 Timer EventLoop::scheduleEvery(microseconds period, sigc::slot<void()> callback)
 {
-    return Timer(std::make_unique<Timer::State>(m_base, period, true, std::move(callback)));
+    return Timer(std::make_unique<Timer::State>(*this, period, true, std::move(callback)));
 }
 
 void EventLoop::onSignal(int signalNumber, sigc::slot<void()> callback)
--- a/Source/net/EventLoop.h
+++ b/Source/net/EventLoop.h
@@ -29,7 +29,8 @@
     /// Monotonic time now, with the time that the machine was suspended; not cached over an
     /// iteration, so that a pause shows at once.
     MonotonicTime now() const;
-    /// Calls the slot once after the delay, unless the returned timer is destroyed before.
+    /// Calls the slot once, no earlier than the delay from now, unless the returned timer is
+    /// destroyed before.
     Timer schedule(microseconds delay, sigc::slot<void()> callback);
     /// Calls the slot once at the next turn of the loop.
     void post(sigc::slot<void()> callback);
--- a/Source/net/Timer.cpp
+++ b/Source/net/Timer.cpp
@@ -14,29 +14,48 @@
 
 void onTimer(evutil_socket_t, short, void *arg)
 {
-    const std::shared_ptr<sigc::slot<void()>> callback = static_cast<Timer::State *>(arg)->callback;
-    guarded("timer", [&callback] { (*callback)(); });
+    static_cast<Timer::State *>(arg)->onTimeout();
+}
+
+/// Throws Error if libevent cannot arm the event.
+void arm(event *timerEvent, microseconds delay)
+{
+    const timeval tv = toTimeval(std::max(delay, microseconds(0)));
+    if (event_add(timerEvent, &tv) != 0) {
+        throw Error("libevent could not arm a timer");
+    }
 }
 
 } // namespace
 
-Timer::State::State(event_base *base, microseconds delay, bool repeats,
+Timer::State::State(const EventLoop &eventLoop, microseconds delay, bool repeats,
                     sigc::slot<void()> timerCallback)
-    : callback(std::make_shared<sigc::slot<void()>>(std::move(timerCallback)))
+    : loop(eventLoop)
+    , timerEvent(event_new(loop.base(), -1, short(repeats ? EV_PERSIST : 0), onTimer, this),
+                 event_free)
+    , callback(std::make_shared<sigc::slot<void()>>(std::move(timerCallback)))
 {
-    const timeval tv = toTimeval(std::max(delay, microseconds(0)));
-    timerEvent = event_new(base, -1, short(repeats ? EV_PERSIST : 0), onTimer, this);
-    if (timerEvent == nullptr || event_add(timerEvent, &tv) != 0) {
-        if (timerEvent != nullptr) {
-            event_free(timerEvent);
-        }
-        throw Error("libevent could not arm a timer");
+    if (timerEvent == nullptr) {
+        throw Error("libevent could not make a timer");
+    }
+    if (!repeats) {
+        due = loop.now() + delay;
     }
+    arm(timerEvent.get(), delay);
 }
 
-Timer::State::~State()
+Timer::State::~State() = default;
+
+void Timer::State::onTimeout()
 {
-    event_free(timerEvent);
+    // libevent counts from the begin of the loop's turn, by a clock that ticks in milliseconds.
+    const microseconds early = due.has_value() ? *due - loop.now() : microseconds(0);
+    if (early > microseconds(0)) {
+        guarded("timer", [this, early] { arm(timerEvent.get(), early); });
+        return;
+    }
+    const std::shared_ptr<sigc::slot<void()>> running = callback;
+    guarded("timer", [&running] { (*running)(); });
 }
 
 Timer::Timer() = default;
@@ -56,7 +75,7 @@
 
 bool Timer::isActive() const
 {
-    return m_state != nullptr && event_pending(m_state->timerEvent, EV_TIMEOUT, nullptr) != 0;
+    return m_state != nullptr && event_pending(m_state->timerEvent.get(), EV_TIMEOUT, nullptr) != 0;
 }
 
 } // namespace Tarragon
--- a/Source/net/TimerState.h
+++ b/Source/net/TimerState.h
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "base/Units.h"
+#include "net/EventLoop.h"
 #include "net/Timer.h"
 
 #include <sigc++/sigc++.h>
 
 #include <memory>
+#include <optional>
 
 struct event;
-struct event_base;
 
 namespace Tarragon {
 
@@ -16,12 +17,18 @@
 struct Timer::State
 {
     /// Arms the event. Throws Error if libevent cannot.
-    State(event_base *base, microseconds delay, bool repeats, sigc::slot<void()> callback);
+    State(const EventLoop &loop, microseconds delay, bool repeats, sigc::slot<void()> callback);
     ~State();
     State(const State &) = delete;
     State &operator=(const State &) = delete;
 
-    event *timerEvent = nullptr;
+    /// Calls back, or arms the event again if libevent was early.
+    void onTimeout();
+
+    const EventLoop &loop;
+    const std::unique_ptr<event, void (*)(event *)> timerEvent;
+    /// Time before which the callback must not run; unset if it repeats.
+    std::optional<MonotonicTime> due;
     /// Shared, so that a callback may destroy its own timer while it runs.
     std::shared_ptr<sigc::slot<void()>> callback;
 };
