Net: Answer what has begun to arrive before a planned stop ends

Cause: a gateway ended as soon as no exchange was in progress. Requests that were half read, had arrived and not been read, or waited in the kernel to be accepted when the listener closed, ended in a reset.

Change: the listener closes once nobody waits to be accepted, and both roles end when the server is quiet: no exchange, no begun request, no arrived byte, no connection younger than the time of its first bytes. The margin before the end of the grace time bounds it as before.

Conclusion: a connection that comes between the last accept and the close, microseconds, is reset still.

--- a/Source/entry/Daemon.cpp
+++ b/Source/entry/Daemon.cpp
@@ -249,7 +249,7 @@
         m_drain.leave(now, m_shutdownDeadline);
         m_server->stopListening();
     }
-    if (m_drain.phase() == DrainPhase::Finished) {
+    if (m_drain.phase() == DrainPhase::Finished && m_server->isQuiet()) {
         LOG4CPLUS_INFO(logger(), "Finished all work.");
         m_rpc.stop();
         return;
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -426,10 +426,11 @@
         return;
     }
     m_front->stopListening();
-    const std::size_t inProgress = m_front->exchangesInProgress();
-    if (inProgress == 0 || age >= grace - StopMargin) {
-        LOG4CPLUS_INFO(logger(),
-                       LogLine("gateway", "stopped").add("inProgress", inProgress).text());
+    if (m_front->isQuiet() || age >= grace - StopMargin) {
+        LOG4CPLUS_INFO(logger(), LogLine("gateway", "stopped")
+                                         .add("inProgress", m_front->exchangesInProgress())
+                                         .add("quiet", m_front->isQuiet())
+                                         .text());
         m_rpc.stop();
     }
 }
--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -9,11 +9,13 @@
 #include <event2/http.h>
 #include <event2/listener.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace Tarragon {
@@ -27,6 +29,9 @@
                                        | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS
                                        | EVHTTP_REQ_PATCH;
 
+/// Time in which a closing listener goes on accepting while connections come without a pause.
+constexpr milliseconds LastAcceptTime{ 200 };
+
 /// Slack of evhttp's own limits above those that are checked before evhttp sees the input.
 constexpr ev_ssize_t LimitSlackBytes = 1024;
 
@@ -144,6 +149,35 @@
     port = bound.port();
 }
 
+void HttpServer::State::stopListening()
+{
+    if (listening) {
+        listening = false;
+        closeListenerBy = loop.now() + LastAcceptTime;
+        closeListener();
+    }
+}
+
+void HttpServer::State::closeListener()
+{
+    // The kernel resets connections that wait when their listener is closed.
+    pollfd waiting{ evhttp_bound_socket_get_fd(listener), POLLIN, 0 };
+    if (poll(&waiting, 1, 0) > 0 && loop.now() < closeListenerBy) {
+        closeTimer = loop.schedule(microseconds(0), [this] { closeListener(); });
+        return;
+    }
+    evhttp_del_accept_socket(http, listener);
+    listener = nullptr;
+}
+
+bool HttpServer::State::isQuiet() const
+{
+    const MonotonicTime now = loop.now();
+    return listener == nullptr
+           && std::none_of(connections.begin(), connections.end(),
+                           [now](const auto &it) { return it.first->owesAnswer(now); });
+}
+
 HttpServer::HttpServer(EventLoop &loop, const std::string &address, std::uint16_t port,
                        const HttpServerLimits &limits, Handler handler)
     : m_state(std::make_shared<State>(loop, limits, std::move(handler)))
@@ -170,11 +204,17 @@
 
 void HttpServer::stopListening()
 {
-    if (m_state->listening) {
-        m_state->listening = false;
-        evhttp_del_accept_socket(m_state->http, m_state->listener);
-        m_state->listener = nullptr;
-    }
+    m_state->stopListening();
+}
+
+bool HttpServer::isQuiet() const
+{
+    return m_state->isQuiet();
+}
+
+std::size_t HttpServer::connectionCount() const
+{
+    return m_state->connections.size();
 }
 
 std::size_t HttpServer::exchangesInProgress() const
--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -34,9 +34,15 @@
     /// Has callers leave with their next answer, which carries "Connection: close", while new
     /// connections are still accepted.
     void closeAfterResponses();
-    /// Stops accepting connections; running exchanges go on, and their answers carry
-    /// "Connection: close".
+    /// Stops accepting connections, once those that wait already have been accepted; running
+    /// exchanges go on, and their answers carry "Connection: close".
     void stopListening();
+    /// Whether ending the server cuts off nobody: it accepts no connections, no exchange is in
+    /// progress, no request has begun to arrive, and no connection is so new that its first request
+    /// may be on its way.
+    bool isQuiet() const;
+    /// Connections that callers have open.
+    std::size_t connectionCount() const;
     /// Number of exchanges that have not ended.
     std::size_t exchangesInProgress() const;
 
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -28,6 +28,10 @@
 /// destroy the error on its way.
 constexpr seconds LingerTime{ 2 };
 
+/// Time after its acceptance in which a connection's first bytes are expected. A round trip takes
+/// 50 ms at most between regions; a lost segment is sent again after 200 ms, then 400 ms.
+constexpr milliseconds FirstRequestTime{ 800 };
+
 std::string_view reasonPhrase(int status)
 {
     switch (status) {
@@ -52,6 +56,7 @@
 
 HttpServerConnection::HttpServerConnection(HttpServer::State &server)
     : m_server(&server)
+    , m_accepted(server.loop.now())
 {
     // Without the option evhttp closes the socket before libevent has removed its events, and the
     // removal could hit a new connection with the same descriptor.
@@ -304,6 +309,33 @@
     return m_server == nullptr || !m_server->listening || m_server->closesAfterResponses;
 }
 
+bool HttpServerConnection::owesAnswer(MonotonicTime now) const
+{
+    switch (m_phase) {
+    case Phase::Head:
+        break;
+    case Phase::Body:
+    case Phase::ChunkedBody:
+    case Phase::Exchange:
+    case Phase::Rejected:
+        return true;
+    case Phase::Closed:
+        return false;
+    }
+    if (m_scanned > 0) {
+        return now - m_headStart <= m_server->limits.headerTimeout;
+    }
+    const bool isNew = !m_hasAnswered && now - m_accepted < FirstRequestTime;
+    return isNew || evbuffer_get_length(m_unread) > 0 || hasUnreadInput();
+}
+
+bool HttpServerConnection::hasUnreadInput() const
+{
+    char ch = 0;
+    return evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) > 0
+           || recv(bufferevent_getfd(m_bufferEvent), &ch, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void HttpServerConnection::onResponseWritten(evhttp_request *, void *arg)
 {
     HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
@@ -312,6 +344,7 @@
         self->exchange = nullptr;
     }
     self->endCount();
+    self->m_hasAnswered = true;
     self->m_phase = Phase::Head;
     self->m_scanned = 0;
     self->waitForRequests();
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -40,6 +40,9 @@
     void reset();
     /// Whether the connection is to be closed after its response.
     bool isServerLeaving() const;
+    /// Whether a request has begun to arrive, or may be about to on a new connection, and has not
+    /// been answered.
+    bool owesAnswer(MonotonicTime now) const;
     /// Lets the idle time count only while the peer does not read, until the response is written.
     void disableIdleTimeout();
     /// Lets the server's present idle time count.
@@ -86,6 +89,7 @@
     void reject(int status, std::string_view reason);
     void closeNow();
     void endCount();
+    bool hasUnreadInput() const;
 
     HttpServer::State *m_server;
     bufferevent *m_bufferEvent = nullptr;
@@ -100,6 +104,8 @@
     /// what passToEvhttp() has moved.
     evbuffer *m_unread = nullptr;
     Phase m_phase = Phase::Head;
+    MonotonicTime m_accepted;
+    bool m_hasAnswered = false;
     /// Unread bytes in which no end of the head was found.
     std::size_t m_scanned = 0;
     MonotonicTime m_headStart;
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -25,6 +25,10 @@
 
     void listen(const std::string &address, std::uint16_t port);
     void setLimits(const HttpServerLimits &newLimits);
+    void stopListening();
+    /// Closes the listener as soon as no connection waits to be accepted.
+    void closeListener();
+    bool isQuiet() const;
     void attachNewConnections();
     void remove(HttpServerConnection *connection);
 
@@ -37,6 +41,8 @@
     evhttp_bound_socket *listener = nullptr;
     std::uint16_t port = 0;
     bool listening = false;
+    MonotonicTime closeListenerBy;
+    Timer closeTimer;
     bool closesAfterResponses = false;
     std::size_t exchangesInProgress = 0;
     std::unordered_map<HttpServerConnection *, std::shared_ptr<HttpServerConnection>> connections;
--- /dev/null
+++ b/Tests/Support/PromptCaller.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Tarragon {
+
+/// A caller whose bytes are in the server's socket as soon as send() returns, so that a test
+/// decides between which two turns of the server's loop they arrive.
+class PromptCaller
+{
+public:
+    explicit PromptCaller(std::uint16_t port)
+        : m_fd(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(connect(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+    }
+    ~PromptCaller() { close(m_fd); }
+    PromptCaller(const PromptCaller &) = delete;
+    PromptCaller &operator=(const PromptCaller &) = delete;
+
+    void send(std::string_view data)
+    {
+        EXPECT_EQ(::send(m_fd, data.data(), data.size(), MSG_NOSIGNAL), ssize_t(data.size()));
+    }
+    /// Adds what has come to received(). Returns false once the server has closed or reset.
+    bool receive()
+    {
+        char buf[16'384];
+        const ssize_t n = recv(m_fd, buf, sizeof buf, MSG_DONTWAIT);
+        if (n > 0) {
+            m_received.append(buf, std::size_t(n));
+        }
+        m_isReset = m_isReset || (n < 0 && errno == ECONNRESET);
+        return n != 0 && !m_isReset;
+    }
+    const std::string &received() const { return m_received; }
+    /// Whether the server has reset the connection, as far as receive() has seen.
+    bool isReset() const { return m_isReset; }
+
+private:
+    int m_fd;
+    std::string m_received;
+    bool m_isReset = false;
+};
+
+} // namespace Tarragon
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -2,6 +2,7 @@
 
 #include "StandIns/platform/StandInStore.h"
 #include "Support/LoopTest.h"
+#include "Support/PromptCaller.h"
 
 #include <optional>
 
@@ -73,6 +74,18 @@
         runUntil([&result] { return result.has_value(); });
         return *result;
     }
+    static bool acceptsConnections(std::uint16_t port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        const bool isAccepted =
+                connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        close(fd);
+        return isAccepted;
+    }
     int readiness()
     {
         return ask(m_daemon->ports().readiness, "/tarragonstage/readiness").head.status;
@@ -120,6 +133,28 @@
     runUntil([this] { return m_standIn.objects().find("entries", "e1") == nullptr; });
 }
 
+// Guards against requests that are cut off because the process ends while it reads them.
+TEST_F(GatewayDaemonTest, LeavingEntryAnswersWhatHasBegunToArrive)
+{
+    const std::uint16_t port = m_daemon->ports().front;
+    PromptCaller caller(port);
+    caller.send("GET /x/1 HTTP/1.1\r\n");
+    m_daemon->leave();
+    bool isSent = false;
+    const Timer look = m_loop.scheduleEvery(milliseconds(2), [&] {
+        if (!isSent && !acceptsConnections(port)) {
+            caller.send("Host: a.example\r\n\r\n");
+            isSent = true;
+        }
+    });
+    // Ends by itself.
+    m_daemon->run();
+    EXPECT_TRUE(isSent);
+    EXPECT_FALSE(caller.receive() && caller.received().empty());
+    EXPECT_EQ(caller.received().substr(0, 9), "HTTP/1.1 ");
+    EXPECT_NE(caller.received().find("\r\n\r\n"), std::string::npos);
+}
+
 // Guards against an on-call engineer who cannot tell why a gateway refuses requests.
 TEST_F(GatewayDaemonTest, MetricsTellRefusalsAndTheAgeOfTheView)
 {
