Entry: Do not believe another request's answer

Cause: the role entry passed on whatever came on a kept connection to a target. A late copy of an answer reached the next caller, and a late copy of a refusal told a caller that a request had not run which the target had run.

Change: answers with another id are broken answers (may have run). Targets repeat the id; the connection of an answer without one is not used again.

Before: entry.RequestProxyTest.ALateCopyOfAnotherAnswerIsNotPassedOn and ConnectionsOfTargetsThatNameNoRequestAreNotKept fail. After: they pass. The stand-in target repeats ids, so that the demo keeps its connections.

--- a/Source/entry/ProxiedRequest.cpp
+++ b/Source/entry/ProxiedRequest.cpp
@@ -24,6 +24,9 @@
 /// Bodies of bookings up to this size are kept for later attempts.
 constexpr std::size_t MaxKeptBody = 64 * 1024;
 
+/// Characters of a foreign id that are shown.
+constexpr std::size_t MaxShownId = 80;
+
 /// A refusal's body is only passed on as text.
 constexpr std::size_t MaxRefusalBody = 4096;
 
@@ -328,6 +331,18 @@
 
 void ProxiedRequest::onHead(const HttpResponseHead &head)
 {
+    const std::optional<std::string> id = head.headers.find(RequestIdHeader);
+    if (id.has_value() && *id != m_head.requestId.value()) {
+        HttpFailure failure;
+        failure.stage = HttpStage::AwaitHeaders;
+        failure.reason = "answer to request \"" + id->substr(0, MaxShownId) + "\"";
+        onCallFailure(failure);
+        return;
+    }
+    if (!id.has_value()) {
+        // A late copy of this answer could not be told from the answer to a later request.
+        m_call->closeAfterResponse();
+    }
     const bool isTargetRefusal = !m_isForwarding && head.status == TargetRefusedStatus;
     const bool isEntryFailure = m_isForwarding && head.headers.find(ErrorHeader).has_value();
     if (isTargetRefusal || isEntryFailure) {
--- a/Source/net/HttpCall.cpp
+++ b/Source/net/HttpCall.cpp
@@ -60,4 +60,11 @@
     }
 }
 
+void HttpCall::closeAfterResponse()
+{
+    if (m_state->connection != nullptr) {
+        m_state->connection->closeAfterResponse();
+    }
+}
+
 } // namespace Tarragon
--- a/Source/net/HttpCall.h
+++ b/Source/net/HttpCall.h
@@ -19,6 +19,8 @@
     void pause();
     /// Reads on.
     void resume();
+    /// Has the connection closed after the response. To be called once the head has come.
+    void closeAfterResponse();
     /// For HttpClient.
     const std::shared_ptr<State> &state() const { return m_state; }
 
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -38,6 +38,8 @@
     void abandon();
     void pause();
     void resume();
+    /// Lets no other call use the connection. To be called once the head has come.
+    void closeAfterResponse() { m_reusable = false; }
     /// Waits for a next call for a limited time.
     void becomeIdle();
     /// Whether an idle connection can take a call: the peer has neither closed it nor sent
--- a/Tests/StandIns/target/TargetServer.cpp
+++ b/Tests/StandIns/target/TargetServer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace Tarragon {
@@ -23,6 +24,8 @@
     return value;
 }
 
+constexpr const char *RequestIdHeader = "Tarragon-Request-Id";
+
 HttpHeaders plainHeaders()
 {
     HttpHeaders headers;
@@ -30,6 +33,16 @@
     return headers;
 }
 
+/// The same for the answer to a request.
+HttpHeaders headersFor(const HttpExchange &exchange)
+{
+    HttpHeaders headers = plainHeaders();
+    if (const std::optional<std::string> id = exchange.headers().find(RequestIdHeader)) {
+        headers.set(RequestIdHeader, *id);
+    }
+    return headers;
+}
+
 /// The body that a request of the given id gets: its id in the first line, then filler. Callers
 /// compare it with what they received.
 std::string bodyStart(const std::string &requestId, std::size_t length)
@@ -81,7 +94,7 @@
         return;
     }
     if (m_behaviour.draining || m_running >= m_behaviour.slots) {
-        HttpHeaders headers = plainHeaders();
+        HttpHeaders headers = headersFor(*exchange);
         headers.set("Retry-After", "1");
         exchange->reply(429, headers, "no free slot\n");
         return;
@@ -130,7 +143,7 @@
     const std::shared_ptr<Run> run = std::make_shared<Run>();
     run->number = m_nextRun++;
     run->exchange = exchange;
-    run->requestId = exchange->headers().find("Tarragon-Request-Id").value_or("");
+    run->requestId = exchange->headers().find(RequestIdHeader).value_or("");
     const std::int64_t bytes = number(exchange->query("bytes"), 0);
     run->body =
             bodyStart(run->requestId, static_cast<std::size_t>(std::max<std::int64_t>(bytes, 0)));
@@ -158,7 +171,7 @@
             const bool unanswered = it->sent == 0;
             end(it, JournalEvent::Expire);
             if (unanswered) {
-                late->reply(504, plainHeaders(), "deadline passed\n");
+                late->reply(504, headersFor(*late), "deadline passed\n");
             } else {
                 late->abort();
             }
@@ -180,7 +193,7 @@
 
 void TargetServer::answer(const std::shared_ptr<Run> &run)
 {
-    HttpHeaders headers = plainHeaders();
+    HttpHeaders headers = headersFor(*run->exchange);
     headers.set("Content-Length", std::to_string(run->body.size()));
     run->exchange->startReply(200, headers);
     const std::weak_ptr<Run> weak = run;
--- a/Tests/entry/RequestProxyTest.cpp
+++ b/Tests/entry/RequestProxyTest.cpp
@@ -234,6 +234,60 @@
     EXPECT_EQ(result.header(VerdictHeader), "not-run");
 }
 
+// A target's answer that comes a second time, on a connection that is in use again, is the answer
+// to another request.
+TEST_F(RequestProxyTest, ALateCopyOfAnotherAnswerIsNotPassedOn)
+{
+    RawListener target(m_loop);
+    std::string id = "unset";
+    std::string status = "429 Too Many Requests";
+    int requests = 0;
+    target.accepted().connect([&](RawSocket &socket) {
+        socket.dataReceived().connect([&] {
+            ++requests;
+            socket.send("HTTP/1.1 " + status + "\r\nTarragon-Request-Id: " + id
+                        + "\r\nContent-Length: 0\r\n\r\n");
+        });
+    });
+    configure(target.port());
+    id = "first";
+    const CallResult first =
+            call("GET", "/s/catalog/parts", headersOf({ { RequestIdHeader, "first" } }));
+    EXPECT_EQ(first.header(VerdictHeader), "not-run");
+    const CallResult second =
+            call("GET", "/s/catalog/parts", headersOf({ { RequestIdHeader, "second" } }));
+    EXPECT_EQ(second.header(VerdictHeader), "may-have-run") << "the refusal was that of the first";
+    status = "200 OK";
+    const CallResult third =
+            call("GET", "/s/catalog/parts", headersOf({ { RequestIdHeader, "third" } }));
+    EXPECT_EQ(third.response->head.status, 502) << "the answer was that to the first";
+    EXPECT_GE(requests, 3);
+}
+
+// A target that does not repeat the id cannot be told from a late copy, so that its connections
+// serve one request each.
+TEST_F(RequestProxyTest, ConnectionsOfTargetsThatNameNoRequestAreNotKept)
+{
+    RawListener target(m_loop);
+    std::string id;
+    target.accepted().connect([&](RawSocket &socket) {
+        socket.dataReceived().connect(
+                [&] { socket.send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 2\r\n\r\nok"); });
+    });
+    configure(target.port());
+    const auto ask = [this] {
+        return call("GET", "/s/catalog/parts", headersOf({ { RequestIdHeader, "same" } }))
+                .response->head.status;
+    };
+    EXPECT_EQ(ask(), 200);
+    EXPECT_EQ(ask(), 200);
+    EXPECT_EQ(target.sockets().size(), 2u);
+    id = "Tarragon-Request-Id: same\r\n";
+    EXPECT_EQ(ask(), 200);
+    EXPECT_EQ(ask(), 200);
+    EXPECT_EQ(target.sockets().size(), 3u);
+}
+
 // An id that no lookup gave has no record anywhere and so can never be allowed to run.
 TEST_F(RequestProxyTest, ABookingWithoutASeedIsRefused)
 {
