Gateway: Do not wait on a store that has not taken a watch

When the watchers of a domain lose a silent store, their neighbours turn to it and begin with a watch of 30 s, which it does not take: edge-thess-c-18 learned nothing from 5.7 s to 22.3 s.

Change: turning to the store begins with a call that does not wait. Each waiting watch of an entry that follows the store is followed by one look whether the store takes calls. Watches from before a loss begin again.

Before: gateway.KindFollowerTest.TurningToASilentStoreDoesNotWaitForIt, WatchFromBeforeAnOutageIsBegunAgain and gateway.StoreRelayTest.WatchesBegunWhileTheStoreIsSilentAreNoticed fail. After: they pass; the tests of gateway pass.

--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -144,10 +144,17 @@
     if (source == ChangeSource::Store) {
         // Nobody knows what came before.
         m_log.begin(m_revision, m_list);
-        watch();
+        // The neighbours may be silent because the store is, and it may not take a call that waits.
+        callWatch(ShortestWatch);
     }
 }
 
+std::optional<MonotonicTime> KindFollower::watchBegan() const
+{
+    const bool waits = m_isListed && m_isCalling && m_watchTime == WatchTime;
+    return waits ? std::optional(m_callBegan) : std::nullopt;
+}
+
 std::optional<ListedState> KindFollower::unchangedList() const
 {
     return m_isListed && m_revision == m_list.revision ? std::optional(m_list) : std::nullopt;
@@ -263,6 +270,9 @@
 {
     if (m_isWaiting) {
         m_timer = m_loop.schedule(microseconds(0), [this] { next(); });
+    } else if (watchBegan().has_value()) {
+        // The store may not have taken the watch, or have lost it.
+        callWatch(ShortestWatch);
     }
 }
 
--- a/Source/gateway/KindFollower.h
+++ b/Source/gateway/KindFollower.h
@@ -73,6 +73,8 @@
     void takeNews(const Platform::ChangePage &page);
     /// Reads from the store, once, what neighbours cannot tell.
     void readOnce();
+    /// When the watch in progress was begun, if it is one that waits for changes.
+    std::optional<MonotonicTime> watchBegan() const;
     /// Gives up the watch in progress, because the way to the store is interrupted.
     void breakWatch(const std::string &reason);
     /// What watches of the store have brought.
--- a/Source/gateway/StoreRelay.cpp
+++ b/Source/gateway/StoreRelay.cpp
@@ -40,7 +40,8 @@
 /// Longest news of a kind. Longer ones would fill the link of a watcher that all neighbours ask.
 constexpr std::size_t MaxNewsBytes = 65'536;
 /// A watcher whose way to the store is cut makes its neighbours late, so that it looks more often
-/// than a silent watch would show; the calls are those that cost least.
+/// than a silent watch would show; the calls are those that cost least. An entry that nobody asks
+/// looks once for each watch that it begins.
 constexpr milliseconds PathCheckPeriod{ 1'000 };
 constexpr milliseconds PathCheckTimeout{ 800 };
 
@@ -164,6 +165,9 @@
         m_answers = 0;
         setSource(ChangeSource::Store);
     }
+    if (m_source == ChangeSource::Store) {
+        checkPath();
+    }
     ask(watchers);
 }
 
@@ -315,7 +319,13 @@
     const MonotonicTime now = m_loop.now();
     static constexpr seconds NeighbourMemory{ 3 };
     const bool isAsked = m_askedAt.has_value() && now - *m_askedAt < NeighbourMemory;
-    if (!isAsked || m_health.isLost() || now - m_pathCheckedAt < PathCheckPeriod) {
+    // A store that is silent for a moment does not take the watches that are begun then.
+    const bool hasNewWatch =
+            std::any_of(m_followers.begin(), m_followers.end(), [this](const KindFollower *it) {
+                return it->watchBegan() > m_pathCheckedAt;
+            });
+    if ((!isAsked && !hasNewWatch) || m_health.isLost()
+        || now - m_pathCheckedAt < PathCheckPeriod) {
         return;
     }
     m_pathCheckedAt = now;
--- a/Tests/gateway/KindFollowerTest.cpp
+++ b/Tests/gateway/KindFollowerTest.cpp
@@ -11,6 +11,9 @@
 class KindFollowerTest : public LoopTest
 {
 protected:
+    /// A delay of calls beyond every limit: the store takes calls and is silent about them.
+    static constexpr int NeverMs = 600'000;
+
     KindFollowerTest()
     {
         m_health.lost().connect([this](const std::string &) { ++m_losses; });
@@ -216,6 +219,39 @@
     runUntil([this] { return m_snapshots == 1; });
 }
 
+// Guards against an entry that turns to a store which is silent just then and waits for the whole
+// time of a watch that the store has never taken: 16 s behind, as seen on a hunted day
+// (docs/incidents).
+TEST_F(KindFollowerTest, TurningToASilentStoreDoesNotWaitForIt)
+{
+    set("t1", 1);
+    m_follower->setSource(ChangeSource::Neighbours);
+    m_follower->start();
+    runUntil([this] { return m_follower->hasSnapshot(); });
+    m_standIn.control({ { "effectDelayMs", NeverMs } });
+    m_follower->setSource(ChangeSource::Store);
+    runUntil([this] { return m_losses == 1; });
+    m_standIn.control({ { "effectDelayMs", 0 } });
+    m_standIn.objects().put("servers", "t2", { { "x", 2 } });
+    runUntil([this] { return m_items.contains("t2"); });
+}
+
+// Guards against a watch that an outage has swallowed and that would be waited for to its end,
+// because the outage showed in other calls only.
+TEST_F(KindFollowerTest, WatchFromBeforeAnOutageIsBegunAgain)
+{
+    set("t1", 1);
+    m_follower->start();
+    runUntil([this] { return m_follower->watchBegan().has_value(); });
+    m_standIn.control({ { "effectDelayMs", NeverMs } });
+    runFor(milliseconds(20));
+    m_standIn.control({ { "effectDelayMs", 0 } });
+    set("t2", 2);
+    m_health.onFailure("timed out", m_loop.now());
+    m_health.onSuccess(m_loop.now());
+    runUntil([this] { return m_items.contains("t2"); });
+}
+
 // Guards against stale data that undoes what is known, and against watches without pause while the
 // store answers them at once.
 TEST_F(KindFollowerTest, StaleDataIsNotTaken)
--- a/Tests/gateway/StoreRelayTest.cpp
+++ b/Tests/gateway/StoreRelayTest.cpp
@@ -254,6 +254,24 @@
     });
 }
 
+// Guards against an entry that hears nothing for the time of a watch, because it was begun while
+// the store was silent for a moment. Nobody relies on the entry, so that nobody asks it.
+TEST_F(StoreRelayTest, WatchesBegunWhileTheStoreIsSilentAreNoticed)
+{
+    start(1);
+    await([this] { return watching().size() == 1 && allKnow("t0", "ready"); });
+    set("t0", "draining");
+    await([this] { return allKnow("t0", "draining"); });
+    // The next watch begins within this time.
+    m_standIn.control({ { "effectDelayMs", 600000 } });
+    bool isOver = false;
+    const Timer pause = m_loop.schedule(milliseconds(1'500), [&isOver] { isOver = true; });
+    await([&isOver] { return isOver; });
+    m_standIn.control({ { "effectDelayMs", 0 } });
+    set("t0", "gone");
+    await([this] { return allKnow("t0", "gone"); });
+}
+
 // Guards against links of watchers that are filled by long objects which every neighbour wants.
 TEST_F(StoreRelayTest, LongObjectsAreReadFromTheStore)
 {
