Tests: Send mutated calls to a peer

400 mutations by a fixed seed of a recorded call, each on a connection of its own: none ends the process or disturbs another peer's calls.

--- a/Tests/Support/RawSocket.h
+++ b/Tests/Support/RawSocket.h
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <gtest/gtest.h>
 #include <sigc++/sigc++.h>
 
--- a/Tests/peer/PeerRpcTest.cpp
+++ b/Tests/peer/PeerRpcTest.cpp
@@ -1,13 +1,16 @@
+#include "Support/RawListener.h"
 #include "base/Error.h"
 #include "net/RpcRuntime.h"
 #include "net/SocketAddress.h"
 #include "peer/PeerClient.h"
 #include "peer/PeerServer.h"
+#include "peer/RegistryCodec.h"
 
 #include <gtest/gtest.h>
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace Tarragon {
@@ -41,6 +44,11 @@
                                 PeerRpc::Peer::FetchPlanResults::Builder) {
             throw Error("no plan");
         };
+        handlers.registry = [](capnp::List<PeerRpc::RegistryMessage>::Reader messages) {
+            for (const PeerRpc::RegistryMessage::Reader it : messages) {
+                static_cast<void>(readRegistryPayload(it));
+            }
+        };
         m_server = std::make_unique<PeerServer>(m_loop, "127.0.0.1", port, handlers);
         m_port = m_server->port();
     }
@@ -79,6 +87,56 @@
         return result;
     }
 
+    /// What a client sends on a new connection with a call.
+    std::string recordedCall()
+    {
+        RawListener listener(m_loop);
+        PeerClient client(m_loop, "127.0.0.1", listener.port(), 1);
+        client.connected().connect([this] { m_runtime.stop(); });
+        m_runtime.run();
+        client.call(
+                &PeerRpc::Peer::Client::registryRequest, CallTimeout,
+                [](PeerRpc::Peer::RegistryParams::Builder params) {
+                    const ClaimKey key{ InstanceId("e3"), Incarnation(77), 5 };
+                    capnp::List<PeerRpc::RegistryMessage>::Builder messages =
+                            params.initMessages(2);
+                    writeRegistryPayload(messages[0], ClaimRequest{ RequestId("a"), key, 2, true });
+                    writeRegistryPayload(messages[1],
+                                         OutcomeReport{ RequestId("a"), key, Verdict::Ran,
+                                                        FinishedResponse{ 201, {}, "body" } });
+                },
+                [](PeerOutcome, const PeerRpc::Peer::RegistryResults::Reader *) {});
+        const Timer look = m_loop.scheduleEvery(milliseconds(1), [this, &listener] {
+            if (!listener.sockets().empty()
+                && listener.sockets().front()->received().find("body") != std::string::npos) {
+                m_runtime.stop();
+            }
+        });
+        m_runtime.run();
+        return listener.sockets().front()->received();
+    }
+
+    /// Sends the bytes on a connection of their own and waits until the server has ended it.
+    void sendAndAwaitEnd(const std::string &bytes)
+    {
+        kj::Own<RpcStream> stream;
+        const RpcConnector connector(m_loop, "127.0.0.1", m_port, {}, 1,
+                                     [&](kj::Own<RpcStream> &made) {
+                                         stream = kj::mv(made);
+                                         m_runtime.stop();
+                                     });
+        m_runtime.run();
+        std::string answer(65'536, '\0');
+        // The server may send an abort message first, and may reset the connection.
+        kj::runCatchingExceptions([&] {
+            stream->write(bytes.data(), bytes.size()).wait(m_runtime.waitScope());
+            stream->shutdownWrite();
+            while (stream->tryRead(answer.data(), 1, answer.size()).wait(m_runtime.waitScope())
+                   > 0) {
+            }
+        });
+    }
+
     EventLoop m_loop;
     RpcRuntime m_runtime;
     Timer m_watchdog;
@@ -137,19 +195,33 @@
     serve();
     connect();
     const std::string garbage(4096, '\xff');
-    kj::Own<RpcStream> stream;
-    RpcConnector connector(m_loop, "127.0.0.1", m_port, {}, 1, [&](kj::Own<RpcStream> &made) {
-        stream = kj::mv(made);
-        m_runtime.stop();
-    });
-    m_runtime.run();
-    stream->write(garbage.data(), garbage.size()).wait(m_runtime.waitScope());
-    // The server may send an abort message first; then its end closes.
-    std::string answer(65536, '\0');
-    kj::runCatchingExceptions([&] {
-        while (stream->tryRead(answer.data(), 1, answer.size()).wait(m_runtime.waitScope()) > 0) {
+    sendAndAwaitEnd(garbage);
+    EXPECT_EQ(heartbeat(3).first, PeerOutcome::Done);
+    EXPECT_EQ(m_server->connections(), 1U);
+}
+
+// Guards against a process that one malformed message ends.
+TEST_F(PeerRpcTest, MutatedCallsCostTheirSendersTheConnectionOnly)
+{
+    static constexpr int Mutations = 400;
+    serve();
+    const std::string call = recordedCall();
+    connect();
+    std::mt19937 random(20261204);
+    const auto below = [&random](std::size_t n) { return random() % n; };
+    for (int i = 0; i < Mutations; ++i) {
+        std::string bytes = call;
+        for (std::size_t n = 1 + below(6); n > 0; --n) {
+            bytes[below(bytes.size())] = static_cast<char>(below(256));
         }
-    });
+        if (below(3) == 0) {
+            bytes.resize(below(bytes.size()));
+        }
+        if (below(4) == 0) {
+            bytes += call.substr(below(call.size()));
+        }
+        sendAndAwaitEnd(bytes);
+    }
     EXPECT_EQ(heartbeat(3).first, PeerOutcome::Done);
     EXPECT_EQ(m_server->connections(), 1U);
 }
