--- a/Source/gateway/StoreRelay.cpp
+++ b/Source/gateway/StoreRelay.cpp
@@ -44,7 +44,7 @@
 /// watchers so; with 64 KiB they filled links of 20 Mbit/s, and answers came too late to be used.
 constexpr std::size_t MaxNewsBytes = 24'576;
 /// Answers in which a neighbour catches up, 1.5 s; and while all targets register at the first
-/// start, when 295 gateways reading the store were a fifth of the calls of a quiet day.
+/// start, when a neighbour that is eight seconds behind makes no caller late.
 constexpr std::size_t MaxAnswers = 3;
 constexpr std::size_t FirstMaxAnswers = 16;
 /// A watcher whose way to the store is cut makes its neighbours late, so that it looks more often
