Gateway: Log changes only where they may be told

Read back: KindFollower logged, as JSON text, also what neighbours had told it, although the log begins anew whenever the entry turns to the store and answers only while it watches. It logs what watches bring, as its comment says. A stopping gateway asked twice whether it is quiet, and the relay's question looked twice for having nobody to ask; both once now.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -426,10 +426,11 @@
         return;
     }
     m_front->stopListening();
-    if (m_front->isQuiet() || age >= grace - StopMargin) {
+    const bool isQuiet = m_front->isQuiet();
+    if (isQuiet || age >= grace - StopMargin) {
         LOG4CPLUS_INFO(logger(), LogLine("gateway", "stopped")
                                          .add("inProgress", m_front->exchangesInProgress())
-                                         .add("quiet", m_front->isQuiet())
+                                         .add("quiet", isQuiet)
                                          .text());
         m_rpc.stop();
     }
--- a/Source/gateway/KindFollower.cpp
+++ b/Source/gateway/KindFollower.cpp
@@ -181,7 +181,9 @@
 void KindFollower::apply(const Platform::ChangePage &page)
 {
     m_revision = page.revision;
-    m_log.add(page);
+    if (m_source == ChangeSource::Store) {
+        m_log.add(page);
+    }
     if (m_unconfirmed.has_value()) {
         m_heldChanges.insert(m_heldChanges.end(), page.changes.begin(), page.changes.end());
     } else if (!page.changes.empty()) {
--- a/Source/gateway/StoreRelay.cpp
+++ b/Source/gateway/StoreRelay.cpp
@@ -168,6 +168,9 @@
 void StoreRelay::ask(const std::vector<InstanceId> &watchers)
 {
     const MonotonicTime now = m_loop.now();
+    if (watchers.empty()) {
+        return;
+    }
     std::vector<InstanceId> asked;
     std::copy_if(watchers.begin(), watchers.end(), std::back_inserter(asked),
                  [this, now](const InstanceId &it) {
@@ -180,9 +183,6 @@
         // One of them may be back sooner than the store would tell.
         asked = watchers;
     }
-    if (asked.empty()) {
-        return;
-    }
     const InstanceId watcher = asked[m_turn++ % asked.size()];
     PeerClient *client = m_exchange.client(watcher);
     if (client == nullptr) {
--- a/Tests/Support/PromptCaller.h
+++ b/Tests/Support/PromptCaller.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Support/LoopbackAddress.h"
+
 #include <gtest/gtest.h>
 
 #include <cerrno>
@@ -7,8 +9,6 @@
 #include <string>
 #include <string_view>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,11 +22,8 @@
     explicit PromptCaller(std::uint16_t port)
         : m_fd(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(connect(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+        const SocketAddress address = loopbackAddress(port);
+        EXPECT_EQ(connect(m_fd, address.data(), address.length), 0);
     }
     ~PromptCaller() { close(m_fd); }
     PromptCaller(const PromptCaller &) = delete;
--- a/Tests/Support/RawListener.h
+++ b/Tests/Support/RawListener.h
@@ -15,16 +15,13 @@
     explicit RawListener(const EventLoop &loop, int backlog = 128)
         : m_loop(&loop)
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        m_listener = evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE,
-                                             backlog, reinterpret_cast<const sockaddr *>(&address),
-                                             sizeof address);
-        socklen_t length = sizeof address;
-        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address),
-                    &length);
-        m_port = ntohs(address.sin_port);
+        SocketAddress address = loopbackAddress(0);
+        m_listener =
+                evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, backlog,
+                                        address.data(), static_cast<int>(address.length));
+        getsockname(evconnlistener_get_fd(m_listener),
+                    reinterpret_cast<sockaddr *>(&address.storage), &address.length);
+        m_port = address.port();
     }
     ~RawListener() { evconnlistener_free(m_listener); }
     RawListener(const RawListener &) = delete;
--- a/Tests/Support/RawSocket.h
+++ b/Tests/Support/RawSocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Support/LoopbackAddress.h"
 #include "net/EventLoop.h"
 
 #include <event2/buffer.h>
@@ -12,8 +13,6 @@
 #include <string>
 #include <string_view>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 namespace Tarragon {
@@ -36,12 +35,9 @@
         if (receiveBuffer > 0) {
             setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
         }
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const SocketAddress address = loopbackAddress(port);
         // The loopback device connects at once as long as the backlog has room.
-        EXPECT_EQ(connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+        EXPECT_EQ(connect(fd, address.data(), address.length), 0);
         evutil_make_socket_nonblocking(fd);
         m_bufferEvent = bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
         start();
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -2,6 +2,7 @@
 
 #include "StandIns/platform/StandInStore.h"
 #include "Support/LoopTest.h"
+#include "Support/LoopbackAddress.h"
 #include "Support/PromptCaller.h"
 
 #include <optional>
@@ -76,13 +77,9 @@
     }
     static bool acceptsConnections(std::uint16_t port)
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const SocketAddress address = loopbackAddress(port);
         const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        const bool isAccepted =
-                connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        const bool isAccepted = connect(fd, address.data(), address.length) == 0;
         close(fd);
         return isAccepted;
     }
