Gateway: Run subscriptions and relays on any loop and store

KindSubscription and StoreRelay are templates over the loop and the store's reads, and the relay asks its watchers through a slot, so that tests can run a whole deployment in virtual time. Applying registrations to the target registry moves out of the daemon for the same reason.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -3,7 +3,9 @@
 #include "base/Digest.h"
 #include "base/Error.h"
 #include "gateway/PermitRpc.h"
+#include "gateway/RelayCalls.h"
 #include "gateway/RoutedRequest.h"
+#include "gateway/TargetFeed.h"
 #include "net/HttpStatus.h"
 #include "net/LogLine.h"
 #include "platform/LookupCodec.h"
@@ -108,7 +110,7 @@
     , m_registration(loop, m_store, m_membership, m_incarnation.value())
     , m_gossip(loop, m_membership, m_state.limits(), settings.rpc, m_incarnation.value(),
                peerHandlers())
-    , m_relay(loop, m_membership, m_health, m_store, m_gossip, settings.isFirstStart)
+    , m_relay(loop, m_membership, m_health, m_store, relayCalls(m_gossip), settings.isFirstStart)
     , m_lastTickAt(loop.now())
 {
     m_health.becameUnavailable().connect(sigc::mem_fun(*this, &GatewayDaemon::onStoreUnavailable));
@@ -272,41 +274,13 @@
 
 void GatewayDaemon::onTargets(const std::vector<Platform::StoredItem> &items)
 {
-    std::vector<DiscoveredTarget> targets;
-    for (const Platform::StoredItem &it : items) {
-        try {
-            targets.push_back(Platform::decodeTarget(it));
-        } catch (const std::exception &error) {
-            LOG4CPLUS_WARN(logger(), LogLine("gateway", "target-ignored")
-                                             .add("target", it.name)
-                                             .add("reason", error.what())
-                                             .text());
-        }
-    }
-    m_state.registry().replaceAll(targets, m_loop.now());
+    applyTargetSnapshot(m_state.registry(), items, m_loop.now());
     afterTargetChange();
 }
 
 void GatewayDaemon::onTargetChanges(const std::vector<Platform::StoredChange> &changes)
 {
-    const MonotonicTime now = m_loop.now();
-    for (const Platform::StoredChange &it : changes) {
-        const TargetId id(it.item.name);
-        if (it.isRemoval) {
-            m_state.registry().remove(id, now);
-            continue;
-        }
-        try {
-            m_state.registry().set(Platform::decodeTarget(it.item), now);
-        } catch (const std::exception &error) {
-            // The changed registration does not describe a usable target any more.
-            m_state.registry().remove(id, now);
-            LOG4CPLUS_WARN(logger(), LogLine("gateway", "target-ignored")
-                                             .add("target", id)
-                                             .add("reason", error.what())
-                                             .text());
-        }
-    }
+    applyTargetChanges(m_state.registry(), changes, m_loop.now());
     afterTargetChange();
 }
 
--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/ChangeLog.h"
+#include "gateway/StoreAccess.h"
 #include "gateway/StoreHealth.h"
 #include "net/Backoff.h"
 #include "net/EventLoop.h"
@@ -43,7 +44,8 @@
 /// for changes, or receives the changes from neighbours that watch. Lists again when the store no
 /// longer has the history since the last known revision. A watch that fails is continued from the
 /// last known revision.
-class KindSubscription
+template<TimerLoop Loop, StoreReader Store>
+class BasicKindSubscription
 {
 public:
     /// Receivers of the snapshot, that is, all objects of the kind, and of the changes since then.
@@ -54,11 +56,11 @@
         sigc::slot<void(const std::vector<Platform::StoredChange> &)> onChanges;
     };
 
-    KindSubscription(EventLoop &loop, Platform::ObjectStore &store, StoreHealth &health,
-                     std::string kind, Handlers handlers, std::uint64_t seed,
-                     const SubscriptionOptions &options = {});
-    KindSubscription(const KindSubscription &) = delete;
-    KindSubscription &operator=(const KindSubscription &) = delete;
+    BasicKindSubscription(Loop &loop, Store &store, StoreHealth &health, std::string kind,
+                          Handlers handlers, std::uint64_t seed,
+                          const SubscriptionOptions &options = {});
+    BasicKindSubscription(const BasicKindSubscription &) = delete;
+    BasicKindSubscription &operator=(const BasicKindSubscription &) = delete;
 
     void start() { list(""); }
     const std::string &kind() const { return m_kind; }
@@ -88,6 +90,29 @@
     const ChangeLog &log() const { return m_log; }
 
 private:
+    /// Time after which a watch without changes ends; the longest that the platform allows, as each
+    /// watch is a priced call. Broken connections are detected by keep-alive probes, so that this
+    /// time bounds only the delay of changes that the store itself withholds.
+    static constexpr milliseconds WatchTime{ 30'000 };
+    static constexpr milliseconds MinWatchTime{ 1 };
+    /// Time after the end of a watch within which its result must arrive.
+    static constexpr milliseconds WatchResultTimeout{ 2'000 };
+    /// Timeout of a list. The store responds within milliseconds; sixty times as long when it is
+    /// slow.
+    static constexpr milliseconds ListTimeout{ 1'000 };
+    /// Bounds of the backoff between calls during an outage of the store. They are short because,
+    /// after an interruption of its connection ends, an entry must follow the store's content
+    /// within 3 s, and for the first two of them attributes removed registrations to expiry during
+    /// the outage.
+    static constexpr milliseconds MinBackoff{ 100 };
+    static constexpr milliseconds MaxBackoff{ 400 };
+    /// Time after which an unconfirmed first list is used although no newer data was received: the
+    /// store has become unavailable since.
+    static constexpr milliseconds ConfirmTimeout{ 2'000 };
+    /// Pause of subscriptions that wait for another component's retry to succeed, in case the calls
+    /// of that one stay without a response.
+    static constexpr milliseconds StoreRecheckDelay{ 2'000 };
+
     void list(const std::string &after);
     void onPage(const Platform::ItemPage &page);
     /// Delivers the list as a snapshot, followed by the changes received since, once the list is
@@ -105,18 +130,18 @@
     void onFailure(Platform::CallOutcome outcome, const std::string &reason);
     void onStoreAvailable();
 
-    EventLoop &m_loop;
-    Platform::ObjectStore &m_store;
+    Loop &m_loop;
+    Store &m_store;
     StoreHealth &m_health;
     std::string m_kind;
     Handlers m_handlers;
     SubscriptionOptions m_options;
     Backoff m_backoff;
-    HttpCallPtr m_call;
+    StoreCallOf<Store> m_call;
     MonotonicTime m_callStartedAt;
     /// Time for which the last watch was asked to wait for changes.
     milliseconds m_watchTime{ 0 };
-    Timer m_timer;
+    TimerOf<Loop> m_timer;
     /// The pages received so far of the list in progress.
     Platform::ItemPage m_listPages;
     /// Revision from which to watch; 0 before the first list and when the list must be read again.
@@ -130,7 +155,7 @@
     std::optional<std::vector<Platform::StoredItem>> m_unconfirmedSnapshot;
     /// The changes received since that list; delivered together with it.
     std::vector<Platform::StoredChange> m_pendingChanges;
-    Timer m_confirmTimer;
+    TimerOf<Loop> m_confirmTimer;
     ChangeSource m_source = ChangeSource::Store;
     bool m_isCalling = false;
     ChangeLog m_log;
@@ -139,4 +164,9 @@
     bool m_awaitsOtherCall = false;
 };
 
+extern template class BasicKindSubscription<EventLoop, Platform::ObjectStore>;
+
+/// The subscription of a running entry.
+using KindSubscription = BasicKindSubscription<EventLoop, Platform::ObjectStore>;
+
 } // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/RelayCodec.cpp
@@ -0,0 +1,57 @@
+#include "gateway/RelayCodec.h"
+
+namespace Tarragon {
+
+std::string_view toString(ChangeSource source)
+{
+    switch (source) {
+    case ChangeSource::Undecided:
+        return "undecided";
+    case ChangeSource::Store:
+        return "store";
+    case ChangeSource::Neighbours:
+        return "neighbours";
+    }
+    return "";
+}
+
+void fillKindNews(PeerRpc::KindNews::Builder builder, const std::optional<ChangeDelta> &news)
+{
+    if (!news.has_value()) {
+        builder.setCoverage(PeerRpc::NewsCoverage::READ_STORE);
+        return;
+    }
+    builder.setCoverage(news->isComplete ? PeerRpc::NewsCoverage::COMPLETE
+                                         : PeerRpc::NewsCoverage::PARTIAL);
+    builder.setRevision(news->revision);
+    capnp::List<PeerRpc::StoredChange>::Builder list =
+            builder.initChanges(static_cast<unsigned int>(news->changes.size()));
+    for (unsigned int i = 0; i < list.size(); ++i) {
+        const LoggedChange &change = *news->changes[i];
+        list[i].setName(change.name);
+        list[i].setRevision(change.revision);
+        list[i].setRemoved(change.isRemoval);
+        list[i].setSpec(change.spec);
+    }
+}
+
+Platform::ChangePage pageOf(PeerRpc::KindNews::Reader news)
+{
+    Platform::ChangePage page;
+    page.outcome = Platform::CallOutcome::Done;
+    page.revision = news.getRevision();
+    for (const PeerRpc::StoredChange::Reader it : news.getChanges()) {
+        Platform::StoredChange change;
+        change.item.name = it.getName();
+        change.item.revision = it.getRevision();
+        change.isRemoval = it.getRemoved();
+        if (!change.isRemoval) {
+            const capnp::Text::Reader spec = it.getSpec();
+            change.item.spec = nlohmann::json::parse(spec.begin(), spec.end());
+        }
+        page.changes.push_back(std::move(change));
+    }
+    return page;
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Source/gateway/StoreAccess.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/Units.h"
+#include "platform/ObjectStore.h"
+
+#include <sigc++/sigc++.h>
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace Tarragon {
+
+/// A clock with timers: the event loop of a process, or virtual time.
+template<typename T>
+concept TimerLoop = requires(T &loop, microseconds delay, sigc::slot<void()> callback)
+{
+    {
+        loop.now()
+        } -> std::same_as<MonotonicTime>;
+    loop.schedule(delay, callback).reset();
+    {
+        loop.scheduleEvery(delay, callback).isActive()
+        } -> std::same_as<bool>;
+};
+
+/// Timers of a loop.
+template<TimerLoop Loop>
+using TimerOf = decltype(std::declval<Loop &>().schedule(microseconds(0), sigc::slot<void()>()));
+
+/// The calls by which the store is read, as Platform::ObjectStore has them.
+template<typename T>
+concept StoreReader = requires(T &store, const std::string &text, std::uint64_t revision,
+                               milliseconds time,
+                               const sigc::slot<void(const Platform::ItemPage &)> &onPage,
+                               const sigc::slot<void(const Platform::ChangePage &)> &onChanges)
+{
+    store.list(text, text, time, false, onPage).reset();
+    store.watch(text, revision, time, time, false, onChanges).reset();
+};
+
+/// Calls in progress of a store; destroying one cancels it.
+template<StoreReader Store>
+using StoreCallOf = decltype(std::declval<Store &>().list(
+        "", "", milliseconds(0), false, sigc::slot<void(const Platform::ItemPage &)>()));
+
+} // namespace Tarragon
--- a/Source/gateway/StoreRelay.h
+++ b/Source/gateway/StoreRelay.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "gateway/KindSubscription.h"
-#include "gateway/MembershipGossip.h"
 #include "gateway/StoreHealth.h"
 #include "net/EventLoop.h"
+#include "peer/Peer.capnp.h"
 #include "routing/EntryMembership.h"
 
 #include <map>
@@ -18,20 +18,30 @@
 /// them replies. Each entry selects the watchers from its own view of the membership. While these
 /// views differ, more entries watch than necessary, never fewer. Relayed changes may be as old as
 /// the poll period plus the watcher's pause between two watches, together about one second.
-class StoreRelay
+template<TimerLoop Loop, StoreReader Store>
+class BasicStoreRelay
 {
 public:
+    using Subscription = BasicKindSubscription<Loop, Store>;
+    /// Fills in the positions that a watcher is asked about.
+    using FillSlot = sigc::slot<void(PeerRpc::Peer::RelayParams::Builder)>;
+    /// Receives the reply of a watcher, or null if none came in time.
+    using ReplySlot = sigc::slot<void(const PeerRpc::Peer::RelayResults::Reader *)>;
+    /// Asks a watcher for changes. Does nothing if it is not a registered entry.
+    using AskSlot = sigc::slot<void(const InstanceId &watcher, milliseconds timeout,
+                                    const FillSlot &fill, const ReplySlot &onReply)>;
+
     /// Sets up a relay without subscriptions. With `isFirstStart`, all entries of the deployment
     /// start at the same time for the first time; they learn of each other a few seconds later, so
     /// that the start-up timeouts are longer.
-    StoreRelay(EventLoop &loop, EntryMembership &membership, StoreHealth &health,
-               Platform::ObjectStore &store, MembershipGossip &gossip, bool isFirstStart);
-    StoreRelay(const StoreRelay &) = delete;
-    StoreRelay &operator=(const StoreRelay &) = delete;
+    BasicStoreRelay(Loop &loop, EntryMembership &membership, StoreHealth &health, Store &store,
+                    AskSlot ask, bool isFirstStart);
+    BasicStoreRelay(const BasicStoreRelay &) = delete;
+    BasicStoreRelay &operator=(const BasicStoreRelay &) = delete;
 
     /// Adds the subscription of a kind whose changes are relayed. Must be called before its list is
     /// read.
-    void add(KindSubscription &subscription);
+    void add(Subscription &subscription);
     /// Starts polling. Called as soon as the registered entries are known; later calls have no
     /// effect.
     void start();
@@ -40,6 +50,55 @@
                    PeerRpc::Peer::RelayResults::Builder reply);
 
 private:
+    /// Entries of a failure domain that watch the store. Two, so that one of them may fail without
+    /// delaying the others.
+    static constexpr std::size_t WatchersPerDomain = 2;
+    /// Minimum number of entries in a failure domain for changes to be relayed; in smaller domains
+    /// nearly all entries would be watchers anyway.
+    static constexpr std::size_t MinRelayDomainSize = 4;
+    /// Period of polling a watcher. Together with the watchers' own pause of 0.5 s it keeps relayed
+    /// changes at most one second old, of the at least 2.5 s that the platform allows.
+    static constexpr milliseconds PollPeriod{ 500 };
+    /// Time within which a watcher must reply. Entries of one failure domain reply in a few
+    /// milliseconds unless they are overloaded.
+    static constexpr milliseconds ReplyTimeout{ 400 };
+    /// Time without a reply after which an entry watches the store itself; corresponds to two lost
+    /// replies.
+    static constexpr milliseconds WatcherTimeout{ 1'200 };
+    /// The same timeout during the first start of all entries, and the duration of that start. All
+    /// targets register during it, so that watchers reply late; callers arrive only after eight
+    /// seconds.
+    static constexpr milliseconds FirstStartWatcherTimeout{ 3'000 };
+    static constexpr milliseconds FirstStartDuration{ 7'000 };
+    /// Time for which a watcher that did not reply is not polled while another one is available.
+    static constexpr milliseconds FailedWatcherDelay{ 2'000 };
+    /// Replies after which an entry that watches the store relies on the watchers again.
+    static constexpr int RepliesBeforeRelay = 3;
+    /// Time after a start within which a watcher must reply; afterwards the entry watches the store
+    /// itself.
+    static constexpr milliseconds DecisionTimeout{ 700 };
+    /// The same timeout at the first start of all entries. The registrations of the entries are
+    /// known after about two seconds, as lists of them may be stale and their changes are batched
+    /// for one second; callers arrive after eight seconds.
+    static constexpr milliseconds FirstStartDecisionTimeout{ 5'000 };
+    /// Delay after the first start of all entries before watchers start their watches.
+    static constexpr milliseconds FirstStartWatchDelay{ 2'500 };
+    /// Maximum bytes of changes of a kind in one reply. At this size, 40 neighbours that catch up
+    /// at the same time use 8 Mbit/s of the link of each of the two watchers. 64 KiB filled links
+    /// of 20 Mbit/s, and the replies arrived too late to be used.
+    static constexpr std::size_t MaxReplyBytes = 24'576;
+    /// Maximum number of replies in which a neighbour catches up; three replies take 1.5 s. The
+    /// higher limit applies while all targets register during the first start, when a neighbour
+    /// that is eight seconds behind does not delay any caller.
+    static constexpr std::size_t MaxReplies = 3;
+    static constexpr std::size_t FirstStartMaxReplies = 16;
+    /// Period and timeout of the call that checks the connection to the store. A watcher whose
+    /// connection is interrupted delays all of its neighbours, and a waiting watch would show the
+    /// interruption too late. The call used is the cheapest one. An entry that is not polled by
+    /// neighbours checks once for each watch that it starts.
+    static constexpr milliseconds StoreCheckPeriod{ 1'000 };
+    static constexpr milliseconds StoreCheckTimeout{ 800 };
+
     void poll();
     /// Polls the next of the watchers that have not failed recently.
     void pollWatcher(const std::vector<InstanceId> &watchers);
@@ -51,14 +110,14 @@
     /// show that the connection is interrupted. Runs only while neighbours poll this entry or after
     /// a new watch was started.
     void checkStore();
-    KindSubscription *find(const std::string &kind) const;
+    Subscription *find(const std::string &kind) const;
 
-    EventLoop &m_loop;
+    Loop &m_loop;
     EntryMembership &m_membership;
     StoreHealth &m_health;
-    Platform::ObjectStore &m_store;
-    MembershipGossip &m_gossip;
-    std::vector<KindSubscription *> m_subscriptions;
+    Store &m_store;
+    AskSlot m_ask;
+    std::vector<Subscription *> m_subscriptions;
     ChangeSource m_source = ChangeSource::Undecided;
     /// Before this time the entry does not watch the store: after a first start its view of the
     /// membership may be incomplete, so that it may wrongly select itself as a watcher.
@@ -81,8 +140,13 @@
     std::optional<MonotonicTime> m_lastPolledAt;
     /// Time at which the connection to the store was last checked.
     MonotonicTime m_storeCheckedAt;
-    HttpCallPtr m_storeCheck;
-    Timer m_timer;
+    StoreCallOf<Store> m_storeCheck;
+    TimerOf<Loop> m_timer;
 };
 
+extern template class BasicStoreRelay<EventLoop, Platform::ObjectStore>;
+
+/// The relay of a running entry.
+using StoreRelay = BasicStoreRelay<EventLoop, Platform::ObjectStore>;
+
 } // namespace Tarragon
--- a/Tests/gateway/StoreRelayTest.cpp
+++ b/Tests/gateway/StoreRelayTest.cpp
@@ -2,6 +2,7 @@
 
 #include "StandIns/platform/StandInStore.h"
 #include "Support/LoopTest.h"
+#include "gateway/RelayCalls.h"
 #include "net/RpcRuntime.h"
 
 #include <gmock/gmock.h>
@@ -42,7 +43,7 @@
                              }
                          } },
                        seed, SubscriptionOptions{ milliseconds(100), true, false })
-        , relay(loop, membership, health, store, gossip, false)
+        , relay(loop, membership, health, store, relayCalls(gossip), false)
     {
         health.becameUnavailable().connect([this](const std::string &) { ++outages; });
         relay.add(subscription);
