--- /dev/null
+++ b/Tests/gateway/LeaveTest.cpp
@@ -0,0 +1,121 @@
+#include "StoreSimulation.h"
+
+#include <gmock/gmock.h>
+
+#include <cstdlib>
+#include <iterator>
+#include <set>
+
+namespace Tarragon {
+namespace {
+
+using testing::IsEmpty;
+
+std::uint64_t firstSeed()
+{
+    const char *text = std::getenv("TARRAGON_SEED");
+    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
+/// Lets targets leave all the time, one by one; three of ten without announcing it.
+void scheduleLeaves(StoreSimulation &run, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        const microseconds time = seconds(10) + milliseconds(130) * i;
+        const bool announces = std::bernoulli_distribution(0.7)(run.random());
+        run.at(time, [&run, i, announces] {
+            if (announces) {
+                run.drain(i);
+            } else {
+                run.vanish(i);
+            }
+        });
+    }
+}
+
+class LeaveTest : public testing::Test
+{
+protected:
+    static constexpr std::uint64_t SeedCount = 2;
+    static constexpr std::size_t LeaveCount = 190;
+
+    /// Plays the actions that `schedule` adds to a run, with each seed.
+    template<typename Schedule>
+    void play(const StoreScenario &scenario, const Schedule &schedule)
+    {
+        for (std::uint64_t i = 0; i < SeedCount; ++i) {
+            StoreScenario seeded = scenario;
+            seeded.seed = firstSeed() + i;
+            StoreSimulation run(seeded);
+            schedule(run);
+            run.run();
+            EXPECT_THAT(run.violations(), IsEmpty()) << "seed " << seeded.seed;
+        }
+    }
+};
+
+// Guards against an entry that hears of a leaving target too late because a single call to the
+// store has failed.
+TEST_F(LeaveTest, LossOfSinglePacketsDelaysNoLeaveBeyondTheBound)
+{
+    StoreScenario scenario;
+    scenario.callLossRatio = 0.02;
+    play(scenario, [](StoreSimulation &run) { scheduleLeaves(run, LeaveCount); });
+}
+
+// Guards against entries that rely on watchers which have lost the store without noticing it yet.
+TEST_F(LeaveTest, NeighboursOfWatchersWithoutTheStoreFollowLeavesInTime)
+{
+    play({}, [](StoreSimulation &run) {
+        scheduleLeaves(run, LeaveCount);
+        for (int i = 0; i < 3; ++i) {
+            const milliseconds offset{ std::uniform_int_distribution<int>(0, 999)(run.random()) };
+            run.at(seconds(10 + 9 * i) + offset,
+                   [&run] { run.disturb(run.watchingEntries(), StorePath::Cut, seconds(4)); });
+        }
+    });
+}
+
+// Guards against targets that are retained too long because some watchers alone had lost the store.
+TEST_F(LeaveTest, ReturnOfWatchersDoesNotRetainTargetsBeyondTheBound)
+{
+    play({}, [](StoreSimulation &run) {
+        scheduleLeaves(run, LeaveCount);
+        for (int i = 0; i < 24; ++i) {
+            run.at(seconds(9) + i * seconds(1), [&run] {
+                std::set<std::size_t> watchers = run.watchingEntries();
+                const std::size_t chosen = std::uniform_int_distribution<std::size_t>(
+                        0, watchers.size() - 1)(run.random());
+                run.disturb({ *std::next(watchers.begin(), std::ptrdiff_t(chosen)) },
+                            StorePath::Rejecting, milliseconds(2'300));
+            });
+        }
+    });
+}
+
+// Guards against targets that are retained too long because most of a service leave together.
+TEST_F(LeaveTest, TargetsThatLeaveTogetherAreNotRetainedBeyondTheBound)
+{
+    play({}, [](StoreSimulation &run) {
+        run.at(seconds(12), [&run] {
+            for (std::size_t i = 0; i < 240; i += 3) {
+                run.vanish(i);
+            }
+        });
+    });
+}
+
+// Guards against using a draining target again because an earlier write of it takes effect late.
+TEST_F(LeaveTest, DelayedWriteDoesNotRevokeALeave)
+{
+    play({}, [](StoreSimulation &run) {
+        for (std::size_t i = 0; i < 30; ++i) {
+            run.at(seconds(10) + milliseconds(500) * i, [&run, i] { run.drain(i); });
+            run.at(seconds(12) + milliseconds(500) * i,
+                   [&run, i] { run.applyWriteFromBeforeDraining(i); });
+        }
+    });
+}
+
+} // namespace
+} // namespace Tarragon
--- /dev/null
+++ b/Tests/gateway/StoreSimulation.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "VirtualLoop.h"
+#include "VirtualStore.h"
+#include "gateway/KindSubscription.h"
+#include "gateway/StoreRelay.h"
+#include "routing/EntryMembership.h"
+#include "routing/RouteTable.h"
+#include "routing/TargetRegistry.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Tarragon {
+
+/// Parameters of a run.
+struct StoreScenario
+{
+    std::uint64_t seed = 1;
+    std::size_t entryCount = 86;
+    std::size_t targetCount = 240;
+    microseconds duration = seconds(40);
+    /// Fraction of calls to the store whose first packet is lost. This is no trouble that excuses
+    /// an entry.
+    double callLossRatio = 0;
+    /// Bounds of the platform: after an acknowledged change, entries in touch must follow it within
+    /// these times. An entry is in touch if neither it nor the store has had trouble for
+    /// `contactTime`.
+    microseconds contactTime = seconds(4);
+    microseconds drainTime = seconds(3);
+    microseconds configTime = seconds(3);
+};
+
+/// Runs the entries of a deployment in virtual time as far as they follow the store: subscriptions
+/// to targets and to the desired state, the relay of changes within failure domains, membership and
+/// target registry. Checks continuously that entries in touch follow the leaving of targets and the
+/// desired state within the platform's bounds.
+class StoreSimulation
+{
+public:
+    explicit StoreSimulation(const StoreScenario &scenario);
+    ~StoreSimulation();
+    StoreSimulation(const StoreSimulation &) = delete;
+    StoreSimulation &operator=(const StoreSimulation &) = delete;
+
+    /// Schedules an action at a time of the run.
+    void at(microseconds time, const std::function<void()> &action);
+    /// Runs to the end of the scenario.
+    void run();
+
+    /// Writes that the target drains; the store acknowledges it now.
+    void drain(std::size_t target);
+    /// Removes the registration of the target, which leaves without having announced it.
+    void vanish(std::size_t target);
+    /// Lets a write take effect that the target sent before it began to drain.
+    void applyWriteFromBeforeDraining(std::size_t target);
+    /// Writes the next version of the desired state.
+    void changeDesiredState();
+
+    /// Interrupts the way of entries to the store.
+    void disturb(const std::set<std::size_t> &entries, StorePath path, microseconds duration);
+    /// Interrupts the way of all entries to the store.
+    void disturbStore(StorePath path, microseconds duration);
+    /// Suspends an entry.
+    void pause(std::size_t entry, microseconds duration);
+    /// Replaces the process of an entry by a new one.
+    void restart(std::size_t entry);
+    /// Returns the entries that watch the store, or rely on others, by the view of the entry
+    /// itself.
+    std::set<std::size_t> watchingEntries() const;
+    /// Returns the entries of a failure domain.
+    std::set<std::size_t> entriesOf(std::size_t domain) const;
+    /// Draws as many of the entries as the fraction states.
+    std::set<std::size_t> drawEntries(double fraction);
+    std::mt19937_64 &random() { return m_random; }
+
+    /// Descriptions of the broken bounds, each entry, bound and object once.
+    const std::vector<std::string> &violations() const { return m_violations; }
+    /// Longest time after which an entry in touch still used a leaving target.
+    microseconds slowestLeave() const { return m_slowestLeave; }
+    std::size_t entryCount() const { return m_entries.size(); }
+    microseconds now() const { return m_schedule.now(); }
+
+private:
+    using Subscription = BasicKindSubscription<VirtualLoop, VirtualStoreClient>;
+    using Relay = BasicStoreRelay<VirtualLoop, VirtualStoreClient>;
+
+    /// A process of an entry.
+    struct Process
+    {
+        Process(StoreSimulation &simulation, std::size_t entry, std::uint64_t seed);
+
+        void adopt(const Platform::StoredItem &item);
+
+        VirtualLoop loop;
+        VirtualStoreClient client;
+        EntryMembership membership;
+        StoreHealth health;
+        TargetRegistry registry;
+        /// Version of the desired state in force; 0 before the first one.
+        std::uint64_t version = 0;
+        Subscription targets;
+        Subscription desiredState;
+        Relay relay;
+        VirtualLoop::Timer tick;
+        VirtualLoop::Timer gossip;
+    };
+    struct Entry
+    {
+        EntryRecord record;
+        std::unique_ptr<Process> process;
+        /// End of the latest trouble of this entry.
+        microseconds troubledUntil{ 0 };
+    };
+    /// A target that leaves.
+    struct Leave
+    {
+        std::size_t target = 0;
+        microseconds acknowledgedAt{ 0 };
+    };
+
+    void start(std::size_t entry);
+    void begin(std::size_t entry, Process &process);
+    void gossip(std::size_t entry);
+    void askWatcher(std::size_t entry, const InstanceId &watcher, milliseconds timeout,
+                    const Relay::FillSlot &fill, const Relay::ReplySlot &onReply);
+    microseconds delayTo(std::size_t entry) const;
+    bool isInTouch(const Entry &entry) const;
+    bool isStoreStable() const;
+    void audit();
+    void auditEntry(std::size_t entry);
+    void report(std::size_t entry, const std::string &finding);
+    std::size_t indexOf(const InstanceId &instance) const { return m_indices.at(instance); }
+
+    StoreScenario m_scenario;
+    std::mt19937_64 m_random;
+    VirtualSchedule m_schedule;
+    VirtualStore m_store;
+    std::vector<Entry> m_entries;
+    std::map<InstanceId, std::size_t> m_indices;
+    std::vector<nlohmann::json> m_targetSpecs;
+    std::vector<Leave> m_leaves;
+    /// Acknowledged versions of the desired state, in order.
+    std::vector<std::pair<std::uint64_t, microseconds>> m_versions;
+    microseconds m_storeTroubledUntil{ 0 };
+    std::set<std::string> m_reported;
+    std::vector<std::string> m_violations;
+    microseconds m_slowestLeave{ 0 };
+};
+
+} // namespace Tarragon
--- /dev/null
+++ b/Tests/gateway/VirtualStore.cpp
@@ -0,0 +1,225 @@
+#include "VirtualStore.h"
+
+#include <utility>
+#include <vector>
+
+namespace Tarragon {
+
+namespace {
+
+using Platform::CallOutcome;
+
+/// As in ObjectStore.
+constexpr milliseconds ConnectTimeout{ 300 };
+/// Time after which keep-alive probes find that a connection is interrupted.
+constexpr milliseconds KeepAliveTimeout{ 3'000 };
+/// Time after the end of a cut until a held response is transmitted again.
+constexpr milliseconds RetransmitDelay{ 200 };
+
+} // namespace
+
+void VirtualStore::put(const std::string &kind, const std::string &name, const nlohmann::json &spec)
+{
+    m_objects.put(kind, name, spec);
+    wake(kind);
+}
+
+void VirtualStore::remove(const std::string &kind, const std::string &name)
+{
+    m_objects.remove(kind, name);
+    wake(kind);
+}
+
+void VirtualStore::setPath(StorePath path)
+{
+    m_path = path;
+}
+
+void VirtualStore::compact()
+{
+    m_objects.forgetHistory();
+    wake("");
+}
+
+Platform::ItemPage VirtualStore::list(const std::string &kind) const
+{
+    Platform::ItemPage page;
+    page.outcome = CallOutcome::Done;
+    page.revision = m_objects.revision();
+    for (const StandInObjects::Object &it : m_objects.list(kind, "")) {
+        page.items.push_back(Platform::StoredItem{ it.name, it.revision, it.spec });
+    }
+    return page;
+}
+
+Platform::ChangePage VirtualStore::changes(const std::string &kind, std::uint64_t revision) const
+{
+    Platform::ChangePage page;
+    const auto changes = m_objects.changesSince(kind, revision);
+    if (!changes.has_value() || revision > m_objects.revision()) {
+        page.outcome = CallOutcome::HistoryGone;
+        page.reason = "status 410";
+        return page;
+    }
+    page.outcome = CallOutcome::Done;
+    page.revision = m_objects.revision();
+    for (const StandInObjects::Change &it : *changes) {
+        page.changes.push_back(Platform::StoredChange{
+                { it.object.name, it.object.revision, it.object.spec }, it.isRemoval });
+    }
+    return page;
+}
+
+void VirtualStore::wait(const std::string &kind, microseconds time,
+                        const std::function<void()> &callback)
+{
+    const std::uint64_t number = m_nextWaiter++;
+    m_waiters.emplace(number, Waiter{ kind, callback });
+    m_schedule.after(time, [this, number] {
+        const auto it = m_waiters.find(number);
+        if (it != m_waiters.end()) {
+            const std::function<void()> waiting = std::move(it->second.callback);
+            m_waiters.erase(it);
+            waiting();
+        }
+    });
+}
+
+void VirtualStore::wake(const std::string &kind)
+{
+    std::vector<std::function<void()>> callbacks;
+    for (auto it = m_waiters.begin(); it != m_waiters.end();) {
+        const auto current = it++;
+        if (kind.empty() || current->second.kind == kind) {
+            callbacks.push_back(std::move(current->second.callback));
+            m_waiters.erase(current);
+        }
+    }
+    for (const std::function<void()> &it : callbacks) {
+        it();
+    }
+}
+
+struct VirtualStoreClient::CallState
+{
+    bool hasEnded = false;
+};
+
+VirtualStoreClient::Call::Call(std::shared_ptr<CallState> state)
+    : m_state(std::move(state))
+{}
+
+VirtualStoreClient::Call::~Call()
+{
+    m_state->hasEnded = true;
+}
+
+VirtualStoreClient::VirtualStoreClient(VirtualLoop &loop, VirtualStore &store, microseconds delay,
+                                       double lossRatio, std::uint64_t seed)
+    : m_loop(loop)
+    , m_store(store)
+    , m_delay(delay)
+    , m_lossRatio(lossRatio)
+    , m_random(seed)
+{}
+
+StorePath VirtualStoreClient::path() const
+{
+    return m_path == StorePath::Open ? m_store.path() : m_path;
+}
+
+void VirtualStoreClient::setPath(StorePath path)
+{
+    m_path = path;
+    if (path != StorePath::Cut) {
+        for (const std::function<void()> &it : std::exchange(m_heldResponses, {})) {
+            m_loop.run(RetransmitDelay, it);
+        }
+    }
+}
+
+template<typename Page>
+VirtualStoreClient::CallPtr VirtualStoreClient::call(
+        milliseconds timeout, const sigc::slot<void(const Page &)> &callback,
+        const std::function<void(const std::function<void(const Page &)> &)> &serve)
+{
+    const std::shared_ptr<CallState> state = std::make_shared<CallState>();
+    const auto end = [state, callback](const Page &page) {
+        if (!std::exchange(state->hasEnded, true)) {
+            callback(page);
+        }
+    };
+    const auto fail = [end](CallOutcome outcome, const std::string &reason) {
+        Page page;
+        page.outcome = outcome;
+        page.reason = reason;
+        end(page);
+    };
+    m_loop.run(timeout, [fail] { fail(CallOutcome::Unknown, "timed out"); });
+    if (std::bernoulli_distribution(m_lossRatio)(m_random)) {
+        m_loop.run(std::min(ConnectTimeout, timeout),
+                   [fail] { fail(CallOutcome::NotApplied, "connect timed out"); });
+        return std::make_unique<Call>(state);
+    }
+    // The store outlives all processes, and its side of a call goes on when the process ends.
+    const auto respond = [this, state, end, fail](const Page &page) {
+        if (state->hasEnded) {
+            return;
+        }
+        if (m_path == StorePath::Cut) {
+            m_heldResponses.push_back([end, page] { end(page); });
+            m_loop.run(KeepAliveTimeout,
+                       [fail] { fail(CallOutcome::Unknown, "keep-alive probe unanswered"); });
+            return;
+        }
+        m_loop.run(m_delay, [end, page] { end(page); });
+    };
+    m_loop.run(m_delay, [this, state, serve, respond] {
+        const StorePath way = path();
+        if (state->hasEnded || way == StorePath::Cut || way == StorePath::Silent) {
+            return;
+        }
+        if (way == StorePath::Rejecting) {
+            Page page;
+            page.outcome = CallOutcome::NotApplied;
+            page.reason = "status 503";
+            respond(page);
+            return;
+        }
+        serve(respond);
+    });
+    return std::make_unique<Call>(state);
+}
+
+VirtualStoreClient::CallPtr
+VirtualStoreClient::list(const std::string &kind, const std::string &, milliseconds timeout, bool,
+                         const sigc::slot<void(const Platform::ItemPage &)> &callback)
+{
+    return call<Platform::ItemPage>(
+            timeout, callback,
+            [this, kind](const std::function<void(const Platform::ItemPage &)> &respond) {
+                respond(m_store.list(kind));
+            });
+}
+
+VirtualStoreClient::CallPtr
+VirtualStoreClient::watch(const std::string &kind, std::uint64_t revision, milliseconds wait,
+                          milliseconds timeout, bool,
+                          const sigc::slot<void(const Platform::ChangePage &)> &callback)
+{
+    return call<Platform::ChangePage>(
+            timeout, callback,
+            [&store = m_store, kind, revision,
+             wait](const std::function<void(const Platform::ChangePage &)> &respond) {
+                const Platform::ChangePage page = store.changes(kind, revision);
+                if (page.outcome != CallOutcome::Done || !page.changes.empty()) {
+                    respond(page);
+                    return;
+                }
+                store.wait(kind, wait, [&store, kind, revision, respond] {
+                    respond(store.changes(kind, revision));
+                });
+            });
+}
+
+} // namespace Tarragon
--- /dev/null
+++ b/Tests/gateway/VirtualStore.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "StandIns/platform/StandInObjects.h"
+#include "VirtualLoop.h"
+#include "platform/ObjectStore.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace Tarragon {
+
+/// How the store is reached.
+enum class StorePath {
+    Open,
+    /// No packet arrives in either direction.
+    Cut,
+    /// The store turns calls away with 503.
+    Rejecting,
+    /// The store accepts calls and does not respond.
+    Silent,
+};
+
+/// The platform's store in virtual time: objects, and watches that wait for changes.
+class VirtualStore
+{
+public:
+    explicit VirtualStore(VirtualSchedule &schedule)
+        : m_schedule(schedule)
+    {}
+
+    const StandInObjects &objects() const { return m_objects; }
+    void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
+    void remove(const std::string &kind, const std::string &name);
+    /// Sets how all clients reach the store.
+    void setPath(StorePath path);
+    StorePath path() const { return m_path; }
+    /// Drops the history and ends all waiting watches.
+    void compact();
+
+    /// Reads all objects of a kind.
+    Platform::ItemPage list(const std::string &kind) const;
+    /// Reads the changes of a kind after a revision.
+    Platform::ChangePage changes(const std::string &kind, std::uint64_t revision) const;
+    /// Calls back once, at the next change of the kind, at the end of the wait, or when the store
+    /// ends the watch.
+    void wait(const std::string &kind, microseconds time, const std::function<void()> &callback);
+
+private:
+    struct Waiter
+    {
+        std::string kind;
+        std::function<void()> callback;
+    };
+
+    void wake(const std::string &kind);
+
+    VirtualSchedule &m_schedule;
+    StandInObjects m_objects;
+    StorePath m_path = StorePath::Open;
+    std::uint64_t m_nextWaiter = 0;
+    std::map<std::uint64_t, Waiter> m_waiters;
+};
+
+/// Client of the virtual store in one process.
+class VirtualStoreClient
+{
+public:
+    struct CallState;
+    /// A call in progress; destroying it cancels it.
+    class Call
+    {
+    public:
+        explicit Call(std::shared_ptr<CallState> state);
+        Call(const Call &) = delete;
+        Call &operator=(const Call &) = delete;
+        ~Call();
+
+    private:
+        std::shared_ptr<CallState> m_state;
+    };
+    using CallPtr = std::unique_ptr<Call>;
+
+    /// `lossRatio` is the fraction of calls whose first packet is lost, so that no connection is
+    /// made within the connect timeout.
+    VirtualStoreClient(VirtualLoop &loop, VirtualStore &store, microseconds delay, double lossRatio,
+                       std::uint64_t seed);
+
+    CallPtr list(const std::string &kind, const std::string &after, milliseconds timeout,
+                 bool allowStale, const sigc::slot<void(const Platform::ItemPage &)> &callback);
+    CallPtr watch(const std::string &kind, std::uint64_t revision, milliseconds wait,
+                  milliseconds timeout, bool allowStale,
+                  const sigc::slot<void(const Platform::ChangePage &)> &callback);
+    /// Sets how this process reaches the store.
+    void setPath(StorePath path);
+
+private:
+    template<typename Page>
+    CallPtr call(milliseconds timeout, const sigc::slot<void(const Page &)> &callback,
+                 const std::function<void(const std::function<void(const Page &)> &)> &serve);
+    StorePath path() const;
+
+    VirtualLoop &m_loop;
+    VirtualStore &m_store;
+    microseconds m_delay;
+    double m_lossRatio;
+    std::mt19937_64 m_random;
+    StorePath m_path = StorePath::Open;
+    /// Responses that wait for the end of a cut.
+    std::list<std::function<void()>> m_heldResponses;
+};
+
+} // namespace Tarragon
