Gateway: Log the source and age of target changes and measure the age of the view

None of the log lines showed whether an entry heard late of a leaving target, retained it, or believed a later ready state. A subscription now knows as of which time its objects are complete, and relays it; `target` lines have the source and the maximum age of the change, `ready-again` names a process that is registered as ready after draining, and tarragon_gateway_target_view_age_seconds is the age of the view.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "gateway/PermitRpc.h"
 #include "gateway/RelayCalls.h"
+#include "gateway/RelayCodec.h"
 #include "gateway/RoutedRequest.h"
 #include "gateway/TargetFeed.h"
 #include "net/HttpStatus.h"
@@ -64,14 +65,17 @@
     return record;
 }
 
+LogLine targetLine(const TargetChange &change)
+{
+    LogLine line("gateway", "target");
+    line.add("target", change.target).add("service", change.service).add("change", change.change);
+    return line;
+}
+
 void logTargetChanges(const std::vector<TargetChange> &changes)
 {
     for (const TargetChange &it : changes) {
-        LOG4CPLUS_INFO(logger(), LogLine("gateway", "target")
-                                         .add("target", it.target)
-                                         .add("service", it.service)
-                                         .add("change", it.change)
-                                         .text());
+        LOG4CPLUS_INFO(logger(), targetLine(it).text());
     }
 }
 
@@ -315,10 +319,23 @@
 void GatewayDaemon::afterTargetChange()
 {
     m_state.refreshTargets(m_loop.now());
-    logTargetChanges(m_state.registry().takeTargetChanges());
+    logRegistryChanges(m_state.registry().takeTargetChanges());
     m_metrics.setReadyTargetCount(m_state.readyTargets());
 }
 
+void GatewayDaemon::logRegistryChanges(const std::vector<TargetChange> &changes) const
+{
+    const std::optional<MonotonicTime> &madeAfter = m_targetSubscription->changesMadeAfter();
+    for (const TargetChange &it : changes) {
+        LogLine line = targetLine(it);
+        line.add("source", toString(m_targetSubscription->source()));
+        if (madeAfter.has_value()) {
+            line.add("maxAgeMs", m_loop.now() - *madeAfter);
+        }
+        LOG4CPLUS_INFO(logger(), line.text());
+    }
+}
+
 void GatewayDaemon::answerLookup(const HttpExchangePtr &exchange)
 {
     if (!Platform::isLookup(*exchange)) {
@@ -429,6 +446,9 @@
     m_metrics.setRequestsInProgress(m_front->exchangesInProgress());
     m_metrics.setStoreAge(m_health.lastSuccessAt().has_value() ? now - *m_health.lastSuccessAt()
                                                                : microseconds(0));
+    if (const std::optional<MonotonicTime> confirmedAt = m_targetSubscription->confirmedAt()) {
+        m_metrics.setTargetViewAge(now - *confirmedAt);
+    }
     m_metrics.setLogLines(m_log.dropped(), m_successSampler.skipped());
     for (const auto &[service, budget] : m_state.retryBudgets()) {
         m_metrics.setRetriesLeft(service, budget.available(now));
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -64,6 +64,8 @@
     void onEvacuationChanges(const std::vector<Platform::StoredChange> &changes);
     void applyEvacuations();
     void afterTargetChange();
+    /// Logs changes of the target registry with the source and the maximum age of the data.
+    void logRegistryChanges(const std::vector<TargetChange> &changes) const;
     void answerLookup(const HttpExchangePtr &exchange);
     void answerReadiness(const HttpExchangePtr &exchange);
     bool isReady() const;
--- a/Source/gateway/GatewayMetrics.cpp
+++ b/Source/gateway/GatewayMetrics.cpp
@@ -58,6 +58,8 @@
                         .Add({}, LagBuckets))
     , m_storeAge(gauge(m_registry, "tarragon_gateway_store_age_seconds",
                        "Time since a call to the store last succeeded"))
+    , m_targetViewAge(gauge(m_registry, "tarragon_gateway_target_view_age_seconds",
+                            "Time since the known targets were last confirmed to be complete"))
     , m_linesDropped(gauge(m_registry, "tarragon_gateway_log_lines_dropped",
                            "Log lines that found no room since the start"))
     , m_linesSkipped(gauge(m_registry, "tarragon_gateway_log_lines_skipped",
@@ -130,6 +132,11 @@
     m_storeAge.Set(inSeconds(age));
 }
 
+void GatewayMetrics::setTargetViewAge(microseconds age)
+{
+    m_targetViewAge.Set(inSeconds(age));
+}
+
 void GatewayMetrics::setLogLines(std::uint64_t dropped, std::uint64_t skipped)
 {
     m_linesDropped.Set(static_cast<double>(dropped));
--- a/Source/gateway/GatewayMetrics.h
+++ b/Source/gateway/GatewayMetrics.h
@@ -40,6 +40,8 @@
     void setRequestsInProgress(std::size_t count);
     /// Sets the time since a call to the store last succeeded.
     void setStoreAge(microseconds age);
+    /// Sets the time since the known targets were last confirmed to be complete.
+    void setTargetViewAge(microseconds age);
     /// Sets the number of lines dropped because the log buffer was full, and of lines of successful
     /// requests skipped above the configured rate.
     void setLogLines(std::uint64_t dropped, std::uint64_t skipped);
@@ -72,6 +74,7 @@
     prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Histogram &m_loopLag;
     prometheus::Gauge &m_storeAge;
+    prometheus::Gauge &m_targetViewAge;
     prometheus::Gauge &m_linesDropped;
     prometheus::Gauge &m_linesSkipped;
     prometheus::Family<prometheus::Gauge> &m_retriesLeft;
--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -76,8 +76,16 @@
     /// Sets the source of changes from now on. The initial source is the store.
     void setSource(ChangeSource source);
     /// Applies the changes after revision() that a neighbour relayed. `isComplete` states that they
-    /// are all changes known to the neighbour, and not only the first of them.
-    void applyRelayedChanges(const Platform::ChangePage &page, bool isComplete);
+    /// are all changes known to the neighbour, and not only the first of them. `confirmedAt` is the
+    /// confirmedAt() of the neighbour.
+    void applyRelayedChanges(const Platform::ChangePage &page, bool isComplete,
+                             MonotonicTime confirmedAt);
+    /// Time as of which the known objects are complete: all changes made before it are included.
+    /// Nothing before the first confirmation.
+    std::optional<MonotonicTime> confirmedAt() const;
+    /// Time after which the changes were made that the handlers receive or have received last.
+    /// Nothing if it is unknown.
+    const std::optional<MonotonicTime> &changesMadeAfter() const { return m_changesMadeAfter; }
     /// Reads the changes from the store once, because neighbours cannot provide them. Does nothing
     /// if this entry watches the store anyway or a call is in progress.
     void readStoreOnce();
@@ -113,11 +121,16 @@
     /// of that one stay without a response.
     static constexpr milliseconds StoreRecheckDelay{ 2'000 };
 
+    /// Time within which a waiting watch returns a change, including the retransmission of a lost
+    /// packet.
+    static constexpr milliseconds DeliveryTime{ 500 };
+
     void list(const std::string &after);
     void onPage(const Platform::ItemPage &page);
     /// Delivers the list as a snapshot, followed by the changes received since, once the list is
     /// known to be current or is used unconfirmed. Does nothing if no list is held back.
     void deliverSnapshot();
+    void confirm(MonotonicTime time);
     void apply(const Platform::ChangePage &page);
     void callWatch(milliseconds wait);
     void watch();
@@ -139,6 +152,7 @@
     Backoff m_backoff;
     StoreCallOf<Store> m_call;
     MonotonicTime m_callStartedAt;
+    MonotonicTime m_listStartedAt;
     /// Time for which the last watch was asked to wait for changes.
     milliseconds m_watchTime{ 0 };
     TimerOf<Loop> m_timer;
@@ -156,6 +170,9 @@
     /// The changes received since that list; delivered together with it.
     std::vector<Platform::StoredChange> m_pendingChanges;
     TimerOf<Loop> m_confirmTimer;
+    /// See confirmedAt(); without the watch in progress.
+    std::optional<MonotonicTime> m_confirmedAt;
+    std::optional<MonotonicTime> m_changesMadeAfter;
     ChangeSource m_source = ChangeSource::Store;
     bool m_isCalling = false;
     ChangeLog m_log;
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -38,6 +38,7 @@
         m_isListed = false;
         m_unconfirmedSnapshot.reset();
         m_pendingChanges.clear();
+        m_listStartedAt = m_loop.now();
     }
     m_callStartedAt = m_loop.now();
     m_isCalling = true;
@@ -57,7 +58,7 @@
     }
     m_awaitsOtherCall = false;
     m_backoff.reset();
-    m_health.onSuccess(m_loop.now());
+    m_health.onSuccess(m_loop.now(), m_callStartedAt);
     return true;
 }
 
@@ -87,7 +88,9 @@
     if (mayBeStale) {
         m_confirmTimer = m_loop.schedule(ConfirmTimeout, [this] { deliverSnapshot(); });
     } else {
+        m_changesMadeAfter = m_confirmedAt;
         deliverSnapshot();
+        confirm(m_listStartedAt);
     }
     if (mayBeStale && m_options.confirmImmediately && m_source != ChangeSource::Store) {
         readStoreOnce();
@@ -144,6 +147,24 @@
     return waits ? std::optional(m_callStartedAt) : std::nullopt;
 }
 
+template<TimerLoop Loop, StoreReader Store>
+std::optional<MonotonicTime> BasicKindSubscription<Loop, Store>::confirmedAt() const
+{
+    const std::optional<MonotonicTime> &successBegan = m_health.lastSuccessBeganAt();
+    const std::optional<MonotonicTime> watchStarted = watchStartedAt();
+    if (watchStarted.has_value() && successBegan.has_value() && *successBegan > *watchStarted) {
+        // The store responds, so that the waiting watch would have returned earlier changes.
+        return std::max(m_confirmedAt.value_or(*successBegan), *successBegan);
+    }
+    return m_confirmedAt;
+}
+
+template<TimerLoop Loop, StoreReader Store>
+void BasicKindSubscription<Loop, Store>::confirm(MonotonicTime time)
+{
+    m_confirmedAt = std::max(m_confirmedAt.value_or(time), time);
+}
+
 template<TimerLoop Loop, StoreReader Store>
 std::optional<ListSummary> BasicKindSubscription<Loop, Store>::unchangedList() const
 {
@@ -153,17 +174,22 @@
 
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::applyRelayedChanges(const Platform::ChangePage &page,
-                                                             bool isComplete)
+                                                             bool isComplete,
+                                                             MonotonicTime confirmedAt)
 {
     if (!m_isListed || m_source == ChangeSource::Store) {
         return;
     }
+    m_changesMadeAfter = m_confirmedAt;
     if (isComplete) {
         deliverSnapshot();
     }
     if (page.revision > m_revision) {
         apply(page);
     }
+    if (isComplete) {
+        confirm(confirmedAt);
+    }
 }
 
 template<TimerLoop Loop, StoreReader Store>
@@ -226,6 +252,12 @@
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::onChanges(const Platform::ChangePage &page)
 {
+    const bool hasWaited = m_loop.now() - m_callStartedAt >= std::min(m_watchTime, MinBackoff);
+    m_changesMadeAfter = confirmedAt();
+    if (hasWaited) {
+        m_changesMadeAfter =
+                std::max(m_changesMadeAfter.value_or(m_callStartedAt), m_loop.now() - DeliveryTime);
+    }
     m_isCalling = false;
     if (!recordOutcome(page.outcome, page.reason)) {
         return;
@@ -237,7 +269,7 @@
     }
     deliverSnapshot();
     apply(page);
-    const bool hasWaited = m_loop.now() - m_callStartedAt >= std::min(m_watchTime, MinBackoff);
+    confirm(std::max(m_callStartedAt, m_loop.now() - DeliveryTime));
     if (page.changes.empty() && hasWaited) {
         watch();
     } else {
--- a/Source/gateway/RelayCodec.cpp
+++ b/Source/gateway/RelayCodec.cpp
@@ -1,7 +1,16 @@
 #include "gateway/RelayCodec.h"
 
+#include <algorithm>
+
 namespace Tarragon {
 
+namespace {
+
+/// Bound of relayed ages, which keeps computations with them within range.
+constexpr milliseconds MaxAge{ 1'000'000'000 };
+
+} // namespace
+
 std::string_view toString(ChangeSource source)
 {
     switch (source) {
@@ -35,6 +44,17 @@
     }
 }
 
+void setAge(PeerRpc::KindNews::Builder builder, microseconds age)
+{
+    builder.setAgeMs(static_cast<std::uint64_t>(std::chrono::ceil<milliseconds>(age).count()));
+}
+
+microseconds ageOf(PeerRpc::KindNews::Reader news)
+{
+    return milliseconds(
+            static_cast<std::int64_t>(std::min(news.getAgeMs(), std::uint64_t(MaxAge.count()))));
+}
+
 Platform::ChangePage pageOf(PeerRpc::KindNews::Reader news)
 {
     Platform::ChangePage page;
--- a/Source/gateway/StoreHealth.h
+++ b/Source/gateway/StoreHealth.h
@@ -4,6 +4,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -25,9 +26,11 @@
         m_isUnavailable = true;
         m_becameUnavailable.emit(reason);
     }
-    void onSuccess(MonotonicTime now)
+    /// Records that a call which started at the given time has succeeded.
+    void onSuccess(MonotonicTime now, MonotonicTime began)
     {
         m_lastSuccessAt = now;
+        m_lastSuccessBeganAt = std::max(m_lastSuccessBeganAt.value_or(began), began);
         if (m_isUnavailable) {
             m_isUnavailable = false;
             m_outageEndedAt = now;
@@ -51,6 +54,8 @@
     const std::optional<MonotonicTime> &outageEndedAt() const { return m_outageEndedAt; }
     /// Time at which a call last succeeded; nothing before the first success.
     const std::optional<MonotonicTime> &lastSuccessAt() const { return m_lastSuccessAt; }
+    /// Latest start of a call that has succeeded: at that time or later the store responded.
+    const std::optional<MonotonicTime> &lastSuccessBeganAt() const { return m_lastSuccessBeganAt; }
     /// Emitted with the reason when the first call fails, that is, when an outage starts.
     sigc::signal<void(const std::string &)> &becameUnavailable() { return m_becameUnavailable; }
     /// Emitted when a call succeeds again, that is, when the outage ends.
@@ -64,6 +69,7 @@
     bool m_isUnavailable = false;
     std::optional<MonotonicTime> m_outageEndedAt;
     std::optional<MonotonicTime> m_lastSuccessAt;
+    std::optional<MonotonicTime> m_lastSuccessBeganAt;
     sigc::signal<void(const std::string &)> m_becameUnavailable;
     sigc::signal<void()> m_becameAvailable;
 };
--- a/Source/gateway/StoreRelayTemplate.h
+++ b/Source/gateway/StoreRelayTemplate.h
@@ -166,7 +166,7 @@
         return;
     }
     try {
-        subscription->applyRelayedChanges(pageOf(news), isComplete);
+        subscription->applyRelayedChanges(pageOf(news), isComplete, m_loop.now() - ageOf(news));
     } catch (const std::exception &error) {
         LOG4CPLUS_WARN(storeLogger(), LogLine("store", "news-refused")
                                               .add("kind", subscription->kind())
@@ -225,6 +225,9 @@
                 position.hasList() ? std::optional<std::size_t>(position.getList().getCount())
                                    : std::nullopt;
         const Subscription *subscription = find(position.getKind());
+        if (subscription != nullptr && subscription->confirmedAt().has_value()) {
+            setAge(news[i], m_loop.now() - *subscription->confirmedAt());
+        }
         fillKindNews(news[i],
                      subscription == nullptr
                              ? std::nullopt
@@ -251,7 +254,7 @@
             m_store.list(Platform::EvacuationKind, "", StoreCheckTimeout, true,
                          [this, now](const Platform::ItemPage &page) {
                              if (page.outcome == Platform::CallOutcome::Done) {
-                                 m_health.onSuccess(m_loop.now());
+                                 m_health.onSuccess(m_loop.now(), now);
                                  return;
                              }
                              m_health.onFailure("connection check failed: " + page.reason, now);
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -283,6 +283,8 @@
   # Revision up to which the reply contains the changes.
   revision @2 :UInt64;
   changes @3 :List(StoredChange);
+  # Time since the sender's objects were last known to be complete.
+  ageMs @4 :UInt64;
 }
 
 struct TargetLimit {
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -542,7 +542,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edfb2b6bf9c54c17, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(edfb2b6bf9c54c17, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3743,6 +3743,8 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline  ::uint64_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3791,6 +3793,9 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::StoredChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9177,6 +9182,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t KindNews::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KindNews::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void KindNews::Builder::setAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TargetLimit::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/routing/TargetRegistry.cpp
+++ b/Source/routing/TargetRegistry.cpp
@@ -35,6 +35,8 @@
                            && (target.registration.startTimeMs != entry.startTimeMs
                                || target.registration.address != entry.address
                                || target.registration.service != entry.service);
+    const bool stopsDraining =
+            !isNew && !isRestart && target.registration.isDraining && !entry.isDraining;
     const bool startsDraining = entry.isDraining && (isNew || !target.registration.isDraining);
     if (!isNew && !wasRetained && target.registration == entry) {
         return;
@@ -50,6 +52,8 @@
     ++m_revision;
     if (startsDraining) {
         recordChange(target, "draining");
+    } else if (stopsDraining) {
+        recordChange(target, "ready-again");
     } else if (isNew) {
         recordChange(target, "joined");
     } else if (isRestart) {
--- a/Source/routing/TargetRegistry.h
+++ b/Source/routing/TargetRegistry.h
@@ -57,9 +57,10 @@
 {
     TargetId target;
     ServiceId service;
-    /// Text for the log. From TargetRegistry: "joined", "draining", "said-leaving", "removed",
-    /// "held" (retained after its registration vanished), "returned", "restarted", "evacuated" or
-    /// "restored". From ServiceDispatcher: "suspended" (ejected) or "trusted" (readmitted).
+    /// Text for the log. From TargetRegistry: "joined", "draining", "ready-again", "said-leaving",
+    /// "removed", "held" (retained after its registration vanished), "returned", "restarted",
+    /// "evacuated" or "restored". From ServiceDispatcher: "suspended" (ejected) or "trusted"
+    /// (readmitted).
     std::string change;
 };
 
--- a/Tests/gateway/KindSubscriptionTest.cpp
+++ b/Tests/gateway/KindSubscriptionTest.cpp
@@ -213,14 +213,14 @@
     Platform::ChangePage first;
     first.revision = m_subscription->revision() + 5;
     first.changes.emplace_back().item.name = "t2";
-    m_subscription->applyRelayedChanges(first, false);
+    m_subscription->applyRelayedChanges(first, false, m_loop.now());
     EXPECT_FALSE(m_subscription->hasSnapshot());
     EXPECT_EQ(m_subscription->revision(), first.revision);
     Platform::ChangePage rest;
     rest.revision = first.revision + 5;
     rest.changes.emplace_back().item.name = "t1";
     rest.changes.back().isRemoval = true;
-    m_subscription->applyRelayedChanges(rest, true);
+    m_subscription->applyRelayedChanges(rest, true, m_loop.now());
     EXPECT_EQ(m_snapshots, 1);
     EXPECT_EQ(m_changed, (std::vector<std::string>{ "t2", "t1" }));
 }
@@ -280,7 +280,7 @@
     m_standIn.control({ { "effectDelayMs", 0 } });
     set("t2", 2);
     m_health.onFailure("timed out", m_loop.now());
-    m_health.onSuccess(m_loop.now());
+    m_health.onSuccess(m_loop.now(), m_loop.now());
     runUntil([this] { return m_items.contains("t2"); });
 }
 
@@ -331,7 +331,7 @@
     health.becameUnavailable().connect([&outages](const std::string &) { ++outages; });
     const MonotonicTime start{ seconds(100) };
     health.onFailure("timed out", start);
-    health.onSuccess(start + seconds(5));
+    health.onSuccess(start + seconds(5), start + seconds(5));
     health.onFailure("timed out", start + seconds(4));
     EXPECT_FALSE(health.isUnavailable());
     EXPECT_EQ(outages, 1);
