Gateway: Retry at once after a failed check of the connection to the store

What targets saw: requests more than the drain time after the store had acknowledged that they leave. Cause: a failed check marks the store as unavailable and then aborts all watches; each subscription took another one to be retrying already and waited 2 s, so that nobody called the store. Meanwhile the entry replied to its neighbours that it does not watch. One lost call was enough.

StoreHealth now knows the component that retries; the first subscription whose call fails becomes it, the others wait for its success.

--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -61,6 +61,7 @@
                           const SubscriptionOptions &options = {});
     BasicKindSubscription(const BasicKindSubscription &) = delete;
     BasicKindSubscription &operator=(const BasicKindSubscription &) = delete;
+    ~BasicKindSubscription() { m_health.releaseRetry(this); }
 
     void start() { list(""); }
     const std::string &kind() const { return m_kind; }
@@ -176,7 +177,7 @@
     ChangeSource m_source = ChangeSource::Store;
     bool m_isCalling = false;
     ChangeLog m_log;
-    /// Whether a call failed during an outage while another component was already retrying. This
+    /// Whether a call failed during an outage while another component was retrying. This
     /// subscription then waits for the end of the outage.
     bool m_awaitsOtherCall = false;
 };
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -130,6 +130,7 @@
     m_call.reset();
     m_isCalling = false;
     m_awaitsOtherCall = false;
+    m_health.releaseRetry(this);
     m_timer.reset();
     if (source == ChangeSource::Store) {
         // This entry has no log of the changes before the list or before this revision.
@@ -300,9 +301,8 @@
         m_timer = m_loop.schedule(MinBackoff, [this] { continueAfterFailure(); });
         return;
     }
-    const bool wasUnavailable = m_health.isUnavailable();
     m_health.onFailure(reason, m_callStartedAt);
-    m_awaitsOtherCall = wasUnavailable && m_backoff.isAtRest();
+    m_awaitsOtherCall = m_health.isUnavailable() && !m_health.claimRetry(this);
     const microseconds pause =
             m_awaitsOtherCall ? microseconds(StoreRecheckDelay) : m_backoff.next();
     m_timer = m_loop.schedule(pause, [this] { continueAfterFailure(); });
--- a/Source/gateway/StoreHealth.h
+++ b/Source/gateway/StoreHealth.h
@@ -11,7 +11,7 @@
 namespace Tarragon {
 
 /// Tracks whether calls to the store succeed. Shared by all components that call the store, so that
-/// during an outage one of them retries and the others wait for its result.
+/// during an outage one of them retries and the others wait for its success.
 class StoreHealth
 {
 public:
@@ -29,6 +29,7 @@
     /// Records that a call which started at the given time has succeeded.
     void onSuccess(MonotonicTime now, MonotonicTime began)
     {
+        m_retrier = nullptr;
         m_lastSuccessAt = now;
         m_lastSuccessBeganAt = std::max(m_lastSuccessBeganAt.value_or(began), began);
         if (m_isUnavailable) {
@@ -37,6 +38,22 @@
             m_becameAvailable.emit();
         }
     }
+    /// Makes the given component the one that retries during the outage. Returns whether it is; if
+    /// not, another one is retrying and the component waits for its success.
+    bool claimRetry(const void *component)
+    {
+        if (m_retrier == nullptr) {
+            m_retrier = component;
+        }
+        return m_retrier == component;
+    }
+    /// Called when a component stops retrying without a success.
+    void releaseRetry(const void *component)
+    {
+        if (m_retrier == component) {
+            m_retrier = nullptr;
+        }
+    }
     /// Records an outage that a neighbour observed and that ended at the given time. It counts even
     /// if no call of this entry failed during the outage.
     void onNeighbourOutage(MonotonicTime outageEndedAt)
@@ -67,6 +84,8 @@
     static constexpr milliseconds SameOutageTime{ 3'000 };
 
     bool m_isUnavailable = false;
+    /// The component that retries during the outage; null if there is none.
+    const void *m_retrier = nullptr;
     std::optional<MonotonicTime> m_outageEndedAt;
     std::optional<MonotonicTime> m_lastSuccessAt;
     std::optional<MonotonicTime> m_lastSuccessBeganAt;
--- a/Tests/gateway/LeaveTest.cpp
+++ b/Tests/gateway/LeaveTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gmock/gmock.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iterator>
 #include <set>
@@ -17,12 +18,13 @@
     return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
 }
 
-/// Lets targets leave all the time, one by one; three of ten without announcing it.
-void scheduleLeaves(StoreSimulation &run, std::size_t count)
+/// Lets targets leave one by one, in the given period; the given fraction without announcing it.
+void scheduleLeaves(StoreSimulation &run, milliseconds period, double unannounced = 0.3)
 {
+    const std::size_t count = static_cast<std::size_t>(seconds(26) / period);
     for (std::size_t i = 0; i < count; ++i) {
-        const microseconds time = seconds(10) + milliseconds(130) * i;
-        const bool announces = std::bernoulli_distribution(0.7)(run.random());
+        const microseconds time = seconds(10) + period * i;
+        const bool announces = !std::bernoulli_distribution(unannounced)(run.random());
         run.at(time, [&run, i, announces] {
             if (announces) {
                 run.drain(i);
@@ -37,7 +39,6 @@
 {
 protected:
     static constexpr std::uint64_t SeedCount = 2;
-    static constexpr std::size_t LeaveCount = 190;
 
     /// Plays the actions that `schedule` adds to a run, with each seed.
     template<typename Schedule>
@@ -50,24 +51,41 @@
             schedule(run);
             run.run();
             EXPECT_THAT(run.violations(), IsEmpty()) << "seed " << seeded.seed;
+            m_longestOutage = std::max(m_longestOutage, run.longestOutage());
         }
     }
+
+    /// Longest outage that an entry in touch has seen in the runs.
+    microseconds m_longestOutage{ 0 };
 };
 
 // Guards against an entry that hears of a leaving target too late because a single call to the
-// store has failed.
+// store has failed, and each of its subscriptions waits for a retry by another one.
 TEST_F(LeaveTest, LossOfSinglePacketsDelaysNoLeaveBeyondTheBound)
+{
+    play({}, [](StoreSimulation &run) {
+        for (std::size_t i = 0; i < 6; ++i) {
+            const microseconds time = seconds(10) + seconds(4) * i;
+            run.at(time, [&run] { run.loseNextCalls(run.watchingEntries()); });
+            run.at(time + milliseconds(1'900), [&run, i] { run.drain(i); });
+        }
+    });
+    EXPECT_LT(m_longestOutage, seconds(1));
+}
+
+// Guards against targets that are retained too long because a single call to the store has failed.
+TEST_F(LeaveTest, LossOfSinglePacketsRetainsNoTargetBeyondTheBound)
 {
     StoreScenario scenario;
     scenario.callLossRatio = 0.02;
-    play(scenario, [](StoreSimulation &run) { scheduleLeaves(run, LeaveCount); });
+    play(scenario, [](StoreSimulation &run) { scheduleLeaves(run, milliseconds(130), 1); });
 }
 
 // Guards against entries that rely on watchers which have lost the store without noticing it yet.
 TEST_F(LeaveTest, NeighboursOfWatchersWithoutTheStoreFollowLeavesInTime)
 {
     play({}, [](StoreSimulation &run) {
-        scheduleLeaves(run, LeaveCount);
+        scheduleLeaves(run, milliseconds(130));
         for (int i = 0; i < 3; ++i) {
             const milliseconds offset{ std::uniform_int_distribution<int>(0, 999)(run.random()) };
             run.at(seconds(10 + 9 * i) + offset,
@@ -80,7 +98,7 @@
 TEST_F(LeaveTest, ReturnOfWatchersDoesNotRetainTargetsBeyondTheBound)
 {
     play({}, [](StoreSimulation &run) {
-        scheduleLeaves(run, LeaveCount);
+        scheduleLeaves(run, milliseconds(130));
         for (int i = 0; i < 24; ++i) {
             run.at(seconds(9) + i * seconds(1), [&run] {
                 std::set<std::size_t> watchers = run.watchingEntries();
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -133,7 +133,7 @@
     }
     changeDesiredState();
     for (std::size_t i = 0; i < scenario.entryCount; ++i) {
-        m_entries.push_back(Entry{ recordOf(i, 1), nullptr, microseconds(0) });
+        m_entries.push_back(Entry{ recordOf(i, 1), nullptr, microseconds(0), std::nullopt });
         m_indices.emplace(m_entries.back().record.instance, i);
     }
     for (std::size_t i = 0; i < scenario.entryCount; ++i) {
@@ -275,6 +275,13 @@
     });
 }
 
+void StoreSimulation::loseNextCalls(const std::set<std::size_t> &entries)
+{
+    for (const std::size_t it : entries) {
+        m_entries[it].process->client.loseNextCall();
+    }
+}
+
 void StoreSimulation::disturbStore(StorePath path, microseconds duration)
 {
     m_store.setPath(path);
@@ -353,6 +360,13 @@
 {
     const Process &process = *m_entries[entry].process;
     const microseconds now = m_schedule.now();
+    std::optional<microseconds> &unavailableSince = m_entries[entry].unavailableSince;
+    if (!process.health.isUnavailable()) {
+        unavailableSince.reset();
+    } else {
+        unavailableSince = unavailableSince.value_or(now);
+        m_longestOutage = std::max(m_longestOutage, now - *unavailableSince);
+    }
     for (const Leave &it : m_leaves) {
         const TargetId id(numbered("t", it.target));
         const auto known = process.registry.targets().find(id);
--- a/Tests/gateway/StoreSimulation.h
+++ b/Tests/gateway/StoreSimulation.h
@@ -29,12 +29,12 @@
     /// Fraction of calls to the store whose first packet is lost. This is no trouble that excuses
     /// an entry.
     double callLossRatio = 0;
-    /// Bounds of the platform: after an acknowledged change, entries in touch must follow it within
-    /// these times. An entry is in touch if neither it nor the store has had trouble for
-    /// `contactTime`.
-    microseconds contactTime = seconds(4);
-    microseconds drainTime = seconds(3);
-    microseconds configTime = seconds(3);
+    /// The shortest bounds that the platform sets: after an acknowledged change, entries in touch
+    /// must follow it within these times. An entry is in touch if neither it nor the store has had
+    /// trouble for `contactTime`.
+    microseconds contactTime = seconds(3);
+    microseconds drainTime = milliseconds(2'500);
+    microseconds configTime = milliseconds(2'500);
 };
 
 /// Runs the entries of a deployment in virtual time as far as they follow the store: subscriptions
@@ -65,6 +65,9 @@
 
     /// Interrupts the way of entries to the store.
     void disturb(const std::set<std::size_t> &entries, StorePath path, microseconds duration);
+    /// Leaves the next call of each entry to the store without a response. This is no trouble that
+    /// excuses the entry.
+    void loseNextCalls(const std::set<std::size_t> &entries);
     /// Interrupts the way of all entries to the store.
     void disturbStore(StorePath path, microseconds duration);
     /// Suspends an entry.
@@ -84,6 +87,8 @@
     const std::vector<std::string> &violations() const { return m_violations; }
     /// Longest time after which an entry in touch still used a leaving target.
     microseconds slowestLeave() const { return m_slowestLeave; }
+    /// Longest time for which an entry in touch made no successful call after a failed one.
+    microseconds longestOutage() const { return m_longestOutage; }
     std::size_t entryCount() const { return m_entries.size(); }
     microseconds now() const { return m_schedule.now(); }
 
@@ -117,6 +122,9 @@
         std::unique_ptr<Process> process;
         /// End of the latest trouble of this entry.
         microseconds troubledUntil{ 0 };
+        /// Time at which the entry noticed that the store is unavailable; nothing while it is
+        /// available.
+        std::optional<microseconds> unavailableSince;
     };
     /// A target that leaves.
     struct Leave
@@ -152,6 +160,7 @@
     std::set<std::string> m_reported;
     std::vector<std::string> m_violations;
     microseconds m_slowestLeave{ 0 };
+    microseconds m_longestOutage{ 0 };
 };
 
 } // namespace Tarragon
--- a/Tests/gateway/VirtualStore.cpp
+++ b/Tests/gateway/VirtualStore.cpp
@@ -156,6 +156,9 @@
         end(page);
     };
     m_loop.run(timeout, [fail] { fail(CallOutcome::Unknown, "timed out"); });
+    if (std::exchange(m_losesNextCall, false)) {
+        return std::make_unique<Call>(state);
+    }
     if (std::bernoulli_distribution(m_lossRatio)(m_random)) {
         m_loop.run(std::min(ConnectTimeout, timeout),
                    [fail] { fail(CallOutcome::NotApplied, "connect timed out"); });
--- a/Tests/gateway/VirtualStore.h
+++ b/Tests/gateway/VirtualStore.h
@@ -97,6 +97,8 @@
                   const sigc::slot<void(const Platform::ChangePage &)> &callback);
     /// Sets how this process reaches the store.
     void setPath(StorePath path);
+    /// Leaves the next call without a response.
+    void loseNextCall() { m_losesNextCall = true; }
 
 private:
     template<typename Page>
@@ -110,6 +112,7 @@
     double m_lossRatio;
     std::mt19937_64 m_random;
     StorePath m_path = StorePath::Open;
+    bool m_losesNextCall = false;
     /// Responses that wait for the end of a cut.
     std::list<std::function<void()>> m_heldResponses;
 };
