Gateway: Read the store when the relayed view of an entry grows old

What targets saw: requests from entries that are in touch themselves, but rely on two watchers which have lost the store. A watcher noticed that after up to 2.3 s (checks each second, 0.8 s to fail) and replied until then that it watches, with no news; its neighbours went on for another 1.2 s. Cause: a reply was taken as a proof that the view is current.

Replies state the age of the watcher's view. An entry whose objects are older than 1.2 s reads the store once, and the checks run each 0.5 s, one at a time.

--- a/Source/gateway/StoreRelay.h
+++ b/Source/gateway/StoreRelay.h
@@ -17,7 +17,8 @@
 /// watchers; every other entry polls them alternately, and watches the store itself while none of
 /// them replies. Each entry selects the watchers from its own view of the membership. While these
 /// views differ, more entries watch than necessary, never fewer. Relayed changes may be as old as
-/// the poll period plus the watcher's pause between two watches, together about one second.
+/// the poll period plus the watcher's pause between two watches, together about one second. Replies
+/// state how old the watcher's knowledge is; an entry whose objects become too old reads the store.
 template<TimerLoop Loop, StoreReader Store>
 class BasicStoreRelay
 {
@@ -92,11 +93,15 @@
     /// that is eight seconds behind does not delay any caller.
     static constexpr std::size_t MaxReplies = 3;
     static constexpr std::size_t FirstStartMaxReplies = 16;
+    /// Age of the known objects above which an entry that relies on watchers reads the store once.
+    /// It exceeds the age at regular times: one period of the watchers' checks and one of the
+    /// polls.
+    static constexpr milliseconds MaxViewAge{ 1'200 };
     /// Period and timeout of the call that checks the connection to the store. A watcher whose
     /// connection is interrupted delays all of its neighbours, and a waiting watch would show the
     /// interruption too late. The call used is the cheapest one. An entry that is not polled by
     /// neighbours checks once for each watch that it starts.
-    static constexpr milliseconds StoreCheckPeriod{ 1'000 };
+    static constexpr milliseconds StoreCheckPeriod{ 500 };
     static constexpr milliseconds StoreCheckTimeout{ 800 };
 
     void poll();
@@ -105,6 +110,8 @@
     void onReply(const InstanceId &watcher, const PeerRpc::Peer::RelayResults::Reader *reply);
     void applyRelayedChanges(PeerRpc::KindNews::Reader news);
     void setSource(ChangeSource source);
+    /// Reads the kinds once whose known objects are older than MaxViewAge.
+    void refreshOldViews();
     bool isWatching() const;
     /// Checks by a separate call whether the store still responds, because a waiting watch does not
     /// show that the connection is interrupted. Runs only while neighbours poll this entry or after
@@ -141,6 +148,7 @@
     /// Time at which the connection to the store was last checked.
     MonotonicTime m_storeCheckedAt;
     StoreCallOf<Store> m_storeCheck;
+    bool m_isCheckingStore = false;
     TimerOf<Loop> m_timer;
 };
 
--- a/Source/gateway/StoreRelayTemplate.h
+++ b/Source/gateway/StoreRelayTemplate.h
@@ -71,6 +71,8 @@
     }
     if (m_source == ChangeSource::Store) {
         checkStore();
+    } else if (m_source == ChangeSource::Neighbours) {
+        refreshOldViews();
     }
     pollWatcher(watchers);
 }
@@ -190,6 +192,17 @@
                    LogLine("store", "change-source").add("source", toString(source)).text());
 }
 
+template<TimerLoop Loop, StoreReader Store>
+void BasicStoreRelay<Loop, Store>::refreshOldViews()
+{
+    const MonotonicTime oldest = m_loop.now() - MaxViewAge;
+    for (Subscription *it : m_subscriptions) {
+        if (it->hasSnapshot() && it->confirmedAt() < oldest) {
+            it->readStoreOnce();
+        }
+    }
+}
+
 template<TimerLoop Loop, StoreReader Store>
 bool BasicStoreRelay<Loop, Store>::isWatching() const
 {
@@ -245,14 +258,16 @@
     const bool hasNewWatch = std::any_of(
             m_subscriptions.begin(), m_subscriptions.end(),
             [this](const Subscription *it) { return it->watchStartedAt() > m_storeCheckedAt; });
-    if ((!isPolled && !hasNewWatch) || m_health.isUnavailable()
+    if ((!isPolled && !hasNewWatch) || m_health.isUnavailable() || m_isCheckingStore
         || now - m_storeCheckedAt < StoreCheckPeriod) {
         return;
     }
     m_storeCheckedAt = now;
+    m_isCheckingStore = true;
     m_storeCheck =
             m_store.list(Platform::EvacuationKind, "", StoreCheckTimeout, true,
                          [this, now](const Platform::ItemPage &page) {
+                             m_isCheckingStore = false;
                              if (page.outcome == Platform::CallOutcome::Done) {
                                  m_health.onSuccess(m_loop.now(), now);
                                  return;
--- a/Tests/gateway/LeaveTest.cpp
+++ b/Tests/gateway/LeaveTest.cpp
@@ -85,7 +85,7 @@
 TEST_F(LeaveTest, NeighboursOfWatchersWithoutTheStoreFollowLeavesInTime)
 {
     play({}, [](StoreSimulation &run) {
-        scheduleLeaves(run, milliseconds(130));
+        scheduleLeaves(run, milliseconds(130), 0);
         for (int i = 0; i < 3; ++i) {
             const milliseconds offset{ std::uniform_int_distribution<int>(0, 999)(run.random()) };
             run.at(seconds(10 + 9 * i) + offset,
