Routing: End the retention of vanished targets before the drain time

What targets saw: requests more than the drain time after their registration was removed. Cause: a vanished registration was retained for 2.1 s from the moment at which the entry noticed it, up to a second after the removal, and any failed call, also one of a neighbour alone, counted as an outage in which registrations expire.

Only an outage of 2 s or longer that the entry itself has seen does so now; the platform binds no entry until 3 s after it. In all other cases retention ends 0.3 s before the drain time (new setting bounds.drainSeconds) since the latest moment at which the view is known to have been complete.

--- a/Source/gateway/GatewayBounds.h
+++ b/Source/gateway/GatewayBounds.h
@@ -17,6 +17,9 @@
     /// Maximum time for which callers may cache the result of a lookup.
     milliseconds maxLookupTtl{ 5'000 };
 
+    /// Time after the acknowledgement that a target leaves within which it may still get requests.
+    milliseconds drainTime{ 2'500 };
+
     bool operator==(const GatewayBounds &) const = default;
 };
 
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -218,7 +218,7 @@
 {
     LOG4CPLUS_WARN(logger(), LogLine("gateway", "store-lost").add("reason", reason).text());
     m_metrics.setStoreUnavailable(true);
-    m_state.registry().onStoreUnavailable();
+    m_state.registry().onStoreUnavailable(m_loop.now());
 }
 
 void GatewayDaemon::onStoreAvailable()
@@ -278,13 +278,15 @@
 
 void GatewayDaemon::onTargets(const std::vector<Platform::StoredItem> &items)
 {
-    applyTargetSnapshot(m_state.registry(), items, m_loop.now());
+    applyTargetSnapshot(m_state.registry(), items, m_loop.now(),
+                        m_targetSubscription->changesMadeAfter());
     afterTargetChange();
 }
 
 void GatewayDaemon::onTargetChanges(const std::vector<Platform::StoredChange> &changes)
 {
-    applyTargetChanges(m_state.registry(), changes, m_loop.now());
+    applyTargetChanges(m_state.registry(), changes, m_loop.now(),
+                       m_targetSubscription->changesMadeAfter());
     afterTargetChange();
 }
 
--- a/Source/gateway/GatewaySettings.cpp
+++ b/Source/gateway/GatewaySettings.cpp
@@ -50,6 +50,7 @@
     fields.optional("extraRetries", bounds.extraRetries, NumberFormat{ 0, MaxRetries });
     bounds.stopGrace = readSeconds(fields, "stopGraceSeconds", bounds.stopGrace);
     bounds.maxLookupTtl = readSeconds(fields, "lookupTtlSeconds", bounds.maxLookupTtl);
+    bounds.drainTime = readSeconds(fields, "drainSeconds", bounds.drainTime);
     fields.finish();
 }
 
--- a/Source/gateway/GatewayState.cpp
+++ b/Source/gateway/GatewayState.cpp
@@ -8,7 +8,9 @@
 GatewayState::GatewayState(const GatewaySettings &settings, const GatewayBounds &bounds)
     : m_locality{ settings.domain, settings.region, settings.regions }
     , m_bounds(bounds)
-{}
+{
+    m_registry.setDrainTime(bounds.drainTime);
+}
 
 bool GatewayState::adopt(RouteTable table)
 {
@@ -72,6 +74,7 @@
 void GatewayState::setBounds(const GatewayBounds &bounds)
 {
     m_bounds = bounds;
+    m_registry.setDrainTime(bounds.drainTime);
     updateRetryLimits();
 }
 
--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -122,6 +122,8 @@
     /// of that one stay without a response.
     static constexpr milliseconds StoreRecheckDelay{ 2'000 };
 
+    /// Time after which a watch in progress has reached the store; longer than the connect timeout.
+    static constexpr milliseconds WatchSetupTime{ 350 };
     /// Time within which a waiting watch returns a change, including the retransmission of a lost
     /// packet.
     static constexpr milliseconds DeliveryTime{ 500 };
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -153,7 +153,8 @@
 {
     const std::optional<MonotonicTime> &successBegan = m_health.lastSuccessBeganAt();
     const std::optional<MonotonicTime> watchStarted = watchStartedAt();
-    if (watchStarted.has_value() && successBegan.has_value() && *successBegan > *watchStarted) {
+    if (watchStarted.has_value() && successBegan.has_value()
+        && *successBegan > *watchStarted + WatchSetupTime) {
         // The store responds, so that the waiting watch would have returned earlier changes.
         return std::max(m_confirmedAt.value_or(*successBegan), *successBegan);
     }
@@ -253,12 +254,12 @@
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::onChanges(const Platform::ChangePage &page)
 {
-    const bool hasWaited = m_loop.now() - m_callStartedAt >= std::min(m_watchTime, MinBackoff);
-    m_changesMadeAfter = confirmedAt();
-    if (hasWaited) {
-        m_changesMadeAfter =
-                std::max(m_changesMadeAfter.value_or(m_callStartedAt), m_loop.now() - DeliveryTime);
-    }
+    const microseconds duration = m_loop.now() - m_callStartedAt;
+    // A watch that was waiting returns a change as soon as it is made.
+    const bool wasWaiting = m_watchTime == WatchTime && duration >= DeliveryTime;
+    const MonotonicTime completeAt = wasWaiting ? m_loop.now() - DeliveryTime : m_callStartedAt;
+    m_changesMadeAfter =
+            wasWaiting ? std::max(confirmedAt(), std::optional(completeAt)) : confirmedAt();
     m_isCalling = false;
     if (!recordOutcome(page.outcome, page.reason)) {
         return;
@@ -270,7 +271,8 @@
     }
     deliverSnapshot();
     apply(page);
-    confirm(std::max(m_callStartedAt, m_loop.now() - DeliveryTime));
+    confirm(completeAt);
+    const bool hasWaited = duration >= std::min(m_watchTime, MinBackoff);
     if (page.changes.empty() && hasWaited) {
         watch();
     } else {
--- a/Source/gateway/StoreRelay.h
+++ b/Source/gateway/StoreRelay.h
@@ -96,7 +96,7 @@
     /// Age of the known objects above which an entry that relies on watchers reads the store once.
     /// It exceeds the age at regular times: one period of the watchers' checks and one of the
     /// polls.
-    static constexpr milliseconds MaxViewAge{ 1'200 };
+    static constexpr milliseconds MaxViewAge{ 1'300 };
     /// Period and timeout of the call that checks the connection to the store. A watcher whose
     /// connection is interrupted delays all of its neighbours, and a waiting watch would show the
     /// interruption too late. The call used is the cheapest one. An entry that is not polled by
--- a/Source/gateway/TargetFeed.cpp
+++ b/Source/gateway/TargetFeed.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 void applyTargetSnapshot(TargetRegistry &registry, const std::vector<Platform::StoredItem> &items,
-                         MonotonicTime now)
+                         MonotonicTime now, const std::optional<MonotonicTime> &madeAfter)
 {
     std::vector<DiscoveredTarget> targets;
     targets.reserve(items.size());
@@ -46,11 +46,12 @@
             targets.push_back(std::move(*target));
         }
     }
-    registry.replaceAll(targets, now);
+    registry.replaceAll(targets, now, madeAfter);
 }
 
 void applyTargetChanges(TargetRegistry &registry,
-                        const std::vector<Platform::StoredChange> &changes, MonotonicTime now)
+                        const std::vector<Platform::StoredChange> &changes, MonotonicTime now,
+                        const std::optional<MonotonicTime> &madeAfter)
 {
     for (const Platform::StoredChange &it : changes) {
         const std::optional<DiscoveredTarget> target =
@@ -58,7 +59,7 @@
         if (target.has_value()) {
             registry.set(*target, now);
         } else {
-            registry.remove(TargetId(it.item.name), now);
+            registry.remove(TargetId(it.item.name), now, madeAfter);
         }
     }
 }
--- a/Source/routing/TargetRegistry.cpp
+++ b/Source/routing/TargetRegistry.cpp
@@ -8,7 +8,8 @@
     : m_options(options)
 {}
 
-void TargetRegistry::replaceAll(const std::vector<DiscoveredTarget> &targets, MonotonicTime now)
+void TargetRegistry::replaceAll(const std::vector<DiscoveredTarget> &targets, MonotonicTime now,
+                                const std::optional<MonotonicTime> &madeAfter)
 {
     std::set<TargetId> named;
     for (const DiscoveredTarget &it : targets) {
@@ -22,7 +23,7 @@
         }
     }
     for (const TargetId &it : missing) {
-        remove(it, now);
+        remove(it, now, madeAfter);
     }
 }
 
@@ -63,26 +64,38 @@
     }
 }
 
-void TargetRegistry::remove(const TargetId &id, MonotonicTime now)
+void TargetRegistry::remove(const TargetId &id, MonotonicTime now,
+                            const std::optional<MonotonicTime> &madeAfter)
 {
     const auto it = m_targets.find(id);
     if (it == m_targets.end() || it->second.retainedUntil.has_value()) {
         return;
     }
     KnownTarget &target = it->second;
-    const bool mayHaveExpired = !target.registration.isDraining;
-    const bool isStoreIncomplete = m_isStoreUnavailable
-                                   || (m_storeAvailableSince.has_value()
-                                       && now - *m_storeAvailableSince < m_options.gracePeriod);
-    if (mayHaveExpired && isStoreIncomplete) {
-        retain(target, m_isStoreUnavailable ? now : *m_storeAvailableSince);
+    const std::optional<MonotonicTime> end = retentionEnd(target, now, madeAfter.value_or(now));
+    if (!end.has_value() || *end <= now) {
+        erase(it);
         return;
     }
-    if (mayHaveExpired && isMassRemoval(target.registration.service, now)) {
-        retain(target, now);
-        return;
+    target.retainedUntil = end;
+    recordChange(target, "held");
+}
+
+std::optional<MonotonicTime>
+TargetRegistry::retentionEnd(const KnownTarget &target, MonotonicTime now, MonotonicTime madeAfter)
+{
+    if (target.registration.isDraining) {
+        return std::nullopt;
+    }
+    if (isWithinGracePeriod(m_expiryOutageEndedAt, now)) {
+        return *m_expiryOutageEndedAt + m_options.gracePeriod;
+    }
+    if (!m_storeUnavailableSince.has_value() && !isWithinGracePeriod(m_outageEndedAt, now)
+        && !isMassRemoval(target.registration.service, now)) {
+        return std::nullopt;
     }
-    erase(it);
+    return std::min(now + m_options.gracePeriod,
+                    madeAfter + m_options.drainTime - m_options.drainMargin);
 }
 
 void TargetRegistry::onLeavingAnnounced(const TargetId &id, std::uint64_t startTimeMs,
@@ -120,23 +133,21 @@
            && (entry.startTimeMs != 0 || it->second.address == entry.address);
 }
 
-void TargetRegistry::onStoreUnavailable()
+void TargetRegistry::onStoreUnavailable(MonotonicTime now)
 {
-    m_isStoreUnavailable = true;
+    m_storeUnavailableSince = now;
 }
 
 void TargetRegistry::onStoreAvailable(MonotonicTime now)
 {
-    if (!m_isStoreUnavailable) {
+    if (!m_storeUnavailableSince.has_value()) {
         return;
     }
-    m_isStoreUnavailable = false;
-    m_storeAvailableSince = now;
-    for (auto &[id, target] : m_targets) {
-        if (target.retainedUntil.has_value()) {
-            target.retainedUntil = now + m_options.gracePeriod;
-        }
+    m_outageEndedAt = now;
+    if (now - *m_storeUnavailableSince >= m_options.minExpiryOutage) {
+        m_expiryOutageEndedAt = now;
     }
+    m_storeUnavailableSince.reset();
 }
 
 void TargetRegistry::setEvacuated(const std::set<FailureDomainId> &domains, MonotonicTime now)
@@ -166,8 +177,7 @@
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         const auto current = it++;
         const KnownTarget &target = current->second;
-        if (!m_isStoreUnavailable && target.retainedUntil.has_value()
-            && *target.retainedUntil <= now) {
+        if (target.retainedUntil.has_value() && *target.retainedUntil <= now) {
             erase(current);
             dropped = true;
         }
@@ -209,12 +219,6 @@
     ++m_revision;
 }
 
-void TargetRegistry::retain(KnownTarget &target, MonotonicTime from)
-{
-    target.retainedUntil = from + m_options.gracePeriod;
-    recordChange(target, "held");
-}
-
 bool TargetRegistry::isMassRemoval(const ServiceId &service, MonotonicTime now)
 {
     const MonotonicTime oldest = now - m_options.massRemovalWindow;
--- a/Source/routing/TargetRegistry.h
+++ b/Source/routing/TargetRegistry.h
@@ -16,6 +16,13 @@
     /// Grace period after a store outage within which targets whose registrations expired during
     /// the outage register again; the platform states about two seconds.
     microseconds gracePeriod{ 2'100'000 };
+    /// Outages of at least this duration may let registrations expire. Expiry takes three
+    /// heartbeats of a target, above 4 s, of which an entry may notice a part only.
+    microseconds minExpiryOutage{ 2'000'000 };
+    /// Time after which a target that has left must not get requests any more.
+    microseconds drainTime{ 2'500'000 };
+    /// Time before the end of the drain time at which retention ends, for requests on their way.
+    microseconds drainMargin{ 300'000 };
     /// Fraction of a service's available targets above which registrations (at least two) that
     /// vanish together are considered lost although the targets are running.
     double massRemovalFraction = 0.5;
@@ -65,10 +72,11 @@
 };
 
 /// Maintains the targets from the platform's registry and decides what a vanished registration
-/// means. Normally the target has left and is removed. During or just after a store outage, or when
-/// most registrations of a service vanish together, the registrations may have expired although the
+/// means. Normally the target has left and is removed. Just after a store outage, or when most
+/// registrations of a service vanish together, the registrations may have expired although the
 /// targets are running, so the targets are retained for a grace period in which they can register
-/// again.
+/// again. Unless the outage was long enough for registrations to expire, retention also ends before
+/// the drain time since the removal, because the targets may just as well have left.
 class TargetRegistry
 {
 public:
@@ -76,19 +84,24 @@
 
     explicit TargetRegistry(const TargetRegistryOptions &options = {});
 
-    /// Replaces all registrations by a complete list.
-    void replaceAll(const std::vector<DiscoveredTarget> &targets, MonotonicTime now);
+    /// Replaces all registrations by a complete list. `madeAfter` is a time before all changes
+    /// since the last update; nothing if there is none but `now`.
+    void replaceAll(const std::vector<DiscoveredTarget> &targets, MonotonicTime now,
+                    const std::optional<MonotonicTime> &madeAfter = std::nullopt);
     /// Adds or updates a registration.
     void set(const DiscoveredTarget &target, MonotonicTime now);
-    /// Called when a registration was removed from the store.
-    void remove(const TargetId &target, MonotonicTime now);
+    /// Called when a registration was removed from the store, at `madeAfter` or later.
+    void remove(const TargetId &target, MonotonicTime now,
+                const std::optional<MonotonicTime> &madeAfter = std::nullopt);
     /// Called when the target process with this start time has itself announced that it is leaving.
     /// The announcement overrides the registry until the target restarts.
     void onLeavingAnnounced(const TargetId &target, std::uint64_t startTimeMs, MonotonicTime now);
     /// Called when calls to the store begin to fail.
-    void onStoreUnavailable();
+    void onStoreUnavailable(MonotonicTime now);
     /// Called when calls to the store succeed again.
     void onStoreAvailable(MonotonicTime now);
+    /// Sets the time after which a target that has left must not get requests any more.
+    void setDrainTime(microseconds time) { m_options.drainTime = time; }
     /// Sets the evacuated failure domains, whose targets get no new requests.
     void setEvacuated(const std::set<FailureDomainId> &domains, MonotonicTime now);
     /// Removes retained targets and leaving announcements whose time has expired. Returns whether
@@ -120,8 +133,14 @@
     void recordChange(const KnownTarget &target, const std::string &change);
     void updateAvailability(KnownTarget &target) const;
     void erase(Targets::iterator it);
-    /// Retains the target for the grace period, counted from the given time.
-    void retain(KnownTarget &target, MonotonicTime from);
+    /// Returns the time until which a target whose registration has vanished is retained; nothing
+    /// if it has left.
+    std::optional<MonotonicTime> retentionEnd(const KnownTarget &target, MonotonicTime now,
+                                              MonotonicTime madeAfter);
+    bool isWithinGracePeriod(const std::optional<MonotonicTime> &since, MonotonicTime now) const
+    {
+        return since.has_value() && now - *since < m_options.gracePeriod;
+    }
     bool isMassRemoval(const ServiceId &service, MonotonicTime now);
     std::size_t readyCount(const ServiceId &service) const;
 
@@ -129,8 +148,12 @@
     Targets m_targets;
     std::map<TargetId, LeavingAnnouncement> m_leavingAnnouncements;
     std::set<FailureDomainId> m_evacuated;
-    bool m_isStoreUnavailable = false;
-    std::optional<MonotonicTime> m_storeAvailableSince;
+    /// Start of the store outage in progress.
+    std::optional<MonotonicTime> m_storeUnavailableSince;
+    /// End of the last outage of any duration, and of the last one in which registrations may have
+    /// expired.
+    std::optional<MonotonicTime> m_outageEndedAt;
+    std::optional<MonotonicTime> m_expiryOutageEndedAt;
     std::vector<Removal> m_removals;
     std::vector<TargetChange> m_changes;
     std::uint64_t m_revision = 0;
--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -24,6 +24,7 @@
   extraRetries: 58
   stopGraceSeconds: 6
   lookupTtlSeconds: 2.5
+  drainSeconds: 3
 log:
   level: WARN
 )";
@@ -41,6 +42,7 @@
     EXPECT_DOUBLE_EQ(settings->bounds.extraRetries, 58);
     EXPECT_EQ(settings->bounds.stopGrace, seconds(6));
     EXPECT_EQ(settings->bounds.maxLookupTtl, milliseconds(2'500));
+    EXPECT_EQ(settings->bounds.drainTime, milliseconds(3'000));
     EXPECT_EQ(settings->logLevel, "WARN");
     EXPECT_TRUE(settings->isFirstStart);
 }
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -76,10 +76,10 @@
     , membership(simulation.m_entries[entry].record, seed)
     , targets(loop, client, health, Platform::TargetKind,
               { [this](const std::vector<Platform::StoredItem> &items) {
-                   applyTargetSnapshot(registry, items, loop.now());
+                   applyTargetSnapshot(registry, items, loop.now(), targets.changesMadeAfter());
                },
                 [this](const std::vector<Platform::StoredChange> &changes) {
-                    applyTargetChanges(registry, changes, loop.now());
+                    applyTargetChanges(registry, changes, loop.now(), targets.changesMadeAfter());
                 } },
               seed, TargetOptions)
     , desiredState(loop, client, health, Platform::DesiredStateKind,
@@ -105,7 +105,7 @@
               simulation.m_schedule.now() == microseconds(0))
 {
     health.becameUnavailable().connect(
-            [this](const std::string &) { registry.onStoreUnavailable(); });
+            [this](const std::string &) { registry.onStoreUnavailable(loop.now()); });
     health.becameAvailable().connect([this] { registry.onStoreAvailable(loop.now()); });
 }
 
--- a/Tests/routing/TargetRegistryTest.cpp
+++ b/Tests/routing/TargetRegistryTest.cpp
@@ -47,7 +47,7 @@
 TEST_F(TargetRegistryTest, TargetsOfExpiredRegistrationsAreRetainedForTheGracePeriod)
 {
     addTargets(3);
-    m_registry.onStoreUnavailable();
+    m_registry.onStoreUnavailable(at(1));
     m_registry.onStoreAvailable(at(10));
     m_registry.replaceAll({ target("t0") }, at(10));
     EXPECT_TRUE(knows("t1"));
@@ -64,7 +64,7 @@
 TEST_F(TargetRegistryTest, RetainedTargetsAreRemovedWithinThreeSecondsOfTheStoresReturn)
 {
     addTargets(3);
-    m_registry.onStoreUnavailable();
+    m_registry.onStoreUnavailable(at(1));
     m_registry.onStoreAvailable(at(10.5));
     m_registry.replaceAll({ target("t0"), target("t1", "s1") }, at(10.5));
     m_registry.removeExpired(at(12.9));
@@ -78,7 +78,7 @@
     DiscoveredTarget leaving = target("t0");
     leaving.isDraining = true;
     m_registry.set(leaving, at(1));
-    m_registry.onStoreUnavailable();
+    m_registry.onStoreUnavailable(at(1));
     m_registry.onStoreAvailable(at(10));
     m_registry.replaceAll({ target("t1", "s1"), target("t2") }, at(10));
     EXPECT_FALSE(knows("t0"));
