Routing: Keep a target leaving once its registration has said that it drains

What targets saw: requests after they had reported that they drain. Cause: the registry believed the latest state, and a write that a target sent before it began to drain may take effect seconds later and say "ready" once more. An announcement in a response was final, one in the registration was not; and an announcement without start time of an unregistered target was compared with an empty address.

Both kinds of announcement are kept alike, until the target restarts.

--- a/Source/routing/TargetRegistry.cpp
+++ b/Source/routing/TargetRegistry.cpp
@@ -44,6 +44,11 @@
     }
     target.registration = entry;
     target.retainedUntil.reset();
+    if (entry.isDraining) {
+        // An earlier write of the same process may take effect later.
+        m_leavingAnnouncements[entry.id] =
+                LeavingAnnouncement{ entry.startTimeMs, entry.address, now };
+    }
     if (isRestart) {
         ++target.restartCount;
         target.coldUntil = MonotonicTime();
@@ -128,9 +133,12 @@
 bool TargetRegistry::hasAnnouncedLeaving(const DiscoveredTarget &entry) const
 {
     const auto it = m_leavingAnnouncements.find(entry.id);
+    if (it == m_leavingAnnouncements.end() || it->second.startTimeMs != entry.startTimeMs) {
+        return false;
+    }
     // If the start time is unknown, the address distinguishes processes.
-    return it != m_leavingAnnouncements.end() && it->second.startTimeMs == entry.startTimeMs
-           && (entry.startTimeMs != 0 || it->second.address == entry.address);
+    return entry.startTimeMs != 0 || !it->second.address.has_value()
+           || it->second.address == entry.address;
 }
 
 void TargetRegistry::onStoreUnavailable(MonotonicTime now)
@@ -203,7 +211,7 @@
 
 void TargetRegistry::updateAvailability(KnownTarget &target) const
 {
-    if (target.registration.isDraining || hasAnnouncedLeaving(target.registration)) {
+    if (hasAnnouncedLeaving(target.registration)) {
         target.availability = TargetAvailability::Leaving;
     } else if (m_evacuated.contains(target.registration.domain)) {
         target.availability = TargetAvailability::Evacuated;
--- a/Source/routing/TargetRegistry.h
+++ b/Source/routing/TargetRegistry.h
@@ -121,11 +121,13 @@
         MonotonicTime at;
     };
 
-    /// Announcement of a target that it is leaving.
+    /// Announcement of a target process that it is leaving, by a response or by its registration.
+    /// It holds until the target restarts.
     struct LeavingAnnouncement
     {
         std::uint64_t startTimeMs = 0;
-        Endpoint address;
+        /// Nothing if the target was not registered.
+        std::optional<Endpoint> address;
         MonotonicTime at;
     };
 
--- a/Tests/routing/TargetRegistryTest.cpp
+++ b/Tests/routing/TargetRegistryTest.cpp
@@ -148,6 +148,39 @@
     EXPECT_EQ(availability("t1"), TargetAvailability::Ready);
 }
 
+// Guards against using a draining target again because an earlier write of it takes effect late.
+TEST_F(TargetRegistryTest, DrainingHoldsUntilTheTargetRestarts)
+{
+    addTargets(6);
+    DiscoveredTarget leaving = target("t0");
+    leaving.startTimeMs = 1;
+    m_registry.set(leaving, at(1));
+    leaving.isDraining = true;
+    m_registry.set(leaving, at(2));
+    leaving.isDraining = false;
+    m_registry.set(leaving, at(3));
+    EXPECT_EQ(availability("t0"), TargetAvailability::Leaving);
+    m_registry.remove(TargetId("t0"), at(4));
+    m_registry.set(leaving, at(5));
+    EXPECT_EQ(availability("t0"), TargetAvailability::Leaving);
+    leaving.startTimeMs = 2;
+    m_registry.set(leaving, at(6));
+    EXPECT_EQ(availability("t0"), TargetAvailability::Ready);
+}
+
+// Guards against using a target without a start time again that announced that it is leaving while
+// it was not registered.
+TEST_F(TargetRegistryTest, LeavingAnnouncementHoldsWithoutAStartTime)
+{
+    addTargets(6);
+    m_registry.remove(TargetId("t1"), at(1));
+    m_registry.onLeavingAnnounced(TargetId("t1"), 0, at(1));
+    DiscoveredTarget again = target("t1", "s1");
+    again.startTimeMs = 0;
+    m_registry.set(again, at(2));
+    EXPECT_EQ(availability("t1"), TargetAvailability::Leaving);
+}
+
 // Guards against using a target again that has announced that it is leaving, because its
 // registration expired and was written again without the announcement.
 TEST_F(TargetRegistryTest, LeavingAnnouncementHoldsUntilTheTargetRestarts)
