Routing: End retention after an outage within 3 s of the last failed call

A call that was sent just before the end of an outage may hang for a second and more, so that the grace period of 2.1 s, counted from the first success, went beyond the 3 s after which the platform binds an entry again. Retention now ends 2.7 s after the start of the last failed call at the latest.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -225,7 +225,7 @@
 {
     LOG4CPLUS_INFO(logger(), LogLine("gateway", "store-regained").text());
     m_metrics.setStoreUnavailable(false);
-    m_state.registry().onStoreAvailable(m_loop.now());
+    m_state.registry().onStoreAvailable(m_loop.now(), m_health.lastFailureBeganAt());
 }
 
 void GatewayDaemon::onRouteTables(const std::vector<Platform::StoredItem> &items)
--- a/Source/gateway/StoreHealth.h
+++ b/Source/gateway/StoreHealth.h
@@ -20,6 +20,7 @@
     /// succeeded since that start: a late failure of an old call does not show a new outage.
     void onFailure(const std::string &reason, MonotonicTime began)
     {
+        m_lastFailureBeganAt = std::max(m_lastFailureBeganAt.value_or(began), began);
         if (m_isUnavailable || (m_lastSuccessAt.has_value() && began <= *m_lastSuccessAt)) {
             return;
         }
@@ -73,6 +74,8 @@
     const std::optional<MonotonicTime> &lastSuccessAt() const { return m_lastSuccessAt; }
     /// Latest start of a call that has succeeded: at that time or later the store responded.
     const std::optional<MonotonicTime> &lastSuccessBeganAt() const { return m_lastSuccessBeganAt; }
+    /// Latest start of a call that has failed; nothing before the first failure.
+    const std::optional<MonotonicTime> &lastFailureBeganAt() const { return m_lastFailureBeganAt; }
     /// Emitted with the reason when the first call fails, that is, when an outage starts.
     sigc::signal<void(const std::string &)> &becameUnavailable() { return m_becameUnavailable; }
     /// Emitted when a call succeeds again, that is, when the outage ends.
@@ -89,6 +92,7 @@
     std::optional<MonotonicTime> m_outageEndedAt;
     std::optional<MonotonicTime> m_lastSuccessAt;
     std::optional<MonotonicTime> m_lastSuccessBeganAt;
+    std::optional<MonotonicTime> m_lastFailureBeganAt;
     sigc::signal<void(const std::string &)> m_becameUnavailable;
     sigc::signal<void()> m_becameAvailable;
 };
--- a/Source/routing/TargetRegistry.cpp
+++ b/Source/routing/TargetRegistry.cpp
@@ -92,8 +92,8 @@
     if (target.registration.isDraining) {
         return std::nullopt;
     }
-    if (isWithinGracePeriod(m_expiryOutageEndedAt, now)) {
-        return *m_expiryOutageEndedAt + m_options.gracePeriod;
+    if (now < m_retentionAfterOutageEndsAt) {
+        return m_retentionAfterOutageEndsAt;
     }
     if (!m_storeUnavailableSince.has_value() && !isWithinGracePeriod(m_outageEndedAt, now)
         && !isMassRemoval(target.registration.service, now)) {
@@ -146,14 +146,17 @@
     m_storeUnavailableSince = now;
 }
 
-void TargetRegistry::onStoreAvailable(MonotonicTime now)
+void TargetRegistry::onStoreAvailable(MonotonicTime now,
+                                      const std::optional<MonotonicTime> &lastFailureBeganAt)
 {
     if (!m_storeUnavailableSince.has_value()) {
         return;
     }
     m_outageEndedAt = now;
     if (now - *m_storeUnavailableSince >= m_options.minExpiryOutage) {
-        m_expiryOutageEndedAt = now;
+        m_retentionAfterOutageEndsAt =
+                std::min(now + m_options.gracePeriod,
+                         lastFailureBeganAt.value_or(now) + m_options.maxRetentionAfterFailure);
     }
     m_storeUnavailableSince.reset();
 }
--- a/Source/routing/TargetRegistry.h
+++ b/Source/routing/TargetRegistry.h
@@ -16,6 +16,9 @@
     /// Grace period after a store outage within which targets whose registrations expired during
     /// the outage register again; the platform states about two seconds.
     microseconds gracePeriod{ 2'100'000 };
+    /// Maximum time for which targets are retained after the last call to the store that failed
+    /// began. The platform binds an entry from 3 s after the end of its trouble.
+    microseconds maxRetentionAfterFailure{ 2'700'000 };
     /// Outages of at least this duration may let registrations expire. Expiry takes three
     /// heartbeats of a target, above 4 s, of which an entry may notice a part only.
     microseconds minExpiryOutage{ 2'000'000 };
@@ -98,8 +101,10 @@
     void onLeavingAnnounced(const TargetId &target, std::uint64_t startTimeMs, MonotonicTime now);
     /// Called when calls to the store begin to fail.
     void onStoreUnavailable(MonotonicTime now);
-    /// Called when calls to the store succeed again.
-    void onStoreAvailable(MonotonicTime now);
+    /// Called when calls to the store succeed again. `lastFailureBeganAt` is the latest start of a
+    /// call that has failed; the store may have been available since then.
+    void onStoreAvailable(MonotonicTime now,
+                          const std::optional<MonotonicTime> &lastFailureBeganAt = std::nullopt);
     /// Sets the time after which a target that has left must not get requests any more.
     void setDrainTime(microseconds time) { m_options.drainTime = time; }
     /// Sets the evacuated failure domains, whose targets get no new requests.
@@ -152,10 +157,11 @@
     std::set<FailureDomainId> m_evacuated;
     /// Start of the store outage in progress.
     std::optional<MonotonicTime> m_storeUnavailableSince;
-    /// End of the last outage of any duration, and of the last one in which registrations may have
-    /// expired.
+    /// End of the last outage.
     std::optional<MonotonicTime> m_outageEndedAt;
-    std::optional<MonotonicTime> m_expiryOutageEndedAt;
+    /// Time until which targets are retained because of the last outage in which registrations may
+    /// have expired.
+    MonotonicTime m_retentionAfterOutageEndsAt;
     std::vector<Removal> m_removals;
     std::vector<TargetChange> m_changes;
     std::uint64_t m_revision = 0;
--- a/Tests/gateway/LeaveTest.cpp
+++ b/Tests/gateway/LeaveTest.cpp
@@ -135,5 +135,62 @@
     });
 }
 
+/// Adds a trouble of a random kind at the given time: entries without the store, cut, turned away
+/// or without answers, paused or restarted entries, or a store that is away for all.
+void scheduleTrouble(StoreSimulation &run, microseconds time)
+{
+    const int kind = std::uniform_int_distribution<int>(0, 6)(run.random());
+    const double fraction = std::uniform_real_distribution<double>(0.02, 0.5)(run.random());
+    const milliseconds duration{ std::uniform_int_distribution<int>(200, 6'000)(run.random()) };
+    run.at(time, [&run, kind, fraction, duration] {
+        const std::set<std::size_t> entries =
+                kind == 0 ? run.watchingEntries() : run.drawEntries(fraction);
+        switch (kind) {
+        case 0:
+        case 1:
+            run.disturb(entries, StorePath::Cut, duration);
+            break;
+        case 2:
+            run.disturb(entries, StorePath::Rejecting, duration);
+            break;
+        case 3:
+            run.disturb(entries, StorePath::Silent, duration);
+            break;
+        case 4:
+            for (const std::size_t it : entries) {
+                run.pause(it, duration);
+            }
+            break;
+        case 5:
+            for (const std::size_t it : entries) {
+                run.restart(it);
+            }
+            break;
+        default:
+            run.disturbStore(duration.count() % 2 == 0 ? StorePath::Rejecting : StorePath::Silent,
+                             duration / 3);
+            break;
+        }
+    });
+}
+
+// Guards against any way on which an entry in touch follows leaves or the desired state too late
+// while other entries or the store are in trouble.
+TEST_F(LeaveTest, EntriesInTouchFollowTheStoreDuringTroubleOfOthers)
+{
+    StoreScenario scenario;
+    scenario.callLossRatio = 0.0015;
+    play(scenario, [](StoreSimulation &run) {
+        scheduleLeaves(run, milliseconds(390));
+        for (int i = 0; i < 12; ++i) {
+            run.at(seconds(10) + milliseconds(2'100) * i, [&run] { run.changeDesiredState(); });
+        }
+        for (int i = 0; i < 4; ++i) {
+            const milliseconds offset{ std::uniform_int_distribution<int>(0, 5'000)(run.random()) };
+            scheduleTrouble(run, seconds(9) + i * seconds(6) + offset);
+        }
+    });
+}
+
 } // namespace
 } // namespace Tarragon
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -106,7 +106,8 @@
 {
     health.becameUnavailable().connect(
             [this](const std::string &) { registry.onStoreUnavailable(loop.now()); });
-    health.becameAvailable().connect([this] { registry.onStoreAvailable(loop.now()); });
+    health.becameAvailable().connect(
+            [this] { registry.onStoreAvailable(loop.now(), health.lastFailureBeganAt()); });
 }
 
 void StoreSimulation::Process::adopt(const Platform::StoredItem &item)
@@ -285,7 +286,7 @@
 void StoreSimulation::disturbStore(StorePath path, microseconds duration)
 {
     m_store.setPath(path);
-    m_storeTroubledUntil = m_schedule.now() + duration;
+    m_storeTroubledUntil = std::max(m_storeTroubledUntil, m_schedule.now() + duration);
     m_schedule.after(duration, [this] { m_store.setPath(StorePath::Open); });
 }
 
--- a/Tests/gateway/VirtualStore.cpp
+++ b/Tests/gateway/VirtualStore.cpp
@@ -33,6 +33,11 @@
 void VirtualStore::setPath(StorePath path)
 {
     m_path = path;
+    if (path == StorePath::Open) {
+        for (const std::function<void()> &it : std::exchange(m_deferred, {})) {
+            it();
+        }
+    }
 }
 
 void VirtualStore::compact()
@@ -131,13 +136,29 @@
 void VirtualStoreClient::setPath(StorePath path)
 {
     m_path = path;
-    if (path != StorePath::Cut) {
-        for (const std::function<void()> &it : std::exchange(m_heldResponses, {})) {
+    if (path == StorePath::Open) {
+        for (const std::function<void()> &it : std::exchange(m_deferred, {})) {
             m_loop.run(RetransmitDelay, it);
         }
     }
 }
 
+void VirtualStoreClient::whenReachable(const std::shared_ptr<CallState> &state,
+                                       const std::function<void()> &action)
+{
+    if (state->hasEnded) {
+        return;
+    }
+    const auto again = [this, state, action] { whenReachable(state, action); };
+    if (m_path == StorePath::Cut || m_path == StorePath::Silent) {
+        m_deferred.push_back(again);
+    } else if (m_store.path() == StorePath::Cut || m_store.path() == StorePath::Silent) {
+        m_store.defer(again);
+    } else {
+        action();
+    }
+}
+
 template<typename Page>
 VirtualStoreClient::CallPtr VirtualStoreClient::call(
         milliseconds timeout, const sigc::slot<void(const Page &)> &callback,
@@ -164,32 +185,29 @@
                    [fail] { fail(CallOutcome::NotApplied, "connect timed out"); });
         return std::make_unique<Call>(state);
     }
-    // The store outlives all processes, and its side of a call goes on when the process ends.
+    // The store's side of a call ends with the call, so that it does not outlive the process.
     const auto respond = [this, state, end, fail](const Page &page) {
         if (state->hasEnded) {
             return;
         }
         if (m_path == StorePath::Cut) {
-            m_heldResponses.push_back([end, page] { end(page); });
             m_loop.run(KeepAliveTimeout,
                        [fail] { fail(CallOutcome::Unknown, "keep-alive probe unanswered"); });
-            return;
         }
-        m_loop.run(m_delay, [end, page] { end(page); });
+        whenReachable(state,
+                      [this, end, page] { m_loop.run(m_delay, [end, page] { end(page); }); });
     };
     m_loop.run(m_delay, [this, state, serve, respond] {
-        const StorePath way = path();
-        if (state->hasEnded || way == StorePath::Cut || way == StorePath::Silent) {
-            return;
-        }
-        if (way == StorePath::Rejecting) {
-            Page page;
-            page.outcome = CallOutcome::NotApplied;
-            page.reason = "status 503";
-            respond(page);
-            return;
-        }
-        serve(respond);
+        whenReachable(state, [this, serve, respond] {
+            if (path() == StorePath::Rejecting) {
+                Page page;
+                page.outcome = CallOutcome::NotApplied;
+                page.reason = "status 503";
+                respond(page);
+                return;
+            }
+            serve(respond);
+        });
     });
     return std::make_unique<Call>(state);
 }
--- a/Tests/gateway/VirtualStore.h
+++ b/Tests/gateway/VirtualStore.h
@@ -17,11 +17,12 @@
 /// How the store is reached.
 enum class StorePath {
     Open,
-    /// No packet arrives in either direction.
+    /// No packet arrives in either direction; those of open connections are transmitted again after
+    /// the end.
     Cut,
     /// The store turns calls away with 503.
     Rejecting,
-    /// The store accepts calls and does not respond.
+    /// The store does not serve calls before the end.
     Silent,
 };
 
@@ -39,6 +40,8 @@
     /// Sets how all clients reach the store.
     void setPath(StorePath path);
     StorePath path() const { return m_path; }
+    /// Runs an action once the store serves calls again.
+    void defer(const std::function<void()> &action) { m_deferred.push_back(action); }
     /// Drops the history and ends all waiting watches.
     void compact();
 
@@ -64,6 +67,7 @@
     StorePath m_path = StorePath::Open;
     std::uint64_t m_nextWaiter = 0;
     std::map<std::uint64_t, Waiter> m_waiters;
+    std::list<std::function<void()>> m_deferred;
 };
 
 /// Client of the virtual store in one process.
@@ -105,6 +109,9 @@
     CallPtr call(milliseconds timeout, const sigc::slot<void(const Page &)> &callback,
                  const std::function<void(const std::function<void(const Page &)> &)> &serve);
     StorePath path() const;
+    /// Runs an action at the store's side as soon as the way is open, if the call has not ended.
+    void whenReachable(const std::shared_ptr<CallState> &state,
+                       const std::function<void()> &action);
 
     VirtualLoop &m_loop;
     VirtualStore &m_store;
@@ -113,8 +120,8 @@
     std::mt19937_64 m_random;
     StorePath m_path = StorePath::Open;
     bool m_losesNextCall = false;
-    /// Responses that wait for the end of a cut.
-    std::list<std::function<void()>> m_heldResponses;
+    /// Actions that wait for the end of a cut.
+    std::list<std::function<void()>> m_deferred;
 };
 
 } // namespace Tarragon
