--- a/Tests/StandIns/platform/StandInObjects.cpp
+++ b/Tests/StandIns/platform/StandInObjects.cpp
@@ -45,6 +45,13 @@
     m_history.push_back(Change{ std::move(object), true });
 }
 
+void StandInObjects::restore(const StandInObjects &copy)
+{
+    const std::uint64_t era = m_era + 1;
+    *this = copy;
+    m_era = era;
+}
+
 std::uint64_t StandInObjects::revisionOf(const std::string &kind, const std::string &name) const
 {
     const Object *object = find(kind, name);
@@ -65,7 +72,7 @@
 std::optional<std::vector<StandInObjects::Change>>
 StandInObjects::changesSince(const std::string &kind, std::uint64_t revision) const
 {
-    if (revision < m_historyFrom) {
+    if (revision < m_historyFrom || revision > m_revision) {
         return std::nullopt;
     }
     std::vector<Change> result;
--- a/Tests/StandIns/platform/StandInObjects.h
+++ b/Tests/StandIns/platform/StandInObjects.h
@@ -45,7 +45,7 @@
     /// Returns the objects of the kind whose names sort after the given name, ordered by name.
     std::vector<Object> list(const std::string &kind, const std::string &after) const;
     /// Returns the changes of the kind after the revision, or nothing if that part of the history
-    /// has been dropped.
+    /// has been dropped or the revision has not been given out.
     std::optional<std::vector<Change>> changesSince(const std::string &kind,
                                                     std::uint64_t revision) const;
     /// Drops the history of all changes so far.
@@ -55,6 +55,11 @@
         m_historyFrom = m_revision;
     }
     std::uint64_t revision() const { return m_revision; }
+    /// Replaces the contents by those of an earlier copy and begins a new era, in which revisions
+    /// since the copy are given out again.
+    void restore(const StandInObjects &copy);
+    /// Number of the era, starting at 1.
+    std::uint64_t era() const { return m_era; }
 
 private:
     std::map<std::pair<std::string, std::string>, Object> m_objects;
@@ -62,6 +67,7 @@
     /// The history contains all changes after this revision.
     std::uint64_t m_historyFrom = 0;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_era = 1;
 };
 
 } // namespace Tarragon
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -29,6 +29,11 @@
 constexpr SubscriptionOptions OperatorOptions{ milliseconds(300), true, false, true };
 /// Period of the checks. Callers send requests at any time.
 constexpr microseconds AuditPeriod{ 20'000 };
+constexpr microseconds CopyPeriod{ 500'000 };
+/// Time after the return of the store until the operator writes again.
+constexpr microseconds OperatorRewriteDelay{ 200'000 };
+constexpr microseconds HeartbeatPeriod{ 1'500'000 };
+constexpr microseconds RegistrationExpiry{ 4'500'000 };
 /// All processes of a deployment start within this time of each other.
 constexpr microseconds StartSpread{ 300'000 };
 /// Time from the start of a process until it knows the registered entries.
@@ -151,6 +156,7 @@
 
 void StoreSimulation::run()
 {
+    copyStore();
     m_schedule.after(StartUpTime, [this] { audit(); });
     while (m_schedule.step(m_scenario.duration)) {
     }
@@ -195,8 +201,11 @@
         Process &mine = *m_entries[entry].process;
         const std::vector<GossipMemberState> states = mine.membership.memberStates();
         Process &theirs = *m_entries[indexOf(it)].process;
-        theirs.loop.run(NeighbourDelay, [&mine, &theirs, states] {
+        theirs.loop.run(NeighbourDelay, [&mine, &theirs, states, life = mine.loop.lifetime()] {
             theirs.membership.merge(states, theirs.loop.now());
+            if (life.expired()) {
+                return;
+            }
             const std::vector<GossipMemberState> reply = theirs.membership.memberStates();
             mine.loop.run(NeighbourDelay,
                           [&mine, reply] { mine.membership.merge(reply, mine.loop.now()); });
@@ -218,7 +227,11 @@
             onReply(nullptr);
         }
     });
-    theirs.loop.run(NeighbourDelay, [&mine, &theirs, question, hasEnded, onReply] {
+    theirs.loop.run(NeighbourDelay, [&mine, &theirs, question, hasEnded, onReply,
+                                     life = mine.loop.lifetime()] {
+        if (life.expired()) {
+            return;
+        }
         const std::shared_ptr<Message> answer = std::make_shared<Message>();
         theirs.relay.fillReply(question->getRoot<PeerRpc::Peer::RelayParams>().asReader(),
                                answer->initRoot<PeerRpc::Peer::RelayResults>());
@@ -237,13 +250,13 @@
     m_targetSpecs[target]["state"] = "draining";
     m_targetSpecs[target]["seq"] = m_targetSpecs[target]["seq"].get<int>() + 1;
     m_store.put(Platform::TargetKind, numbered("t", target), m_targetSpecs[target]);
-    m_leaves.push_back(Leave{ target, m_schedule.now() });
+    m_leaves.push_back(Leave{ target, m_schedule.now(), true });
 }
 
 void StoreSimulation::vanish(std::size_t target)
 {
     m_store.remove(Platform::TargetKind, numbered("t", target));
-    m_leaves.push_back(Leave{ target, m_schedule.now() });
+    m_leaves.push_back(Leave{ target, m_schedule.now(), false });
 }
 
 void StoreSimulation::applyWriteFromBeforeDraining(std::size_t target)
@@ -290,6 +303,51 @@
     m_schedule.after(duration, [this] { m_store.setPath(StorePath::Open); });
 }
 
+void StoreSimulation::copyStore()
+{
+    m_copies.emplace(m_schedule.now(), m_store.objects());
+    m_schedule.after(CopyPeriod, [this] { copyStore(); });
+}
+
+void StoreSimulation::restoreStore(microseconds copyAge, microseconds duration)
+{
+    const auto copy = std::prev(m_copies.upper_bound(m_schedule.now() - copyAge));
+    disturbStore(StorePath::Silent, duration);
+    m_schedule.after(duration, [this, contents = copy->second] {
+        m_store.restore(contents);
+        rewriteLostState();
+    });
+}
+
+bool StoreSimulation::hasLeft(std::size_t target) const
+{
+    return std::any_of(m_leaves.begin(), m_leaves.end(), [target](const Leave &it) {
+        return it.target == target && !it.isAnnounced;
+    });
+}
+
+void StoreSimulation::rewriteLostState()
+{
+    m_schedule.after(OperatorRewriteDelay, [this] {
+        m_store.put(Platform::DesiredStateKind, Platform::DesiredStateName,
+                    desiredState(m_versions.back().first));
+    });
+    for (std::size_t i = 0; i < m_targetSpecs.size(); ++i) {
+        if (hasLeft(i)) {
+            m_schedule.after(RegistrationExpiry,
+                             [this, i] { m_store.remove(Platform::TargetKind, numbered("t", i)); });
+            continue;
+        }
+        const microseconds delay{ std::uniform_int_distribution<std::int64_t>(
+                0, HeartbeatPeriod.count())(m_random) };
+        m_schedule.after(delay, [this, i] {
+            if (!hasLeft(i)) {
+                m_store.put(Platform::TargetKind, numbered("t", i), m_targetSpecs[i]);
+            }
+        });
+    }
+}
+
 void StoreSimulation::pause(std::size_t entry, microseconds duration)
 {
     m_entries[entry].process->loop.pause(duration);
--- a/Tests/gateway/StoreSimulation.h
+++ b/Tests/gateway/StoreSimulation.h
@@ -70,6 +70,10 @@
     void loseNextCalls(const std::set<std::size_t> &entries);
     /// Interrupts the way of all entries to the store.
     void disturbStore(StorePath path, microseconds duration);
+    /// Takes the store away for a time, after which it returns from a copy of the given age. The
+    /// operator and the targets then write again what is missing, and registrations of targets that
+    /// have left expire.
+    void restoreStore(microseconds copyAge, microseconds duration);
     /// Suspends an entry.
     void pause(std::size_t entry, microseconds duration);
     /// Replaces the process of an entry by a new one.
@@ -131,8 +135,12 @@
     {
         std::size_t target = 0;
         microseconds acknowledgedAt{ 0 };
+        bool isAnnounced = false;
     };
 
+    void copyStore();
+    void rewriteLostState();
+    bool hasLeft(std::size_t target) const;
     void start(std::size_t entry);
     void begin(std::size_t entry, Process &process);
     void gossip(std::size_t entry);
@@ -156,6 +164,8 @@
     std::vector<Leave> m_leaves;
     /// Acknowledged versions of the desired state, in order.
     std::vector<std::pair<std::uint64_t, microseconds>> m_versions;
+    /// Copies of the store's contents, by the time of the copy.
+    std::map<microseconds, StandInObjects> m_copies;
     microseconds m_storeTroubledUntil{ 0 };
     std::set<std::string> m_reported;
     std::vector<std::string> m_violations;
--- a/Tests/gateway/VirtualLoop.h
+++ b/Tests/gateway/VirtualLoop.h
@@ -90,6 +90,8 @@
     {
         m_pausedUntil = std::max(m_pausedUntil, m_schedule.now() + duration);
     }
+    /// Expires when the process ends.
+    std::weak_ptr<bool> lifetime() const { return m_alive; }
     bool isPaused() const { return m_schedule.now() < m_pausedUntil; }
 
 private:
--- a/Tests/gateway/VirtualStore.cpp
+++ b/Tests/gateway/VirtualStore.cpp
@@ -46,6 +46,12 @@
     wake("");
 }
 
+void VirtualStore::restore(const StandInObjects &copy)
+{
+    m_objects.restore(copy);
+    wake("");
+}
+
 Platform::ItemPage VirtualStore::list(const std::string &kind) const
 {
     Platform::ItemPage page;
@@ -61,7 +67,7 @@
 {
     Platform::ChangePage page;
     const auto changes = m_objects.changesSince(kind, revision);
-    if (!changes.has_value() || revision > m_objects.revision()) {
+    if (!changes.has_value()) {
         page.outcome = CallOutcome::HistoryGone;
         page.reason = "status 410";
         return page;
--- a/Tests/gateway/VirtualStore.h
+++ b/Tests/gateway/VirtualStore.h
@@ -45,6 +45,9 @@
     /// Drops the history and ends all waiting watches.
     void compact();
 
+    /// Returns from a copy of its contents. Waiting watches are answered.
+    void restore(const StandInObjects &copy);
+
     /// Reads all objects of a kind.
     Platform::ItemPage list(const std::string &kind) const;
     /// Reads the changes of a kind after a revision.
