Gateway: Read the store again when it was restored from a copy

Cause: a revision was a number. A store that returns from a copy gives out revisions again; an entry that went on watching from its old revision got no 410 once the store had reached that revision again, and missed all changes before it.

StoreRevision has the era from the header Store-Era; revisions of two eras are unordered by type. A watch whose answer is of another era counts as lost history, any answer, also of the connection check or a neighbour's reply, that shows a new era makes all subscriptions list again, list pages of two eras start the list over, and logs of changes relay nothing across eras.

--- a/Source/gateway/ChangeLog.cpp
+++ b/Source/gateway/ChangeLog.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void ChangeLog::reset(std::uint64_t revision, const std::optional<ListSummary> &list)
+void ChangeLog::reset(const StoreRevision &revision, const std::optional<ListSummary> &list)
 {
     m_list = list.has_value() && list->revision == revision ? list : std::nullopt;
     m_changes.clear();
@@ -26,11 +26,11 @@
 
 void ChangeLog::add(const Platform::ChangePage &page)
 {
-    if (page.revision < m_lastRevision) {
+    if (!(page.revision >= m_lastRevision)) {
         return;
     }
     const std::size_t previousSize = m_changes.size();
-    std::uint64_t lastOwnRevision = m_lastRevision;
+    StoreRevision lastOwnRevision = m_lastRevision;
     bool isSorted = true;
     for (const Platform::StoredChange &it : page.changes) {
         LoggedChange change;
@@ -61,16 +61,16 @@
     }
 }
 
-ChangeLog::Position ChangeLog::firstAfter(std::uint64_t revision) const
+ChangeLog::Position ChangeLog::firstAfter(const StoreRevision &revision) const
 {
     Position first = std::partition_point(
             m_changes.begin(), m_changes.end(),
-            [revision](const LoggedChange &it) { return it.pageRevision <= revision; });
+            [&revision](const LoggedChange &it) { return it.pageRevision <= revision; });
     if (first == m_changes.end()) {
         return first;
     }
     // The neighbour may have received only the first changes of a result.
-    const std::uint64_t page = first->pageRevision;
+    const StoreRevision page = first->pageRevision;
     for (Position it = first; it != m_changes.end() && it->pageRevision == page; ++it) {
         if (it->hasOwnRevision && it->revision <= revision) {
             first = it + 1;
@@ -79,7 +79,7 @@
     return first;
 }
 
-std::optional<ChangeDelta> ChangeLog::since(std::uint64_t revision,
+std::optional<ChangeDelta> ChangeLog::since(const StoreRevision &revision,
                                             const std::optional<std::size_t> &listed,
                                             const DeltaLimits &limits) const
 {
@@ -87,7 +87,8 @@
     // that none was removed either.
     const bool isListEquivalent = m_list.has_value() && listed.has_value()
                                   && m_list->newestRevision <= revision && m_list->count == *listed;
-    if (m_firstRevision == 0 || (revision < m_firstRevision && !isListEquivalent)) {
+    if (!m_firstRevision.isKnown() || revision.era != m_firstRevision.era
+        || (revision < m_firstRevision && !isListEquivalent)) {
         return std::nullopt;
     }
     ChangeDelta delta;
--- a/Source/gateway/ChangeLog.h
+++ b/Source/gateway/ChangeLog.h
@@ -15,10 +15,10 @@
 /// neighbours whose older list has the same content.
 struct ListSummary
 {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::size_t count = 0;
     /// Greatest revision of any object in the list.
-    std::uint64_t newestRevision = 0;
+    StoreRevision newestRevision;
 };
 
 /// A change of one object, as it is relayed to neighbours.
@@ -27,12 +27,12 @@
     std::string name;
     /// Revision in the object's metadata. A removal shows the revision of the object before it was
     /// removed.
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     bool isRemoval = false;
     /// The object's specification as JSON text; empty for a removal.
     std::string spec;
     /// Revision of the watch result that contained the change.
-    std::uint64_t pageRevision = 0;
+    StoreRevision pageRevision;
     /// Whether `revision` is the revision of this change itself. False for removals and other
     /// changes that show an older revision, and for all changes of a result that is not sorted by
     /// revision.
@@ -53,7 +53,7 @@
 struct ChangeDelta
 {
     /// Revision that the neighbour has reached after applying the changes.
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     /// Whether the delta contains all changes up to the end of the log. Otherwise the changes after
     /// `revision` follow in the next reply.
     bool isComplete = false;
@@ -72,19 +72,20 @@
     static constexpr std::size_t MaxChanges = 4'000;
     /// Clears the log and starts it at the given revision. The list is remembered only if it was
     /// read at exactly this revision, that is, if nothing has changed since it was read.
-    void reset(std::uint64_t revision, const std::optional<ListSummary> &list = std::nullopt);
+    void reset(const StoreRevision &revision,
+               const std::optional<ListSummary> &list = std::nullopt);
     /// Appends the changes of a watch result and advances the last revision to that of the result.
-    /// Ignores results that are older than the log's last revision.
+    /// Ignores results that are older than the log's last revision or of another era.
     void add(const Platform::ChangePage &page);
     /// Returns the changes after the given revision. The result may repeat changes that the
     /// neighbour already has. If all changes together exceed the limit of one reply, returns the
-    /// first of them. Returns nothing if the log does not reach back to the revision, or if the
-    /// changes exceed the limit of all replies. `listed` is the number of objects in the
-    /// neighbour's list if that list is unchanged. A list that is older than the log is accepted if
-    /// it has as many objects as the list at the start of the log and no object of the latter is
-    /// newer than the neighbour's revision: then nothing was added, changed or removed between the
-    /// two lists.
-    std::optional<ChangeDelta> since(std::uint64_t revision,
+    /// first of them. Returns nothing if the log does not reach back to the revision, is of another
+    /// era, or if the changes exceed the limit of all replies. `listed` is the number of objects in
+    /// the neighbour's list if that list is unchanged. A list that is older than the log is
+    /// accepted if it has as many objects as the list at the start of the log and no object of the
+    /// latter is newer than the neighbour's revision: then nothing was added, changed or removed
+    /// between the two lists.
+    std::optional<ChangeDelta> since(const StoreRevision &revision,
                                      const std::optional<std::size_t> &listed,
                                      const DeltaLimits &limits) const;
 
@@ -92,13 +93,13 @@
     using Position = std::deque<LoggedChange>::const_iterator;
 
     /// Returns the first change that a neighbour at the given revision may lack.
-    Position firstAfter(std::uint64_t revision) const;
+    Position firstAfter(const StoreRevision &revision) const;
 
     std::deque<LoggedChange> m_changes;
     /// The log contains the changes after the first revision up to and including the last one. Both
-    /// are 0 before the first call of reset().
-    std::uint64_t m_firstRevision = 0;
-    std::uint64_t m_lastRevision = 0;
+    /// are unknown before the first call of reset().
+    StoreRevision m_firstRevision;
+    StoreRevision m_lastRevision;
     std::optional<ListSummary> m_list;
 };
 
--- a/Source/gateway/EntryRegistration.cpp
+++ b/Source/gateway/EntryRegistration.cpp
@@ -68,7 +68,7 @@
     m_isWriting = true;
     m_write = m_store.replace(
             Platform::EntryKind, m_membership.localEntry().instance.value(),
-            Platform::encodeEntry(m_membership.localEntry()), 0, WriteTimeout,
+            Platform::encodeEntry(m_membership.localEntry()), StoreRevision(), WriteTimeout,
             [this](const Platform::ItemResult &result) { onWritten(result, false); });
 }
 
@@ -160,7 +160,7 @@
     m_isDeregistered = true;
     m_retryTimer.reset();
     m_failedEntryTimer.reset();
-    if (m_ownRevision == 0) {
+    if (!m_ownRevision.isKnown()) {
         return;
     }
     // Removes the registration only at this run's revision: the call may take effect after the next
--- a/Source/gateway/EntryRegistration.h
+++ b/Source/gateway/EntryRegistration.h
@@ -37,7 +37,7 @@
     struct Entry
     {
         EntryRecord record;
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         /// Time at which the entry was found to have failed; nothing while it is responsive.
         std::optional<MonotonicTime> failedSince;
     };
@@ -54,7 +54,7 @@
     EntryMembership &m_membership;
     Backoff m_backoff;
     std::map<InstanceId, Entry> m_entries;
-    std::uint64_t m_ownRevision = 0;
+    StoreRevision m_ownRevision;
     bool m_isWriting = false;
     bool m_isDeregistered = false;
     HttpCallPtr m_write;
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -255,7 +255,8 @@
         }
     } catch (const std::exception &error) {
         LOG4CPLUS_ERROR(logger(), LogLine("gateway", "route-table-refused")
-                                          .add("revision", item.revision)
+                                          .add("era", item.revision.era)
+                                          .add("revision", item.revision.number)
                                           .add("reason", error.what())
                                           .text());
         return;
@@ -271,7 +272,8 @@
     m_metrics.setRouteVersion(table.version.value());
     LOG4CPLUS_INFO(logger(), LogLine("gateway", "route-table-adopted")
                                      .add("version", table.version)
-                                     .add("revision", item.revision)
+                                     .add("era", item.revision.era)
+                                     .add("revision", item.revision.number)
                                      .add("routes", table.routes.size())
                                      .text());
 }
--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -42,8 +42,8 @@
 
 /// Subscription to the objects of one kind in the store. Lists the objects once and then watches
 /// for changes, or receives the changes from neighbours that watch. Lists again when the store no
-/// longer has the history since the last known revision. A watch that fails is continued from the
-/// last known revision.
+/// longer has the history since the last known revision, or was restored from a copy. A watch that
+/// fails is continued from the last known revision.
 template<TimerLoop Loop, StoreReader Store>
 class BasicKindSubscription
 {
@@ -69,8 +69,11 @@
     bool hasSnapshot() const { return m_hasSnapshot; }
     /// Whether a list has been read completely and is still valid, so that changes continue it.
     bool isListed() const { return m_isListed; }
-    /// Revision up to which the changes are known; 0 before the first list.
-    std::uint64_t revision() const { return m_revision; }
+    /// Whether the snapshot that is being delivered is the first one after the store was restored
+    /// from a copy: objects may be missing or outdated until their writers write again.
+    bool isRestored() const { return m_isRestored; }
+    /// Revision up to which the changes are known; unknown before the first list.
+    const StoreRevision &revision() const { return m_revision; }
     /// Returns the summary of the last list if no changes were received since.
     std::optional<ListSummary> unchangedList() const;
     ChangeSource source() const { return m_source; }
@@ -143,8 +146,12 @@
     /// Records the outcome of a call. Returns whether the call succeeded; otherwise schedules the
     /// next call.
     bool recordOutcome(Platform::CallOutcome outcome, const std::string &reason);
+    /// Records the era of a response. Returns whether the response may be used: it is neither from
+    /// before the store was restored nor the first one after it.
+    bool acceptsEra(StoreEra era);
     void onFailure(Platform::CallOutcome outcome, const std::string &reason);
     void onStoreAvailable();
+    void onEraChanged();
 
     Loop &m_loop;
     Store &m_store;
@@ -161,8 +168,12 @@
     TimerOf<Loop> m_timer;
     /// The pages received so far of the list in progress.
     Platform::ItemPage m_listPages;
-    /// Revision from which to watch; 0 before the first list and when the list must be read again.
-    std::uint64_t m_revision = 0;
+    /// Revision from which to watch; unknown before the first list and when the list must be read
+    /// again.
+    StoreRevision m_revision;
+    /// Era of the last delivered snapshot.
+    StoreEra m_snapshotEra;
+    bool m_isRestored = false;
     bool m_hasSnapshot = false;
     bool m_isListed = false;
     ListSummary m_lastList;
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -28,6 +28,7 @@
 {
     m_health.becameAvailable().connect(
             sigc::mem_fun(*this, &BasicKindSubscription::onStoreAvailable));
+    m_health.eraChanged().connect(sigc::mem_fun(*this, &BasicKindSubscription::onEraChanged));
 }
 
 template<TimerLoop Loop, StoreReader Store>
@@ -62,11 +63,25 @@
     return true;
 }
 
+template<TimerLoop Loop, StoreReader Store>
+bool BasicKindSubscription<Loop, Store>::acceptsEra(StoreEra era)
+{
+    if (era != StoreEra() && era < m_health.era()) {
+        // The store responded before it was restored.
+        m_timer = m_loop.schedule(MinBackoff, [this] { continueAfterFailure(); });
+        return false;
+    }
+    const bool isRestored = m_health.era() != StoreEra() && era > m_health.era();
+    m_health.onEra(era);
+    // onEraChanged() has begun a new list.
+    return !isRestored;
+}
+
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::onPage(const Platform::ItemPage &page)
 {
     m_isCalling = false;
-    if (!recordOutcome(page.outcome, page.reason)) {
+    if (!acceptsEra(page.era) || !recordOutcome(page.outcome, page.reason)) {
         return;
     }
     if (const std::optional<std::string> next = addPage(m_listPages, page)) {
@@ -79,7 +94,8 @@
     m_hasEverListed = true;
     m_isListed = true;
     m_revision = m_listPages.revision;
-    m_lastList = ListSummary{ m_revision, m_listPages.items.size(), 0 };
+    m_lastList =
+            ListSummary{ m_revision, m_listPages.items.size(), StoreRevision{ m_revision.era, 0 } };
     for (const Platform::StoredItem &it : m_listPages.items) {
         m_lastList.newestRevision = std::max(m_lastList.newestRevision, it.revision);
     }
@@ -107,6 +123,8 @@
         return;
     }
     m_hasSnapshot = true;
+    m_isRestored = m_snapshotEra != StoreEra() && m_revision.era > m_snapshotEra;
+    m_snapshotEra = m_revision.era;
     const std::vector<Platform::StoredItem> items = std::move(*m_unconfirmedSnapshot);
     m_unconfirmedSnapshot.reset();
     const std::vector<Platform::StoredChange> changes = std::exchange(m_pendingChanges, {});
@@ -114,6 +132,7 @@
     if (!changes.empty()) {
         m_handlers.onChanges(changes);
     }
+    m_isRestored = false;
 }
 
 template<TimerLoop Loop, StoreReader Store>
@@ -261,7 +280,7 @@
     m_changesMadeAfter =
             wasWaiting ? std::max(confirmedAt(), std::optional(completeAt)) : confirmedAt();
     m_isCalling = false;
-    if (!recordOutcome(page.outcome, page.reason)) {
+    if (!acceptsEra(page.era) || !recordOutcome(page.outcome, page.reason)) {
         return;
     }
     if (page.revision < m_revision) {
@@ -295,10 +314,11 @@
     LOG4CPLUS_WARN(storeLogger(), LogLine("store", "call-failed")
                                           .add("kind", m_kind)
                                           .add("reason", reason)
-                                          .add("revision", m_revision)
+                                          .add("era", m_revision.era)
+                                          .add("revision", m_revision.number)
                                           .text());
     if (historyGone) {
-        m_revision = 0;
+        m_revision = {};
         m_isListed = false;
         m_timer = m_loop.schedule(MinBackoff, [this] { continueAfterFailure(); });
         return;
@@ -322,10 +342,33 @@
     }
 }
 
+template<TimerLoop Loop, StoreReader Store>
+void BasicKindSubscription<Loop, Store>::onEraChanged()
+{
+    LOG4CPLUS_WARN(storeLogger(), LogLine("store", "restored")
+                                          .add("kind", m_kind)
+                                          .add("era", m_health.era())
+                                          .add("knownEra", m_revision.era)
+                                          .add("revision", m_revision.number)
+                                          .text());
+    if (!m_hasEverListed && !m_isCalling) {
+        return;
+    }
+    m_call.reset();
+    m_timer.reset();
+    m_confirmTimer.reset();
+    m_awaitsOtherCall = false;
+    m_revision = {};
+    // Posted, because the call of this subscription may be on the stack.
+    m_timer = m_loop.schedule(microseconds(0), [this] { list(""); });
+    m_isListed = false;
+    m_isCalling = false;
+}
+
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::continueAfterFailure()
 {
-    if (m_revision == 0) {
+    if (!m_revision.isKnown()) {
         list("");
     } else {
         watch();
--- a/Source/gateway/RelayCodec.cpp
+++ b/Source/gateway/RelayCodec.cpp
@@ -32,13 +32,13 @@
     }
     builder.setCoverage(news->isComplete ? PeerRpc::NewsCoverage::COMPLETE
                                          : PeerRpc::NewsCoverage::PARTIAL);
-    builder.setRevision(news->revision);
+    builder.setRevision(news->revision.number);
     capnp::List<PeerRpc::StoredChange>::Builder list =
             builder.initChanges(static_cast<unsigned int>(news->changes.size()));
     for (unsigned int i = 0; i < list.size(); ++i) {
         const LoggedChange &change = *news->changes[i];
         list[i].setName(change.name);
-        list[i].setRevision(change.revision);
+        list[i].setRevision(change.revision.number);
         list[i].setRemoved(change.isRemoval);
         list[i].setSpec(change.spec);
     }
@@ -59,11 +59,12 @@
 {
     Platform::ChangePage page;
     page.outcome = Platform::CallOutcome::Done;
-    page.revision = news.getRevision();
+    page.era = StoreEra(news.getEra());
+    page.revision = StoreRevision{ page.era, news.getRevision() };
     for (const PeerRpc::StoredChange::Reader it : news.getChanges()) {
         Platform::StoredChange change;
         change.item.name = it.getName();
-        change.item.revision = it.getRevision();
+        change.item.revision = StoreRevision{ page.era, it.getRevision() };
         change.isRemoval = it.getRemoved();
         if (!change.isRemoval) {
             const capnp::Text::Reader spec = it.getSpec();
--- a/Source/gateway/StoreAccess.h
+++ b/Source/gateway/StoreAccess.h
@@ -6,7 +6,6 @@
 #include <sigc++/sigc++.h>
 
 #include <concepts>
-#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -31,7 +30,7 @@
 
 /// The calls by which the store is read, as Platform::ObjectStore has them.
 template<typename T>
-concept StoreReader = requires(T &store, const std::string &text, std::uint64_t revision,
+concept StoreReader = requires(T &store, const std::string &text, const StoreRevision &revision,
                                milliseconds time,
                                const sigc::slot<void(const Platform::ItemPage &)> &onPage,
                                const sigc::slot<void(const Platform::ChangePage &)> &onChanges)
--- a/Source/gateway/StoreHealth.h
+++ b/Source/gateway/StoreHealth.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "platform/StoreRevision.h"
 
 #include <sigc++/sigc++.h>
 
@@ -55,6 +56,24 @@
             m_retrier = nullptr;
         }
     }
+    /// Records the era of a response of the store, or one that a neighbour has seen. The store may
+    /// state none (0).
+    void onEra(StoreEra era)
+    {
+        if (era <= m_era) {
+            return;
+        }
+        const bool isFirst = m_era == StoreEra();
+        m_era = era;
+        if (!isFirst) {
+            m_eraChanged.emit();
+        }
+    }
+    /// Latest known era of the store; 0 before the first response.
+    StoreEra era() const { return m_era; }
+    /// Emitted when the store has been restored from a copy: all that is known of its contents must
+    /// be read again.
+    sigc::signal<void()> &eraChanged() { return m_eraChanged; }
     /// Records an outage that a neighbour observed and that ended at the given time. It counts even
     /// if no call of this entry failed during the outage.
     void onNeighbourOutage(MonotonicTime outageEndedAt)
@@ -95,6 +114,8 @@
     std::optional<MonotonicTime> m_lastFailureBeganAt;
     sigc::signal<void(const std::string &)> m_becameUnavailable;
     sigc::signal<void()> m_becameAvailable;
+    StoreEra m_era;
+    sigc::signal<void()> m_eraChanged;
 };
 
 } // namespace Tarragon
--- a/Source/gateway/StoreRelayTemplate.h
+++ b/Source/gateway/StoreRelayTemplate.h
@@ -109,7 +109,8 @@
                         params.initPositions(static_cast<unsigned int>(listed.size()));
                 for (unsigned int i = 0; i < positions.size(); ++i) {
                     positions[i].setKind(listed[i]->kind());
-                    positions[i].setRevision(listed[i]->revision());
+                    positions[i].setRevision(listed[i]->revision().number);
+                    positions[i].setEra(listed[i]->revision().era.value());
                     if (const std::optional<ListSummary> list = listed[i]->unchangedList()) {
                         positions[i].initList().setCount(list->count);
                     }
@@ -158,11 +159,17 @@
     if (subscription == nullptr) {
         return;
     }
+    const StoreEra era(news.getEra());
+    if (era != m_health.era()) {
+        // Changes of a later era follow the new list that onEra() begins.
+        m_health.onEra(era);
+        return;
+    }
     const bool isComplete = news.getCoverage() == PeerRpc::NewsCoverage::COMPLETE;
     if (!isComplete && news.getCoverage() != PeerRpc::NewsCoverage::PARTIAL) {
         LOG4CPLUS_INFO(storeLogger(), LogLine("store", "news-missing")
                                               .add("kind", subscription->kind())
-                                              .add("revision", subscription->revision())
+                                              .add("revision", subscription->revision().number)
                                               .text());
         subscription->readStoreOnce();
         return;
@@ -237,14 +244,15 @@
         const std::optional<std::size_t> listed =
                 position.hasList() ? std::optional<std::size_t>(position.getList().getCount())
                                    : std::nullopt;
+        const StoreRevision revision{ StoreEra(position.getEra()), position.getRevision() };
+        news[i].setEra(m_health.era().value());
         const Subscription *subscription = find(position.getKind());
         if (subscription != nullptr && subscription->confirmedAt().has_value()) {
             setAge(news[i], m_loop.now() - *subscription->confirmedAt());
         }
-        fillKindNews(news[i],
-                     subscription == nullptr
-                             ? std::nullopt
-                             : subscription->log().since(position.getRevision(), listed, limits));
+        fillKindNews(news[i], subscription == nullptr
+                                      ? std::nullopt
+                                      : subscription->log().since(revision, listed, limits));
     }
 }
 
@@ -268,6 +276,7 @@
             m_store.list(Platform::EvacuationKind, "", StoreCheckTimeout, true,
                          [this, now](const Platform::ItemPage &page) {
                              m_isCheckingStore = false;
+                             m_health.onEra(page.era);
                              if (page.outcome == Platform::CallOutcome::Done) {
                                  m_health.onSuccess(m_loop.now(), now);
                                  return;
--- a/Source/peer/ConfigurationFeed.cpp
+++ b/Source/peer/ConfigurationFeed.cpp
@@ -314,6 +314,8 @@
                       if (!*alive)
                           return;
                       if (listing.outcome != StoreOutcome::Done) {
+                          // The store may have been restored from a copy.
+                          m_revisions.erase(action.item);
                           onItem(action.number, FetchedItem());
                           return;
                       }
--- a/Source/peer/ConfigurationFeed.h
+++ b/Source/peer/ConfigurationFeed.h
@@ -103,7 +103,7 @@
     /// JSON of the head in force, serialized once for all peers that fetch the head.
     std::string m_headJson;
     /// Store revision after which the next watch of each item starts.
-    std::map<FeedItem, std::uint64_t> m_revisions;
+    std::map<FeedItem, StoreRevision> m_revisions;
     std::uint64_t m_storeCalls = 0;
     sigc::signal<void(const ConfigurationPtr &, const Head &, const SectionTexts &)> m_adopted;
     sigc::signal<void(const std::string &, PlanVersion)> m_planAdopted;
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -252,6 +252,8 @@
   # Number of objects in the list call that returned exactly this revision. Null if the sender has
   # applied changes since that list.
   list @2 :ListedObjects;
+  # Era of the revision.
+  era @3 :UInt64;
 }
 
 struct ListedObjects {
@@ -285,6 +287,8 @@
   changes @3 :List(StoredChange);
   # Time since the sender's objects were last known to be complete.
   ageMs @4 :UInt64;
+  # Era of the store that the sender knows. The revisions of the changes are of this era.
+  era @5 :UInt64;
 }
 
 struct TargetLimit {
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -495,7 +495,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eb3d17be999b58af, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eb3d17be999b58af, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -542,7 +542,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edfb2b6bf9c54c17, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(edfb2b6bf9c54c17, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3467,6 +3467,8 @@
   inline bool hasList() const;
   inline  ::Tarragon::PeerRpc::ListedObjects::Reader getList() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3512,6 +3514,9 @@
   inline void adoptList(::capnp::Orphan< ::Tarragon::PeerRpc::ListedObjects>&& value);
   inline ::capnp::Orphan< ::Tarragon::PeerRpc::ListedObjects> disownList();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3745,6 +3750,8 @@
 
   inline  ::uint64_t getAgeMs() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3796,6 +3803,9 @@
   inline  ::uint64_t getAgeMs();
   inline void setAgeMs( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8976,6 +8986,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t KindPosition::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KindPosition::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KindPosition::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ListedObjects::Reader::getCount() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -9196,6 +9220,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t KindNews::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KindNews::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void KindNews::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TargetLimit::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Tests/StandIns/platform/StandInStore.cpp
+++ b/Tests/StandIns/platform/StandInStore.cpp
@@ -388,11 +388,19 @@
     answerChangedWatches();
 }
 
+HttpHeaders StandInStore::eraHeader() const
+{
+    HttpHeaders headers = jsonHeader();
+    headers.add("Store-Era", std::to_string(m_objects.era()));
+    return headers;
+}
+
 void StandInStore::answer(const HttpExchangePtr &exchange, int status, const nlohmann::json &body)
 {
     const std::string text = body.is_null() ? std::string() : body.dump();
-    after(m_faults.delay,
-          [exchange, status, text] { exchange->reply(status, jsonHeader(), text); });
+    after(m_faults.delay, [exchange, status, text, headers = eraHeader()] {
+        exchange->reply(status, headers, text);
+    });
 }
 
 void StandInStore::answerChangedWatches()
--- a/Tests/StandIns/platform/StandInStore.h
+++ b/Tests/StandIns/platform/StandInStore.h
@@ -75,6 +75,8 @@
     /// Responds to a write that has taken effect, or aborts the connection if its response is to be
     /// lost.
     void answerWrite(const HttpExchangePtr &exchange, const nlohmann::json &object);
+    /// Returns the headers of all responses of the object API.
+    HttpHeaders eraHeader() const;
     void answer(const HttpExchangePtr &exchange, int status, const nlohmann::json &body);
     /// Responds to a watch if there are changes after the revision, if their history is gone, or if
     /// the wait has timed out. Returns whether a response was sent.
--- a/Tests/gateway/KindSubscriptionTest.cpp
+++ b/Tests/gateway/KindSubscriptionTest.cpp
@@ -211,13 +211,15 @@
     m_subscription->start();
     runUntil([this] { return m_subscription->isListed(); });
     Platform::ChangePage first;
-    first.revision = m_subscription->revision() + 5;
+    first.revision = m_subscription->revision();
+    first.revision.number += 5;
     first.changes.emplace_back().item.name = "t2";
     m_subscription->applyRelayedChanges(first, false, m_loop.now());
     EXPECT_FALSE(m_subscription->hasSnapshot());
     EXPECT_EQ(m_subscription->revision(), first.revision);
     Platform::ChangePage rest;
-    rest.revision = first.revision + 5;
+    rest.revision = first.revision;
+    rest.revision.number += 5;
     rest.changes.emplace_back().item.name = "t1";
     rest.changes.back().isRemoval = true;
     m_subscription->applyRelayedChanges(rest, true, m_loop.now());
--- a/Tests/gateway/StoreRelayTest.cpp
+++ b/Tests/gateway/StoreRelayTest.cpp
@@ -117,7 +117,8 @@
         const HttpCallPtr call =
                 m_standIn.objects().find("servers", name) == nullptr
                         ? m_writer.create("servers", name, spec, seconds(5), finish)
-                        : m_writer.replace("servers", name, spec, 0, seconds(5), finish);
+                        : m_writer.replace("servers", name, spec, StoreRevision(), seconds(5),
+                                           finish);
         await([&done] { return done; });
     }
     std::set<std::string> watching() const
--- a/Tests/gateway/VirtualStore.cpp
+++ b/Tests/gateway/VirtualStore.cpp
@@ -56,27 +56,32 @@
 {
     Platform::ItemPage page;
     page.outcome = CallOutcome::Done;
-    page.revision = m_objects.revision();
+    page.era = StoreEra(m_objects.era());
+    page.revision = StoreRevision{ page.era, m_objects.revision() };
     for (const StandInObjects::Object &it : m_objects.list(kind, "")) {
-        page.items.push_back(Platform::StoredItem{ it.name, it.revision, it.spec });
+        page.items.push_back(
+                Platform::StoredItem{ it.name, StoreRevision{ page.era, it.revision }, it.spec });
     }
     return page;
 }
 
-Platform::ChangePage VirtualStore::changes(const std::string &kind, std::uint64_t revision) const
+Platform::ChangePage VirtualStore::changes(const std::string &kind,
+                                           const StoreRevision &revision) const
 {
     Platform::ChangePage page;
-    const auto changes = m_objects.changesSince(kind, revision);
-    if (!changes.has_value()) {
+    page.era = StoreEra(m_objects.era());
+    const auto changes = m_objects.changesSince(kind, revision.number);
+    if (!changes.has_value() || page.era != revision.era) {
         page.outcome = CallOutcome::HistoryGone;
         page.reason = "status 410";
         return page;
     }
     page.outcome = CallOutcome::Done;
-    page.revision = m_objects.revision();
+    page.revision = StoreRevision{ page.era, m_objects.revision() };
     for (const StandInObjects::Change &it : *changes) {
         page.changes.push_back(Platform::StoredChange{
-                { it.object.name, it.object.revision, it.object.spec }, it.isRemoval });
+                { it.object.name, StoreRevision{ page.era, it.object.revision }, it.object.spec },
+                it.isRemoval });
     }
     return page;
 }
@@ -230,7 +235,7 @@
 }
 
 VirtualStoreClient::CallPtr
-VirtualStoreClient::watch(const std::string &kind, std::uint64_t revision, milliseconds wait,
+VirtualStoreClient::watch(const std::string &kind, const StoreRevision &revision, milliseconds wait,
                           milliseconds timeout, bool,
                           const sigc::slot<void(const Platform::ChangePage &)> &callback)
 {
--- a/Tests/gateway/VirtualStore.h
+++ b/Tests/gateway/VirtualStore.h
@@ -51,7 +51,7 @@
     /// Reads all objects of a kind.
     Platform::ItemPage list(const std::string &kind) const;
     /// Reads the changes of a kind after a revision.
-    Platform::ChangePage changes(const std::string &kind, std::uint64_t revision) const;
+    Platform::ChangePage changes(const std::string &kind, const StoreRevision &revision) const;
     /// Calls back once, at the next change of the kind, at the end of the wait, or when the store
     /// ends the watch.
     void wait(const std::string &kind, microseconds time, const std::function<void()> &callback);
@@ -99,7 +99,7 @@
 
     CallPtr list(const std::string &kind, const std::string &after, milliseconds timeout,
                  bool allowStale, const sigc::slot<void(const Platform::ItemPage &)> &callback);
-    CallPtr watch(const std::string &kind, std::uint64_t revision, milliseconds wait,
+    CallPtr watch(const std::string &kind, const StoreRevision &revision, milliseconds wait,
                   milliseconds timeout, bool allowStale,
                   const sigc::slot<void(const Platform::ChangePage &)> &callback);
     /// Sets how this process reaches the store.
--- a/Tests/platform/DecoderFuzzTest.cpp
+++ b/Tests/platform/DecoderFuzzTest.cpp
@@ -92,7 +92,7 @@
 {
     StoredItem item;
     item.name = "i-1";
-    item.revision = 7;
+    item.revision = StoreRevision{ StoreEra(1), 7 };
     item.spec = spec;
     return item;
 }
--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -83,7 +83,7 @@
 
 StoredItem targetItem()
 {
-    return StoredItem{ "i-1", 5,
+    return StoredItem{ "i-1", StoreRevision{ StoreEra(1), 5 },
                        Json::parse(R"({"service":"one","address":"10.0.0.9:8080","zone":"thess-a",
                        "version":"v1","slots":6,"state":"ready","cold_remaining_s":1.5,"seq":4,
                        "born":1790000000000})") };
@@ -138,7 +138,7 @@
     record.front = Endpoint{ "10.0.0.1", 80 };
     record.rpc = Endpoint{ "10.0.0.1", 7200 };
     const Json stored = Json::parse(encodeEntry(record).dump());
-    EXPECT_EQ(decodeEntry(StoredItem{ "edge-1", 1, stored }), record);
+    EXPECT_EQ(decodeEntry(StoredItem{ "edge-1", StoreRevision{ StoreEra(1), 1 }, stored }), record);
 }
 
 TargetResponse responseWithLimit(const std::string &text)
--- a/Tests/platform/ObjectStoreClientTest.cpp
+++ b/Tests/platform/ObjectStoreClientTest.cpp
@@ -94,7 +94,7 @@
     put(m_store, "plans", "3", 0);
     const ObjectListing listing = list(m_store, "plan/");
     EXPECT_EQ(listing.outcome, StoreOutcome::Done);
-    EXPECT_EQ(listing.revision, 3u);
+    EXPECT_EQ(listing.revision.number, 3u);
     ASSERT_EQ(listing.objects.size(), 2u);
     EXPECT_EQ(listing.objects[0].key, "plan/a");
     EXPECT_EQ(listing.objects[1].key, "plan/b");
@@ -108,21 +108,23 @@
     std::optional<ObjectListing> changed;
     std::optional<ObjectListing> missed;
     std::optional<ObjectListing> unchanged;
-    m_store.watch("plan/", 0, seconds(60), [&](const ObjectListing &value) { changed = value; });
-    m_store.watch("other/", 0, milliseconds(50),
+    m_store.watch("plan/", StoreRevision{ StoreEra(1), 0 }, seconds(60),
+                  [&](const ObjectListing &value) { changed = value; });
+    m_store.watch("other/", StoreRevision{ StoreEra(1), 0 }, milliseconds(50),
                   [&](const ObjectListing &value) { unchanged = value; });
     runUntil([this] { return m_standIn.counters().at("waitingWatches") == 2; });
     put(m_store, "config/head", "1", 0);
     runUntil([&] { return unchanged.has_value(); });
     EXPECT_EQ(unchanged->outcome, StoreOutcome::Done);
     EXPECT_THAT(unchanged->objects, testing::IsEmpty());
-    EXPECT_EQ(unchanged->revision, 1u);
+    EXPECT_EQ(unchanged->revision.number, 1u);
     EXPECT_FALSE(changed.has_value());
     put(m_store, "plan/current", "1", 0);
     runUntil([&] { return changed.has_value(); });
-    EXPECT_EQ(changed->revision, 2u);
+    EXPECT_EQ(changed->revision.number, 2u);
     ASSERT_EQ(changed->objects.size(), 1u);
-    m_store.watch("plan/", 1, seconds(60), [&](const ObjectListing &value) { missed = value; });
+    m_store.watch("plan/", StoreRevision{ StoreEra(1), 1 }, seconds(60),
+                  [&](const ObjectListing &value) { missed = value; });
     runUntil([&] { return missed.has_value(); });
     EXPECT_EQ(missed->objects.size(), 1u);
     // The store watches whole kinds, so that the client had to repeat both watches after the change
@@ -136,7 +138,8 @@
     bool called = false;
     {
         ObjectStoreClient store(m_loop, m_client, "127.0.0.1", m_standIn.port(), Timeout);
-        store.watch("plan/", 0, seconds(60), [&called](const ObjectListing &) { called = true; });
+        store.watch("plan/", StoreRevision{ StoreEra(1), 0 }, seconds(60),
+                    [&called](const ObjectListing &) { called = true; });
         runUntil([this] { return m_standIn.counters().at("waitingWatches") == 1; });
     }
     runUntil([this] { return m_standIn.counters().at("waitingWatches") == 0; });
@@ -151,7 +154,8 @@
         // Leaves a persistent connection from before the outage, which must not change the outcome.
         EXPECT_EQ(get(m_store, "a").outcome, StoreOutcome::NotFound);
         std::optional<ObjectListing> watched;
-        m_store.watch("a", 0, seconds(60), [&](const ObjectListing &value) { watched = value; });
+        m_store.watch("a", StoreRevision{ StoreEra(1), 0 }, seconds(60),
+                      [&](const ObjectListing &value) { watched = value; });
         runUntil([this] { return m_standIn.counters().at("waitingWatches") == 1; });
         m_standIn.control({ { "outage", true }, { "outageKind", kind } });
         runUntil([&watched] { return watched.has_value(); });
