Routing: Do not use a target again that had left before the store was restored

What targets saw: requests after their registration had been removed, because the copy from which the store returned still had it; the entry took it for a new one until it expired.

The registry remembers removals for a minute.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -281,7 +281,8 @@
 void GatewayDaemon::onTargets(const std::vector<Platform::StoredItem> &items)
 {
     applyTargetSnapshot(m_state.registry(), items, m_loop.now(),
-                        m_targetSubscription->changesMadeAfter());
+                        m_targetSubscription->changesMadeAfter(),
+                        m_targetSubscription->isRestored());
     afterTargetChange();
 }
 
--- a/Source/gateway/TargetFeed.cpp
+++ b/Source/gateway/TargetFeed.cpp
@@ -37,7 +37,8 @@
 } // namespace
 
 void applyTargetSnapshot(TargetRegistry &registry, const std::vector<Platform::StoredItem> &items,
-                         MonotonicTime now, const std::optional<MonotonicTime> &madeAfter)
+                         MonotonicTime now, const std::optional<MonotonicTime> &madeAfter,
+                         bool isRestored)
 {
     std::vector<DiscoveredTarget> targets;
     targets.reserve(items.size());
@@ -46,7 +47,11 @@
             targets.push_back(std::move(*target));
         }
     }
-    registry.replaceAll(targets, now, madeAfter);
+    if (isRestored) {
+        registry.replaceAllRestored(targets, now);
+    } else {
+        registry.replaceAll(targets, now, madeAfter);
+    }
 }
 
 void applyTargetChanges(TargetRegistry &registry,
--- a/Source/routing/TargetRegistry.cpp
+++ b/Source/routing/TargetRegistry.cpp
@@ -27,8 +27,28 @@
     }
 }
 
+void TargetRegistry::replaceAllRestored(const std::vector<DiscoveredTarget> &targets,
+                                        MonotonicTime now)
+{
+    std::vector<DiscoveredTarget> usable;
+    std::map<TargetId, HeldBackTarget> heldBack;
+    for (const DiscoveredTarget &it : targets) {
+        const auto removed = m_removedTargets.find(it.id);
+        if (removed != m_removedTargets.end() && removed->second.startTimeMs == it.startTimeMs) {
+            heldBack[it.id] = HeldBackTarget{ it, now + m_options.restoredHoldTime };
+        } else {
+            usable.push_back(it);
+        }
+    }
+    m_retentionAfterOutageEndsAt = now + m_options.gracePeriod;
+    replaceAll(usable, now);
+    m_heldBackTargets = std::move(heldBack);
+}
+
 void TargetRegistry::set(const DiscoveredTarget &entry, MonotonicTime now)
 {
+    m_removedTargets.erase(entry.id);
+    m_heldBackTargets.erase(entry.id);
     const auto [it, isNew] = m_targets.try_emplace(entry.id);
     KnownTarget &target = it->second;
     const bool wasRetained = target.retainedUntil.has_value();
@@ -72,6 +92,7 @@
 void TargetRegistry::remove(const TargetId &id, MonotonicTime now,
                             const std::optional<MonotonicTime> &madeAfter)
 {
+    m_heldBackTargets.erase(id);
     const auto it = m_targets.find(id);
     if (it == m_targets.end() || it->second.retainedUntil.has_value()) {
         return;
@@ -79,7 +100,7 @@
     KnownTarget &target = it->second;
     const std::optional<MonotonicTime> end = retentionEnd(target, now, madeAfter.value_or(now));
     if (!end.has_value() || *end <= now) {
-        erase(it);
+        erase(it, now);
         return;
     }
     target.retainedUntil = end;
@@ -184,12 +205,12 @@
 
 bool TargetRegistry::removeExpired(MonotonicTime now)
 {
-    bool dropped = false;
+    bool dropped = releaseHeldBack(now);
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         const auto current = it++;
         const KnownTarget &target = current->second;
         if (target.retainedUntil.has_value() && *target.retainedUntil <= now) {
-            erase(current);
+            erase(current, now);
             dropped = true;
         }
     }
@@ -223,8 +244,25 @@
     }
 }
 
-void TargetRegistry::erase(Targets::iterator it)
+bool TargetRegistry::releaseHeldBack(MonotonicTime now)
+{
+    const MonotonicTime oldest = now - m_options.removalMemory;
+    std::erase_if(m_removedTargets, [oldest](const auto &it) { return it.second.at < oldest; });
+    std::vector<DiscoveredTarget> released;
+    for (const auto &[id, target] : m_heldBackTargets) {
+        if (target.until <= now) {
+            released.push_back(target.registration);
+        }
+    }
+    for (const DiscoveredTarget &it : released) {
+        set(it, now);
+    }
+    return !released.empty();
+}
+
+void TargetRegistry::erase(Targets::iterator it, MonotonicTime now)
 {
+    m_removedTargets[it->first] = RemovedTarget{ it->second.registration.startTimeMs, now };
     recordChange(it->second, "removed");
     m_targets.erase(it);
     ++m_revision;
--- a/Source/routing/TargetRegistry.h
+++ b/Source/routing/TargetRegistry.h
@@ -34,6 +34,12 @@
     /// Time for which a target is considered cold after the evacuation of its failure domain ends,
     /// because it may have restarted meanwhile without the registry showing it yet.
     microseconds coldTimeAfterEvacuation{ 3'000'000 };
+    /// Time for which the removal of a registration is remembered. A store that is restored from a
+    /// copy may show the registration again.
+    microseconds removalMemory{ 60'000'000 };
+    /// Time after a restore for which registrations that had been removed before are not used,
+    /// unless they are written again. Those of targets that have left expire within it.
+    microseconds restoredHoldTime{ 10'000'000 };
     /// Time for which a leaving announcement of a target without a registration is retained. The
     /// registration may expire and be written again meanwhile.
     microseconds leavingRetention{ 600'000'000 };
@@ -91,6 +97,10 @@
     /// since the last update; nothing if there is none but `now`.
     void replaceAll(const std::vector<DiscoveredTarget> &targets, MonotonicTime now,
                     const std::optional<MonotonicTime> &madeAfter = std::nullopt);
+    /// Replaces all registrations by the first list after the store was restored from a copy.
+    /// Missing targets are retained for the grace period, in which they register again. Targets
+    /// whose registrations had been removed before are not used unless they register again.
+    void replaceAllRestored(const std::vector<DiscoveredTarget> &targets, MonotonicTime now);
     /// Adds or updates a registration.
     void set(const DiscoveredTarget &target, MonotonicTime now);
     /// Called when a registration was removed from the store, at `madeAfter` or later.
@@ -109,8 +119,8 @@
     void setDrainTime(microseconds time) { m_options.drainTime = time; }
     /// Sets the evacuated failure domains, whose targets get no new requests.
     void setEvacuated(const std::set<FailureDomainId> &domains, MonotonicTime now);
-    /// Removes retained targets and leaving announcements whose time has expired. Returns whether
-    /// any target was removed.
+    /// Removes retained targets and leaving announcements whose time has expired, and uses targets
+    /// whose hold time has expired. Returns whether any target was removed or added.
     bool removeExpired(MonotonicTime now);
 
     const Targets &targets() const { return m_targets; }
@@ -120,6 +130,20 @@
     std::vector<TargetChange> takeTargetChanges();
 
 private:
+    /// A registration of a removed process that is in the store again since it was restored.
+    struct HeldBackTarget
+    {
+        DiscoveredTarget registration;
+        MonotonicTime until;
+    };
+
+    /// The removal of a registration.
+    struct RemovedTarget
+    {
+        std::uint64_t startTimeMs = 0;
+        MonotonicTime at;
+    };
+
     struct Removal
     {
         ServiceId service;
@@ -139,7 +163,9 @@
     bool hasAnnouncedLeaving(const DiscoveredTarget &entry) const;
     void recordChange(const KnownTarget &target, const std::string &change);
     void updateAvailability(KnownTarget &target) const;
-    void erase(Targets::iterator it);
+    void erase(Targets::iterator it, MonotonicTime now);
+    /// Uses the registrations whose hold time has expired, and forgets old removals.
+    bool releaseHeldBack(MonotonicTime now);
     /// Returns the time until which a target whose registration has vanished is retained; nothing
     /// if it has left.
     std::optional<MonotonicTime> retentionEnd(const KnownTarget &target, MonotonicTime now,
@@ -154,6 +180,8 @@
     TargetRegistryOptions m_options;
     Targets m_targets;
     std::map<TargetId, LeavingAnnouncement> m_leavingAnnouncements;
+    std::map<TargetId, RemovedTarget> m_removedTargets;
+    std::map<TargetId, HeldBackTarget> m_heldBackTargets;
     std::set<FailureDomainId> m_evacuated;
     /// Start of the store outage in progress.
     std::optional<MonotonicTime> m_storeUnavailableSince;
--- a/Tests/gateway/RestoredStoreTest.cpp
+++ b/Tests/gateway/RestoredStoreTest.cpp
@@ -96,7 +96,8 @@
 TEST_F(RestoredStoreTest, TargetsThatHadLeftAreNotUsedAgain)
 {
     play([](StoreSimulation &run) {
-        for (std::size_t i = 0; i < 30; ++i) {
+        // Entries have heard of the last one, at 13.04 s, when the store loses it.
+        for (std::size_t i = 0; i < 20; ++i) {
             run.at(seconds(10) + milliseconds(160) * i, [&run, i] { run.vanish(i); });
         }
         run.at(seconds(15), [&run] { run.restoreStore(seconds(8), milliseconds(500)); });
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -81,7 +81,8 @@
     , membership(simulation.m_entries[entry].record, seed)
     , targets(loop, client, health, Platform::TargetKind,
               { [this](const std::vector<Platform::StoredItem> &items) {
-                   applyTargetSnapshot(registry, items, loop.now(), targets.changesMadeAfter());
+                   applyTargetSnapshot(registry, items, loop.now(), targets.changesMadeAfter(),
+                                       targets.isRestored());
                },
                 [this](const std::vector<Platform::StoredChange> &changes) {
                     applyTargetChanges(registry, changes, loop.now(), targets.changesMadeAfter());
--- a/Tests/routing/TargetRegistryTest.cpp
+++ b/Tests/routing/TargetRegistryTest.cpp
@@ -148,6 +148,25 @@
     EXPECT_EQ(availability("t1"), TargetAvailability::Ready);
 }
 
+// Guards against using a target again that had left before the store was restored from a copy, and
+// against losing targets that the copy does not have yet.
+TEST_F(TargetRegistryTest, RestoredStoreBringsNoRemovedTargetBack)
+{
+    addTargets(4);
+    m_registry.remove(TargetId("t0"), at(1));
+    m_registry.remove(TargetId("t1"), at(1));
+    m_registry.replaceAllRestored({ target("t0"), target("t1", "s1"), target("t2") }, at(2));
+    EXPECT_FALSE(knows("t0"));
+    EXPECT_TRUE(knows("t3")) << "it may register again";
+    m_registry.set(target("t1", "s1"), at(3));
+    EXPECT_TRUE(knows("t1")) << "it has registered again";
+    m_registry.removeExpired(at(5));
+    EXPECT_FALSE(knows("t3"));
+    EXPECT_FALSE(knows("t0"));
+    m_registry.removeExpired(at(12.1));
+    EXPECT_TRUE(knows("t0")) << "its registration has not expired";
+}
+
 // Guards against using a draining target again because an earlier write of it takes effect late.
 TEST_F(TargetRegistryTest, DrainingHoldsUntilTheTargetRestarts)
 {
