Gateway: Keep live entries and evacuations that a restored store lacks

What callers could see: lookups that name few entries, limits divided by too few entries, and requests to an evacuated failure domain, until entries and operator have written again what the store has lost. RegistersAgainAndKeepsEvacuationsWhenTheStoreIsRestored.

--- a/Source/gateway/EntryRegistration.cpp
+++ b/Source/gateway/EntryRegistration.cpp
@@ -23,6 +23,9 @@
 /// interruption or restart. Until then, limits of the whole deployment are divided by one entry too
 /// many.
 constexpr seconds FailedEntryRetention{ 20 };
+/// Time for which a live entry is kept whose registration is missing since the store was restored;
+/// several times the longest pause of an entry before it registers again.
+constexpr seconds RestoredEntryRetention{ 10 };
 
 const log4cplus::Logger &logger()
 {
@@ -75,6 +78,7 @@
 void EntryRegistration::onWritten(const Platform::ItemResult &result, bool wasCreation)
 {
     m_isWriting = false;
+    m_era = std::max(m_era, result.era);
     if (m_isDeregistered) {
         return;
     }
@@ -93,7 +97,7 @@
     m_retryTimer = m_loop.schedule(m_backoff.next(), [this] { create(); });
 }
 
-void EntryRegistration::onSnapshot(const std::vector<Platform::StoredItem> &items)
+void EntryRegistration::onSnapshot(const std::vector<Platform::StoredItem> &items, bool isRestored)
 {
     std::map<InstanceId, Entry> before;
     before.swap(m_entries);
@@ -106,10 +110,39 @@
             entry.failedSince = known->second.failedSince;
         }
     }
+    if (isRestored) {
+        keepLiveEntries(before);
+    }
     checkOwnRecord();
     m_changed.emit();
 }
 
+void EntryRegistration::keepLiveEntries(const std::map<InstanceId, Entry> &before)
+{
+    const MonotonicTime now = m_loop.now();
+    for (const auto &[id, entry] : before) {
+        const auto listed = m_entries.find(id);
+        const bool isListed = listed != m_entries.end()
+                              && listed->second.record.incarnation == entry.record.incarnation;
+        if (!isListed && m_membership.isLive(id, now)) {
+            Entry kept = entry;
+            kept.keptUntil = now + RestoredEntryRetention;
+            m_entries[id] = kept;
+            logEntry(id, "kept");
+        }
+    }
+}
+
+void EntryRegistration::dropUnregisteredEntries()
+{
+    const MonotonicTime now = m_loop.now();
+    const std::size_t dropped =
+            std::erase_if(m_entries, [now](const auto &it) { return it.second.keptUntil <= now; });
+    if (dropped > 0) {
+        m_changed.emit();
+    }
+}
+
 void EntryRegistration::onChanges(const std::vector<Platform::StoredChange> &changes)
 {
     for (const Platform::StoredChange &it : changes) {
@@ -127,7 +160,8 @@
 {
     try {
         const EntryRecord record = Platform::decodeEntry(item);
-        m_entries[record.instance] = Entry{ record, item.revision, std::nullopt };
+        m_era = std::max(m_era, item.revision.era);
+        m_entries[record.instance] = Entry{ record, item.revision, std::nullopt, std::nullopt };
     } catch (const std::exception &error) {
         LOG4CPLUS_WARN(logger(), LogLine("entries", "record-ignored")
                                          .add("instance", item.name)
@@ -160,7 +194,11 @@
     m_isDeregistered = true;
     m_retryTimer.reset();
     m_failedEntryTimer.reset();
-    if (!m_ownRevision.isKnown()) {
+    if (!m_ownRevision.isKnown() || !isCurrent(m_ownRevision)) {
+        LOG4CPLUS_INFO(logger(), LogLine("entries", "withdrawn")
+                                         .add("done", false)
+                                         .add("reason", "no registration of the store's era known")
+                                         .text());
         return;
     }
     // Removes the registration only at this run's revision: the call may take effect after the next
@@ -187,6 +225,7 @@
 
 void EntryRegistration::removeFailedEntries()
 {
+    dropUnregisteredEntries();
     const MonotonicTime now = m_loop.now();
     std::size_t responsiveCount = 0;
     const Entry *longestFailed = nullptr;
@@ -218,7 +257,8 @@
     // remove them.
     const bool seesMajority = responsiveCount * 2 > m_entries.size();
     if (longestFailed == nullptr || !seesMajority || cleaner != m_membership.localEntry().instance
-        || now - *longestFailed->failedSince < FailedEntryRetention) {
+        || now - *longestFailed->failedSince < FailedEntryRetention
+        || !isCurrent(longestFailed->revision)) {
         return;
     }
     const std::string name = longestFailed->record.instance.value();
--- a/Source/gateway/EntryRegistration.h
+++ b/Source/gateway/EntryRegistration.h
@@ -23,8 +23,10 @@
 
     /// Writes this entry's registration and starts the periodic removal of failed entries.
     void start();
-    /// Applies a snapshot or changes of the registrations; emits changed().
-    void onSnapshot(const std::vector<Platform::StoredItem> &items);
+    /// Applies a snapshot or changes of the registrations; emits changed(). If the snapshot is the
+    /// first one after the store was restored from a copy, live entries whose registrations it
+    /// lacks or shows of an earlier process are kept until they register again.
+    void onSnapshot(const std::vector<Platform::StoredItem> &items, bool isRestored);
     void onChanges(const std::vector<Platform::StoredChange> &changes);
     /// Removes this entry's registration, because the process is about to exit.
     void deregister();
@@ -40,12 +42,20 @@
         StoreRevision revision;
         /// Time at which the entry was found to have failed; nothing while it is responsive.
         std::optional<MonotonicTime> failedSince;
+        /// Set if the registration is missing since the store was restored: the entry is kept until
+        /// this time.
+        std::optional<MonotonicTime> keptUntil;
     };
 
     void create();
     void replace();
     void onWritten(const Platform::ItemResult &result, bool wasCreation);
     void applyItem(const Platform::StoredItem &item);
+    void keepLiveEntries(const std::map<InstanceId, Entry> &before);
+    void dropUnregisteredEntries();
+    /// Whether a write on the condition of this revision may be sent. A revision of an earlier era
+    /// may have been given out again, for another state of the object.
+    bool isCurrent(const StoreRevision &revision) const { return revision.era == m_era; }
     void checkOwnRecord();
     void removeFailedEntries();
 
@@ -55,6 +65,8 @@
     Backoff m_backoff;
     std::map<InstanceId, Entry> m_entries;
     StoreRevision m_ownRevision;
+    /// Latest era of the store that a response has shown.
+    StoreEra m_era;
     bool m_isWriting = false;
     bool m_isDeregistered = false;
     HttpCallPtr m_write;
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -37,6 +37,9 @@
 /// Options for entry registrations. They may arrive late, because gossip shows which entries are
 /// responsive.
 constexpr SubscriptionOptions EntryOptions{ milliseconds(1'000), true, true, false };
+/// Time for which evacuations stay in force that are missing since the store was restored from a
+/// copy; the operator writes them again meanwhile.
+constexpr seconds RestoredEvacuationRetention{ 3 };
 /// Time for which callers may cache the result of a lookup. A longer time reduces the number of
 /// lookups, a shorter one moves callers sooner away from an entry that stops.
 constexpr milliseconds LookupTtl{ 3'000 };
@@ -201,7 +204,9 @@
                       operatorOptions);
     m_entrySubscription =
             subscribe(Platform::EntryKind,
-                      { sigc::mem_fun(m_registration, &EntryRegistration::onSnapshot),
+                      { [this](const std::vector<Platform::StoredItem> &items) {
+                           m_registration.onSnapshot(items, m_entrySubscription->isRestored());
+                       },
                         sigc::mem_fun(m_registration, &EntryRegistration::onChanges) },
                       EntryOptions);
     for (KindSubscription *it : { m_routeSubscription.get(), m_targetSubscription.get(),
@@ -295,6 +300,13 @@
 
 void GatewayDaemon::onEvacuations(const std::vector<Platform::StoredItem> &items)
 {
+    if (m_evacuationSubscription->isRestored()) {
+        m_keptEvacuations = m_evacuated;
+        m_keptEvacuationsTimer = m_loop.schedule(RestoredEvacuationRetention, [this] {
+            m_keptEvacuations.clear();
+            applyEvacuations();
+        });
+    }
     m_evacuated.clear();
     for (const Platform::StoredItem &it : items) {
         m_evacuated.insert(FailureDomainId(it.name));
@@ -317,7 +329,9 @@
 
 void GatewayDaemon::applyEvacuations()
 {
-    m_state.registry().setEvacuated(m_evacuated, m_loop.now());
+    std::set<FailureDomainId> domains = m_evacuated;
+    domains.insert(m_keptEvacuations.begin(), m_keptEvacuations.end());
+    m_state.registry().setEvacuated(domains, m_loop.now());
     afterTargetChange();
 }
 
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -97,6 +97,9 @@
     std::unique_ptr<KindSubscription> m_evacuationSubscription;
     std::unique_ptr<KindSubscription> m_entrySubscription;
     std::set<FailureDomainId> m_evacuated;
+    /// Evacuations that stay in force for a while although the restored store lacks them.
+    std::set<FailureDomainId> m_keptEvacuations;
+    Timer m_keptEvacuationsTimer;
     std::unique_ptr<HttpServer> m_front;
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_lookup;
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -181,6 +181,25 @@
     runUntil([this, before] { return m_standIn.objects().revisionOf("entries", "e1") > before; });
 }
 
+// Guards against an entry that stays unregistered, and against an evacuation that ends, because the
+// copy from which the store was restored lacks them.
+TEST_F(GatewayDaemonTest, RegistersAgainAndKeepsEvacuationsWhenTheStoreIsRestored)
+{
+    writeDesiredState(1);
+    writeTarget("t1");
+    runUntil([this] { return readiness() == 200; });
+    runUntil([this] { return m_standIn.objects().find("entries", "e1") != nullptr; });
+    StandInObjects copy = m_standIn.objects();
+    copy.remove("entries", "e1");
+    write("evacuations", "d1", { { "x", 1 } });
+    runUntil([this] { return readiness() == 503; });
+    m_standIn.objects().restore(copy);
+    writeTarget("t2");
+    runUntil([this] { return m_standIn.objects().find("entries", "e1") != nullptr; });
+    EXPECT_EQ(readiness(), 503) << "the operator writes the evacuation again";
+    runUntil([this] { return readiness() == 200; });
+}
+
 // Guards against an older desired state replacing a newer one within a process.
 TEST(GatewayStateTest, OnlyNewerRouteTablesAreAdopted)
 {
