Gateway: Close the connection after a refusal without an id

What callers could see: 503, stated as not run, for a request that the target was running, or a second run elsewhere. A faulty target repeats a refusal on a kept connection; without an id the copy is taken for the answer to the next request. With an id it was found before (LateCopyOfARefusalRefusesNothing).

RepeatedRefusalWithoutAnIdRefusesNothing failed before and passes. A head that ends early is no response on the current code either: TruncatedHeadIsNoResponse passed from the start.

--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -86,6 +86,14 @@
     if (m_headOutcome != SendOutcome::WrongTarget) {
         reportHead();
     }
+    const bool isRefusal =
+            m_headOutcome == SendOutcome::Declined || m_headOutcome == SendOutcome::WrongTarget;
+    if (isRefusal && m_response.id.isEmpty()) {
+        // A copy of a refusal without an id could not be told from a refusal of the next request,
+        // so that the connection is not used again.
+        m_call.reset();
+        decide(m_headOutcome, Verdict::NotRun);
+    }
 }
 
 void TargetAttempt::reportHead()
--- a/Tests/gateway/RoutedRequestTest.cpp
+++ b/Tests/gateway/RoutedRequestTest.cpp
@@ -301,6 +301,44 @@
     EXPECT_EQ(m_arrivals.size(), 2u);
 }
 
+// Guards against a repeated refusal without an id that is assigned to the next request on its
+// connection, which has been executed and would be refused as not run, or executed twice.
+TEST_F(RoutedRequestTest, RepeatedRefusalWithoutAnIdRefusesNothing)
+{
+    adoptTable();
+    const RawSocket *refused = nullptr;
+    addTarget("t1", [&refused](RawSocket &socket, const std::string &) {
+        const bool isCopy = refused == &socket;
+        if (refused == nullptr || isCopy) {
+            refused = &socket;
+            socket.send(answer(503, "Not-Executed: 1\r\n", ""));
+        } else {
+            socket.send(answer(200, sealed(), "run"));
+        }
+    });
+    EXPECT_EQ(post("/pay/1").status(), 503);
+    EXPECT_EQ(post("/pay/1").status(), 200);
+}
+
+// Guards against a response whose head was cut off and that callers get as a complete one.
+TEST_F(RoutedRequestTest, TruncatedHeadIsNoResponse)
+{
+    adoptTable();
+    const std::string head = "HTTP/1.1 200 OK\r\n" + sealed();
+    for (const std::string &it :
+         { std::string("HTTP/1.1 200"), std::string("HTTP/1.1 200 OK"),
+           std::string("HTTP/1.1 200 OK\r\n"), head, head + "Content-Le",
+           head + "Content-Length: 5", head + "Content-Length: 5\r\n",
+           head + "Content-Length: 0\r\n", head + "Transfer-Encoding: chunked\r\n" }) {
+        addTarget("t1", answeringAndClosing(it));
+        for (const char *uri : { "/read/1", "/pay/1" }) {
+            const CallerResult result = std::string(uri) == "/pay/1" ? post(uri) : get(uri);
+            EXPECT_EQ(result.status(), 502) << uri << " after \"" << it << '"';
+        }
+        m_state->registry().remove(TargetId("t1"), m_loop.now());
+    }
+}
+
 // Guards against new requests for a target that has announced that it is leaving, whatever its
 // registration states until the target has started again.
 TEST_F(RoutedRequestTest, TargetThatAnnouncesLeavingGetsNoMoreRequests)
