Gateway: Read the store for an old view only when the bound requires it

What a check has confirmed before a change now counts also after it, a watch that has been in progress for longer than the connect timeout is confirmed by any success since its start, and the age is checked each 100 ms against 1.8 s.

--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -172,8 +172,9 @@
 {
     const std::optional<MonotonicTime> &successBegan = m_health.lastSuccessBeganAt();
     const std::optional<MonotonicTime> watchStarted = watchStartedAt();
-    if (watchStarted.has_value() && successBegan.has_value()
-        && *successBegan > *watchStarted + WatchSetupTime) {
+    const bool isWaiting =
+            watchStarted.has_value() && m_loop.now() - *watchStarted >= WatchSetupTime;
+    if (isWaiting && successBegan.has_value() && *successBegan > *watchStarted) {
         // The store responds, so that the waiting watch would have returned earlier changes.
         return std::max(m_confirmedAt.value_or(*successBegan), *successBegan);
     }
@@ -290,7 +291,7 @@
     }
     deliverSnapshot();
     apply(page);
-    confirm(completeAt);
+    confirm(std::max(completeAt, m_changesMadeAfter.value_or(completeAt)));
     const bool hasWaited = duration >= std::min(m_watchTime, MinBackoff);
     if (page.changes.empty() && hasWaited) {
         watch();
--- a/Source/gateway/StoreRelay.h
+++ b/Source/gateway/StoreRelay.h
@@ -93,10 +93,12 @@
     /// that is eight seconds behind does not delay any caller.
     static constexpr std::size_t MaxReplies = 3;
     static constexpr std::size_t FirstStartMaxReplies = 16;
-    /// Age of the known objects above which an entry that relies on watchers reads the store once.
-    /// It exceeds the age at regular times: one period of the watchers' checks and one of the
-    /// polls.
-    static constexpr milliseconds MaxViewAge{ 1'300 };
+    /// Age of the known objects above which an entry that relies on watchers reads the store once,
+    /// and the period in which the age is checked. The age and a call that has to be repeated stay
+    /// below 2.5 s, the shortest time within which a leaving target must no longer receive
+    /// requests.
+    static constexpr milliseconds MaxViewAge{ 1'800 };
+    static constexpr milliseconds ViewAgeCheckPeriod{ 100 };
     /// Period and timeout of the call that checks the connection to the store. A watcher whose
     /// connection is interrupted delays all of its neighbours, and a waiting watch would show the
     /// interruption too late. The call used is the cheapest one. An entry that is not polled by
@@ -150,6 +152,7 @@
     StoreCallOf<Store> m_storeCheck;
     bool m_isCheckingStore = false;
     TimerOf<Loop> m_timer;
+    TimerOf<Loop> m_viewAgeTimer;
 };
 
 extern template class BasicStoreRelay<EventLoop, Platform::ObjectStore>;
--- a/Source/gateway/StoreRelayTemplate.h
+++ b/Source/gateway/StoreRelayTemplate.h
@@ -43,6 +43,7 @@
 {
     if (!m_timer.isActive()) {
         m_timer = m_loop.scheduleEvery(PollPeriod, [this] { poll(); });
+        m_viewAgeTimer = m_loop.scheduleEvery(ViewAgeCheckPeriod, [this] { refreshOldViews(); });
         poll();
     }
 }
@@ -71,8 +72,6 @@
     }
     if (m_source == ChangeSource::Store) {
         checkStore();
-    } else if (m_source == ChangeSource::Neighbours) {
-        refreshOldViews();
     }
     pollWatcher(watchers);
 }
@@ -202,6 +201,9 @@
 template<TimerLoop Loop, StoreReader Store>
 void BasicStoreRelay<Loop, Store>::refreshOldViews()
 {
+    if (m_source != ChangeSource::Neighbours) {
+        return;
+    }
     const MonotonicTime oldest = m_loop.now() - MaxViewAge;
     for (Subscription *it : m_subscriptions) {
         if (it->hasSnapshot() && it->confirmedAt() < oldest) {
