--- a/Source/gateway/RelayCodec.cpp
+++ b/Source/gateway/RelayCodec.cpp
@@ -1,5 +1,8 @@
 #include "gateway/RelayCodec.h"
 
+#include "base/Error.h"
+#include "platform/RawJson.h"
+
 #include <algorithm>
 
 namespace Tarragon {
@@ -8,6 +11,8 @@
 
 /// Bound of relayed ages, which keeps computations with them within range.
 constexpr milliseconds MaxAge{ 1'000'000'000 };
+/// Maximum nesting of a relayed specification; none that was read from the store exceeds it.
+constexpr std::size_t MaxNesting = 32;
 
 } // namespace
 
@@ -68,6 +73,9 @@
         change.isRemoval = it.getRemoved();
         if (!change.isRemoval) {
             const capnp::Text::Reader spec = it.getSpec();
+            if (!Platform::isNestedUpTo({ spec.begin(), spec.size() }, MaxNesting)) {
+                throw Error("specification of " + change.item.name + " is nested too deeply");
+            }
             change.item.spec = nlohmann::json::parse(spec.begin(), spec.end());
         }
         page.changes.push_back(std::move(change));
