--- a/Source/gateway/EntryRegistration.cpp
+++ b/Source/gateway/EntryRegistration.cpp
@@ -137,7 +137,9 @@
 {
     const MonotonicTime now = m_loop.now();
     const std::size_t dropped =
-            std::erase_if(m_entries, [now](const auto &it) { return it.second.keptUntil <= now; });
+            std::erase_if(m_entries, [now](const std::pair<const InstanceId, Entry> &it) {
+                return it.second.keptUntil.has_value() && *it.second.keptUntil <= now;
+            });
     if (dropped > 0) {
         m_changed.emit();
     }
