Gateway: Run the registration on any loop and store

EntryRegistration becomes a template on the loop and the store, as subscriptions and the relay are, so that tests can run it in virtual time and order the store's answers. No change of behaviour, but for hasPendingWork(), which nothing calls yet.

--- a/Source/gateway/EntryRegistration.h
+++ b/Source/gateway/EntryRegistration.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/StoreHealth.h"
+#include "gateway/StoreAccess.h"
 #include "net/Backoff.h"
 #include "net/EventLoop.h"
 #include "platform/ObjectStore.h"
@@ -13,13 +13,14 @@
 
 /// Maintains this entry's registration in the store, keeps the registrations of all entries, and
 /// removes those of entries that failed long ago.
-class EntryRegistration
+template<TimerLoop Loop, StoreWriter Store>
+class BasicEntryRegistration
 {
 public:
-    EntryRegistration(EventLoop &loop, Platform::ObjectStore &store, EntryMembership &membership,
-                      std::uint64_t seed);
-    EntryRegistration(const EntryRegistration &) = delete;
-    EntryRegistration &operator=(const EntryRegistration &) = delete;
+    BasicEntryRegistration(Loop &loop, Store &store, EntryMembership &membership,
+                           std::uint64_t seed);
+    BasicEntryRegistration(const BasicEntryRegistration &) = delete;
+    BasicEntryRegistration &operator=(const BasicEntryRegistration &) = delete;
 
     /// Writes this entry's registration and starts the periodic removal of failed entries.
     void start();
@@ -30,12 +31,30 @@
     void onChanges(const std::vector<Platform::StoredChange> &changes);
     /// Removes this entry's registration, because the process is about to exit.
     void deregister();
+    /// Whether a write or a timer is pending that keeps this entry registered. Always the case
+    /// between start() and deregister().
+    bool hasPendingWork() const
+    {
+        return m_isWriting || m_retryTimer.isActive() || m_failedEntryTimer.isActive();
+    }
     /// Returns all known registrations.
     std::vector<EntryRecord> records() const;
     /// Emitted when the known registrations may have changed.
     sigc::signal<void()> &changed() { return m_changed; }
 
 private:
+    static constexpr milliseconds WriteTimeout{ 1'500 };
+    static constexpr milliseconds MinBackoff{ 200 };
+    static constexpr milliseconds MaxBackoff{ 2'000 };
+    static constexpr seconds FailedEntryCheckPeriod{ 2 };
+    /// Time after which the registration of a failed entry is removed. It exceeds any short
+    /// interruption or restart. Until then, limits of the whole deployment are divided by one entry
+    /// too many.
+    static constexpr seconds FailedEntryRetention{ 20 };
+    /// Time for which a live entry is kept whose registration is missing since the store was
+    /// restored; several times the longest pause of an entry before it registers again.
+    static constexpr seconds RestoredEntryRetention{ 10 };
+
     struct Entry
     {
         EntryRecord record;
@@ -59,8 +78,8 @@
     void checkOwnRecord();
     void removeFailedEntries();
 
-    EventLoop &m_loop;
-    Platform::ObjectStore &m_store;
+    Loop &m_loop;
+    Store &m_store;
     EntryMembership &m_membership;
     Backoff m_backoff;
     std::map<InstanceId, Entry> m_entries;
@@ -69,11 +88,16 @@
     StoreEra m_era;
     bool m_isWriting = false;
     bool m_isDeregistered = false;
-    HttpCallPtr m_write;
-    HttpCallPtr m_removal;
-    Timer m_retryTimer;
-    Timer m_failedEntryTimer;
+    StoreCallOf<Store> m_write;
+    StoreCallOf<Store> m_removal;
+    TimerOf<Loop> m_retryTimer;
+    TimerOf<Loop> m_failedEntryTimer;
     sigc::signal<void()> m_changed;
 };
 
+extern template class BasicEntryRegistration<EventLoop, Platform::ObjectStore>;
+
+/// The registration of a running entry.
+using EntryRegistration = BasicEntryRegistration<EventLoop, Platform::ObjectStore>;
+
 } // namespace Tarragon
--- a/Source/gateway/StoreAccess.h
+++ b/Source/gateway/StoreAccess.h
@@ -39,6 +39,18 @@
     store.watch(text, revision, time, time, false, onChanges).reset();
 };
 
+/// The calls by which the store is written too, as Platform::ObjectStore has them.
+template<typename T>
+concept StoreWriter =
+        StoreReader<T> && requires(T &store, const std::string &text, const nlohmann::json &spec,
+                                   const StoreRevision &revision, milliseconds time,
+                                   const sigc::slot<void(const Platform::ItemResult &)> &onResult)
+{
+    store.create(text, text, spec, time, onResult).reset();
+    store.replace(text, text, spec, revision, time, onResult).reset();
+    store.remove(text, text, revision, time, onResult).reset();
+};
+
 /// Calls in progress of a store; destroying one cancels it.
 template<StoreReader Store>
 using StoreCallOf = decltype(std::declval<Store &>().list(
