Gateway: Log subscriptions without a pending call or timer

The log of an entry that no longer follows the store ends with its last line of that kind, which does not show whether anything is pending. hasPendingWork() states it for subscriptions and the relay; the daemon checks its subscriptions each 5 s and logs subscription-stalled.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -34,6 +34,8 @@
 /// Period in which changes of the targets' limits are logged, so that a target whose limit varies
 /// with each response adds one line a second, and in which unused limits are removed.
 constexpr milliseconds LimitUpkeepPeriod{ 1'000 };
+/// Period in which subscriptions are checked for pending work.
+constexpr seconds SubscriptionCheckPeriod{ 5 };
 /// Options for entry registrations. They may arrive late, because gossip shows which entries are
 /// responsive.
 constexpr SubscriptionOptions EntryOptions{ milliseconds(1'000), true, true, false };
@@ -131,6 +133,8 @@
     m_registration.start();
     m_tick = loop.scheduleEvery(TickPeriod, [this] { tick(); });
     m_limitUpkeep = loop.scheduleEvery(LimitUpkeepPeriod, [this] { maintainLimits(); });
+    m_subscriptionCheck =
+            loop.scheduleEvery(SubscriptionCheckPeriod, [this] { reportStalledSubscriptions(); });
     LOG4CPLUS_INFO(logger(), LogLine("gateway", "started")
                                      .add("instance", settings.instance)
                                      .add("failureDomain", settings.domain)
@@ -457,6 +461,21 @@
     m_permits.removeUnused(m_loop.now());
 }
 
+void GatewayDaemon::reportStalledSubscriptions() const
+{
+    for (const KindSubscription *it :
+         { m_routeSubscription.get(), m_targetSubscription.get(), m_evacuationSubscription.get(),
+           m_entrySubscription.get() }) {
+        if (!it->hasPendingWork()) {
+            LOG4CPLUS_ERROR(logger(), LogLine("gateway", "subscription-stalled")
+                                              .add("kind", it->kind())
+                                              .add("listed", it->isListed())
+                                              .add("source", toString(it->source()))
+                                              .text());
+        }
+    }
+}
+
 std::string GatewayDaemon::metricsText()
 {
     const MonotonicTime now = m_loop.now();
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -72,6 +72,9 @@
     void tick();
     /// Logs changes of the targets' limits and removes unused ones.
     void maintainLimits();
+    /// Logs subscriptions that would never follow the store again, which is a fault of this
+    /// program.
+    void reportStalledSubscriptions() const;
     std::string metricsText();
     void checkShutdown();
 
@@ -111,6 +114,7 @@
     std::uint64_t m_lookupCount = 0;
     Timer m_tick;
     Timer m_limitUpkeep;
+    Timer m_subscriptionCheck;
 };
 
 } // namespace Tarragon
--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -77,6 +77,10 @@
     /// Returns the summary of the last list if no changes were received since.
     std::optional<ListSummary> unchangedList() const;
     ChangeSource source() const { return m_source; }
+    /// Whether a call or a timer is pending that continues the subscription, or neighbours relay
+    /// the changes. Always the case between start() and the destruction: a subscription without it
+    /// would never follow the store again.
+    bool hasPendingWork() const;
     /// Sets the source of changes from now on. The initial source is the store.
     void setSource(ChangeSource source);
     /// Applies the changes after revision() that a neighbour relayed. `isComplete` states that they
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -135,6 +135,14 @@
     m_isRestored = false;
 }
 
+template<TimerLoop Loop, StoreReader Store>
+bool BasicKindSubscription<Loop, Store>::hasPendingWork() const
+{
+    const bool isRelayed = m_isListed && m_source != ChangeSource::Store
+                           && (!m_unconfirmedSnapshot.has_value() || m_confirmTimer.isActive());
+    return m_isCalling || m_timer.isActive() || isRelayed;
+}
+
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::setSource(ChangeSource source)
 {
--- a/Source/gateway/StoreRelay.h
+++ b/Source/gateway/StoreRelay.h
@@ -46,6 +46,9 @@
     /// Starts polling. Called as soon as the registered entries are known; later calls have no
     /// effect.
     void start();
+    /// Whether the timers that poll the watchers and check the age of the known objects are
+    /// pending. Always the case after start().
+    bool hasPendingWork() const { return m_timer.isActive() && m_viewAgeTimer.isActive(); }
     /// Fills the reply to a neighbour that polls this entry for changes.
     void fillReply(PeerRpc::Peer::RelayParams::Reader request,
                    PeerRpc::Peer::RelayResults::Builder reply);
