Gateway: List again after a restore whatever the subscription was doing

Cause: a subscription whose own response showed the store's new era had cleared m_isCalling and had never listed, and onEraChanged() took it for one that had not started. It was left with neither a call nor a timer, as acceptsEra() relies on the list that onEraChanged() begins. m_hasStarted says what was meant.

--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -63,7 +63,7 @@
     BasicKindSubscription &operator=(const BasicKindSubscription &) = delete;
     ~BasicKindSubscription() { m_health.releaseRetry(this); }
 
-    void start() { list(""); }
+    void start();
     const std::string &kind() const { return m_kind; }
     /// Whether a snapshot has been delivered.
     bool hasSnapshot() const { return m_hasSnapshot; }
@@ -178,6 +178,7 @@
     /// Era of the last delivered snapshot.
     StoreEra m_snapshotEra;
     bool m_isRestored = false;
+    bool m_hasStarted = false;
     bool m_hasSnapshot = false;
     bool m_isListed = false;
     ListSummary m_lastList;
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -31,6 +31,13 @@
     m_health.eraChanged().connect(sigc::mem_fun(*this, &BasicKindSubscription::onEraChanged));
 }
 
+template<TimerLoop Loop, StoreReader Store>
+void BasicKindSubscription<Loop, Store>::start()
+{
+    m_hasStarted = true;
+    list("");
+}
+
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::list(const std::string &after)
 {
@@ -360,7 +367,7 @@
                                           .add("knownEra", m_revision.era)
                                           .add("revision", m_revision.number)
                                           .text());
-    if (!m_hasEverListed && !m_isCalling) {
+    if (!m_hasStarted) {
         return;
     }
     m_call.reset();
