Gateway: Register again when a restored store lacks the own registration

What callers could see: lookups that leave an entry out, and limits divided by too few entries, for an entry that had registered within the age of the copy.

--- a/Source/gateway/EntryRegistration.h
+++ b/Source/gateway/EntryRegistration.h
@@ -25,8 +25,8 @@
     /// Writes this entry's registration and starts the periodic removal of failed entries.
     void start();
     /// Applies a snapshot or changes of the registrations; emits changed(). If the snapshot is the
-    /// first one after the store was restored from a copy, live entries whose registrations it
-    /// lacks or shows of an earlier process are kept until they register again.
+    /// first one after the store was restored from a copy, other live entries whose registrations
+    /// it lacks or shows of an earlier process are kept until they register again.
     void onSnapshot(const std::vector<Platform::StoredItem> &items, bool isRestored);
     void onChanges(const std::vector<Platform::StoredChange> &changes);
     /// Removes this entry's registration, because the process is about to exit.
--- a/Source/gateway/EntryRegistrationTemplate.h
+++ b/Source/gateway/EntryRegistrationTemplate.h
@@ -119,7 +119,8 @@
         const auto listed = m_entries.find(id);
         const bool isListed = listed != m_entries.end()
                               && listed->second.record.incarnation == entry.record.incarnation;
-        if (!isListed && m_membership.isLive(id, now)) {
+        const bool isOwn = id == m_membership.localEntry().instance;
+        if (!isListed && !isOwn && m_membership.isLive(id, now)) {
             Entry kept = entry;
             kept.keptUntil = now + RestoredEntryRetention;
             m_entries[id] = kept;
--- a/Tests/gateway/ScriptedStore.cpp
+++ b/Tests/gateway/ScriptedStore.cpp
@@ -1,5 +1,6 @@
 #include "ScriptedStore.h"
 
+#include <optional>
 #include <utility>
 
 namespace Tarragon {
@@ -19,8 +20,13 @@
     const std::shared_ptr<OpenCall> call = std::make_shared<OpenCall>();
     call->kind = kind;
     call->isWrite = isWrite;
-    // A write that is answered late has taken effect when it was made.
-    const std::shared_ptr<Page> early = isWrite ? nullptr : std::make_shared<Page>(run());
+    const std::shared_ptr<std::optional<Page>> result = std::make_shared<std::optional<Page>>();
+    const auto runOnce = [run, result]() -> const Page & {
+        if (!result->has_value()) {
+            *result = run();
+        }
+        return **result;
+    };
     const std::weak_ptr<OpenCall> weak = call;
     const auto end = [weak, callback](const Page &page) {
         const std::shared_ptr<OpenCall> open = weak.lock();
@@ -28,24 +34,26 @@
             callback(page);
         }
     };
-    call->answer = [this, end, run, early](ScriptedAnswer answer) {
+    call->answer = [this, end, runOnce, result](ScriptedAnswer answer) {
         Page failure;
         failure.reason = "no answer";
         switch (answer) {
         case ScriptedAnswer::Run:
-            end(run());
+            end(runOnce());
             break;
-        case ScriptedAnswer::Late:
-            end(early != nullptr ? *early : run());
+        case ScriptedAnswer::RunUnanswered:
+            runOnce();
             break;
         case ScriptedAnswer::Reject:
-            failure.outcome = CallOutcome::NotApplied;
-            failure.reason = "status 503";
-            failure.era = era();
+            if (!result->has_value()) {
+                failure.outcome = CallOutcome::NotApplied;
+                failure.reason = "status 503";
+                failure.era = era();
+            }
             end(failure);
             break;
         case ScriptedAnswer::LoseAnswer:
-            run();
+            runOnce();
             end(failure);
             break;
         case ScriptedAnswer::LoseCall:
--- a/Tests/gateway/ScriptedStore.h
+++ b/Tests/gateway/ScriptedStore.h
@@ -12,15 +12,15 @@
 
 /// How a scripted store ends a call.
 enum class ScriptedAnswer {
-    /// The call is run and answered now.
+    /// The call is run and answered now; if it has been run before, it is only answered.
     Run,
-    /// The answer is the one that the store would have given when the call was made.
-    Late,
+    /// The call is run, and the answer is still on its way: the call stays open.
+    RunUnanswered,
     /// The call is answered with status 503; the answer has the store's era.
     Reject,
     /// The call is run, and its answer is lost.
     LoseAnswer,
-    /// The call is not run and gets no answer.
+    /// No answer arrives, whether the call has been run or not.
     LoseCall,
 };
 
--- a/Tests/gateway/StoreFollowingTest.cpp
+++ b/Tests/gateway/StoreFollowingTest.cpp
@@ -2,6 +2,7 @@
 #include "gateway/EntryRegistrationTemplate.h"
 #include "gateway/KindSubscriptionTemplate.h"
 #include "gateway/StoreRelayTemplate.h"
+#include "net/Guard.h"
 #include "platform/RegistryDecoder.h"
 #include "platform/RouteTableDecoder.h"
 
@@ -92,12 +93,15 @@
             it->abortWatch("connection check failed");
         }
     }
+    /// Removes the entry's registration, as other entries do that consider it failed.
+    void removeRegistration() { m_contents.remove(Platform::EntryKind, "e1"); }
     void failNextHandler() { m_failsNextHandler = true; }
     void advance(microseconds time)
     {
         const microseconds end = m_schedule.now() + time;
         m_schedule.after(time, [] {});
-        while (m_schedule.now() < end && m_schedule.step(end)) {
+        while (m_schedule.now() < end) {
+            guarded("timer", [&] { m_schedule.step(end); });
         }
     }
     /// Lets the store answer all calls for a time.
@@ -106,7 +110,7 @@
         const microseconds end = m_schedule.now() + time;
         while (m_schedule.now() < end) {
             for (const std::shared_ptr<ScriptedStore::OpenCall> &it : m_store.openCalls()) {
-                it->answer(ScriptedAnswer::Run);
+                guarded("answer", [&] { it->answer(ScriptedAnswer::Run); });
             }
             advance(milliseconds(10));
         }
@@ -301,13 +305,15 @@
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
     };
     const std::vector<std::shared_ptr<ScriptedStore::OpenCall>> calls = entry.store().openCalls();
-    const std::size_t kind = draw(20);
+    const std::size_t kind = draw(22);
     if (kind < 10 && !calls.empty()) {
         static constexpr ScriptedAnswer Answers[] = {
-            ScriptedAnswer::Run,    ScriptedAnswer::Run,      ScriptedAnswer::Late,
+            ScriptedAnswer::Run,    ScriptedAnswer::Run,      ScriptedAnswer::RunUnanswered,
             ScriptedAnswer::Reject, ScriptedAnswer::LoseCall, ScriptedAnswer::LoseAnswer,
         };
-        calls[draw(calls.size())]->answer(Answers[draw(std::size(Answers))]);
+        const std::shared_ptr<ScriptedStore::OpenCall> &call = calls[draw(calls.size())];
+        // As the event loop calls back.
+        guarded("answer", [&] { call->answer(Answers[draw(std::size(Answers))]); });
     } else if (kind < 15) {
         static constexpr milliseconds Times[] = { milliseconds(1), milliseconds(120),
                                                   milliseconds(600), milliseconds(2'100) };
@@ -320,6 +326,10 @@
         entry.setNeighboursReply(draw(2) == 0);
     } else if (kind == 18) {
         entry.forgetHistory();
+    } else if (kind == 19) {
+        entry.removeRegistration();
+    } else if (kind == 20) {
+        entry.failNextHandler();
     } else {
         entry.abortWatches();
     }
