Gateway: Read the list again after a handler has thrown

Cause: the event loop logs an exception of a callback and goes on; a subscription whose handler threw had not yet begun its next call, so that it had neither a call nor a timer and never followed the store again, or went on from a revision whose changes were applied in part.

--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -129,6 +129,10 @@
     /// of that one stay without a response.
     static constexpr milliseconds StoreRecheckDelay{ 2'000 };
 
+    /// Pause before the list is read again because a handler has thrown. Objects that a handler
+    /// cannot process would otherwise cause a call after each backoff.
+    static constexpr milliseconds HandlerRetryDelay{ 2'000 };
+
     /// Time after which a watch in progress has reached the store; longer than the connect timeout.
     static constexpr milliseconds WatchSetupTime{ 350 };
     /// Time within which a waiting watch returns a change, including the retransmission of a lost
@@ -140,6 +144,9 @@
     /// Delivers the list as a snapshot, followed by the changes received since, once the list is
     /// known to be current or is used unconfirmed. Does nothing if no list is held back.
     void deliverSnapshot();
+    /// Calls a handler. If it throws, the objects that it received may be applied in part, and the
+    /// list is read again after a pause. Returns whether it did not throw.
+    bool callHandler(const sigc::slot<void()> &handler);
     void confirm(MonotonicTime time);
     void apply(const Platform::ChangePage &page);
     void callWatch(milliseconds wait);
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -4,6 +4,7 @@
 
 #include "gateway/KindSubscription.h"
 #include "gateway/StoreLog.h"
+#include "net/Guard.h"
 #include "net/LogLine.h"
 
 #include <log4cplus/loggingmacros.h>
@@ -113,6 +114,9 @@
     } else {
         m_changesMadeAfter = m_confirmedAt;
         deliverSnapshot();
+        if (!m_isListed) {
+            return;
+        }
         confirm(m_listStartedAt);
     }
     if (mayBeStale && m_options.confirmImmediately && m_source != ChangeSource::Store) {
@@ -131,17 +135,37 @@
     }
     m_hasSnapshot = true;
     m_isRestored = m_snapshotEra != StoreEra() && m_revision.era > m_snapshotEra;
-    m_snapshotEra = m_revision.era;
+    const StoreEra era = m_revision.era;
     const std::vector<Platform::StoredItem> items = std::move(*m_unconfirmedSnapshot);
     m_unconfirmedSnapshot.reset();
     const std::vector<Platform::StoredChange> changes = std::exchange(m_pendingChanges, {});
-    m_handlers.onSnapshot(items);
-    if (!changes.empty()) {
-        m_handlers.onChanges(changes);
+    const bool isApplied = callHandler([this, &items, &changes] {
+        m_handlers.onSnapshot(items);
+        if (!changes.empty()) {
+            m_handlers.onChanges(changes);
+        }
+    });
+    if (isApplied) {
+        m_snapshotEra = era;
     }
     m_isRestored = false;
 }
 
+template<TimerLoop Loop, StoreReader Store>
+bool BasicKindSubscription<Loop, Store>::callHandler(const sigc::slot<void()> &handler)
+{
+    if (guarded("subscription to " + m_kind, handler)) {
+        return true;
+    }
+    m_call.reset();
+    m_isCalling = false;
+    m_confirmTimer.reset();
+    m_isListed = false;
+    m_revision = {};
+    m_timer = m_loop.schedule(HandlerRetryDelay, [this] { list(""); });
+    return false;
+}
+
 template<TimerLoop Loop, StoreReader Store>
 bool BasicKindSubscription<Loop, Store>::hasPendingWork() const
 {
@@ -221,10 +245,10 @@
     if (isComplete) {
         deliverSnapshot();
     }
-    if (page.revision > m_revision) {
+    if (m_isListed && page.revision > m_revision) {
         apply(page);
     }
-    if (isComplete) {
+    if (m_isListed && isComplete) {
         confirm(confirmedAt);
     }
 }
@@ -239,7 +263,7 @@
     if (m_unconfirmedSnapshot.has_value()) {
         m_pendingChanges.insert(m_pendingChanges.end(), page.changes.begin(), page.changes.end());
     } else if (!page.changes.empty()) {
-        m_handlers.onChanges(page.changes);
+        callHandler([this, &page] { m_handlers.onChanges(page.changes); });
     }
 }
 
@@ -305,7 +329,12 @@
         return;
     }
     deliverSnapshot();
-    apply(page);
+    if (m_isListed) {
+        apply(page);
+    }
+    if (!m_isListed) {
+        return;
+    }
     confirm(std::max(completeAt, m_changesMadeAfter.value_or(completeAt)));
     const bool hasWaited = duration >= std::min(m_watchTime, MinBackoff);
     if (page.changes.empty() && hasWaited) {
