Net: Connect again after the handler of an RPC connection has thrown

The same class as the entry that starts in an outage, found by looking for paths that end with nothing pending: a connection whose handler threw left neither an event nor a timer, and the entries were not connected until a restart. No handler is known to throw. RpcConnectorTest failed before (one connection in 20 s).

--- a/Source/net/RpcConnector.cpp
+++ b/Source/net/RpcConnector.cpp
@@ -74,7 +74,8 @@
     const evutil_socket_t socket = std::exchange(m_socket, -1);
     closeAttempt();
     kj::Own<RpcStream> stream = kj::heap<RpcStream>(m_loop.base(), socket);
-    m_handler(stream);
+    if (!guarded("RPC connection handler", [this, &stream] { m_handler(stream); }))
+        retry();
 }
 
 void RpcConnector::retry()
--- a/Source/net/RpcConnector.h
+++ b/Source/net/RpcConnector.h
@@ -27,6 +27,7 @@
 {
 public:
     /// Receives the connected stream, which it must move out of its argument. Called from the loop.
+    /// If it throws, the connector connects again after the next backoff delay.
     using Handler = sigc::slot<void(kj::Own<RpcStream> &)>;
 
     /// Starts to connect in the next iteration of the loop. Throws Error if the address is not an
