Gateway: Check the own registration once it must be known

What callers could see: an entry that lookups leave out for good. Cause: whether the own record is known is checked only when records change, and not while it is being written. If the record is removed, or lost with a restore, and this becomes known before the response of the write, nothing checks it again. The periodic check now does, 5 s after a write.

--- a/Source/gateway/EntryRegistration.h
+++ b/Source/gateway/EntryRegistration.h
@@ -47,6 +47,9 @@
     static constexpr milliseconds MinBackoff{ 200 };
     static constexpr milliseconds MaxBackoff{ 2'000 };
     static constexpr seconds FailedEntryCheckPeriod{ 2 };
+    /// Time after a write within which the known registrations may lack it: they may be stale by
+    /// seconds.
+    static constexpr seconds OwnRecordDelay{ 5 };
     /// Time after which the registration of a failed entry is removed. It exceeds any short
     /// interruption or restart. Until then, limits of the whole deployment are divided by one entry
     /// too many.
@@ -87,6 +90,8 @@
     /// Latest era of the store that a response has shown.
     StoreEra m_era;
     bool m_isWriting = false;
+    /// Time at which the registration was last written; nothing before the first success.
+    std::optional<MonotonicTime> m_writtenAt;
     bool m_isDeregistered = false;
     StoreCallOf<Store> m_write;
     StoreCallOf<Store> m_removal;
--- a/Source/gateway/EntryRegistrationTemplate.h
+++ b/Source/gateway/EntryRegistrationTemplate.h
@@ -77,6 +77,7 @@
     if (result.outcome == Platform::CallOutcome::Done) {
         m_backoff.reset();
         m_ownRevision = result.item.revision;
+        m_writtenAt = m_loop.now();
         return;
     }
     if (wasCreation && result.outcome == Platform::CallOutcome::Conflict) {
@@ -235,6 +236,10 @@
 {
     dropUnregisteredEntries();
     const MonotonicTime now = m_loop.now();
+    if (m_writtenAt.has_value() && now - *m_writtenAt >= OwnRecordDelay) {
+        // The removal or loss of the record may have become known while it was being written.
+        checkOwnRecord();
+    }
     std::size_t responsiveCount = 0;
     const Entry *longestFailed = nullptr;
     InstanceId cleaner = m_membership.localEntry().instance;
--- a/Tests/gateway/StoreFollowingTest.cpp
+++ b/Tests/gateway/StoreFollowingTest.cpp
@@ -335,24 +335,39 @@
     }
 }
 
+/// Plays random steps; at the end the store serves all calls and the entry must follow it.
+void playRandomSteps(std::uint64_t seed)
+{
+    static constexpr int StepCount = 60;
+    std::mt19937_64 random(seed);
+    FollowingEntry entry(seed);
+    entry.copyStore();
+    for (int i = 0; i < StepCount; ++i) {
+        playStep(entry, random);
+        ASSERT_EQ(entry.stalled(), "") << "seed " << seed << ", step " << i;
+    }
+    entry.setNeighboursReply(false);
+    entry.changeAllKinds();
+    entry.serve(seconds(10));
+    ASSERT_EQ(entry.outdated(), "") << "seed " << seed;
+}
+
 // Guards against an entry that ends with neither a call nor a timer pending, and no longer follows
 // the store or is no longer registered, after any order of answers and failures.
 TEST(StoreFollowingTest, SomethingIsAlwaysPendingAndTheStoreIsFollowedInTheEnd)
 {
     static constexpr std::uint64_t RunCount = 400;
-    static constexpr int StepCount = 60;
     for (std::uint64_t seed = firstSeed(); seed < firstSeed() + RunCount; ++seed) {
-        std::mt19937_64 random(seed);
-        FollowingEntry entry(seed);
-        entry.copyStore();
-        for (int i = 0; i < StepCount; ++i) {
-            playStep(entry, random);
-            ASSERT_EQ(entry.stalled(), "") << "seed " << seed << ", step " << i;
-        }
-        entry.setNeighboursReply(false);
-        entry.changeAllKinds();
-        entry.serve(seconds(10));
-        ASSERT_EQ(entry.outdated(), "") << "seed " << seed;
+        playRandomSteps(seed);
+    }
+}
+
+// Guards against an entry that stays unregistered because its record was removed or lost while the
+// entry was writing it.
+TEST(StoreFollowingTest, RecordThatIsLostWhileItIsWrittenIsWrittenAgain)
+{
+    for (const std::uint64_t seed : { 27'004, 43'682, 44'034, 57'643, 59'932 }) {
+        playRandomSteps(seed);
     }
 }
 
