Tests: Hold the invariant of pending work in the simulation of many entries

Rejections have the store's era, as the platform's have, a trouble that ends does not end a later one, and a store that returns from a copy serves waiting calls after it has been restored: before, they were answered from the contents that it then lost.

--- a/Tests/gateway/RestoredStoreTest.cpp
+++ b/Tests/gateway/RestoredStoreTest.cpp
@@ -91,6 +91,26 @@
     });
 }
 
+// Guards against entries that start while the store turns calls away, learn its era from the
+// rejections, and do not follow it after the restore.
+TEST_F(RestoredStoreTest, EntriesThatStartInAnOutageFollowTheRestoredStore)
+{
+    play([](StoreSimulation &run) {
+        changeJustBefore(run, seconds(15));
+        run.at(milliseconds(12'500),
+               [&run] { run.disturbStore(StorePath::Rejecting, milliseconds(2'500)); });
+        for (const int it : { 12'600, 13'200, 13'900, 14'600 }) {
+            run.at(milliseconds(it), [&run] {
+                for (const std::size_t entry : run.drawEntries(0.1)) {
+                    run.restart(entry);
+                }
+            });
+        }
+        run.at(seconds(15), [&run] { run.restoreStore(seconds(6), milliseconds(500)); });
+        run.at(seconds(17), [&run] { run.changeDesiredState(); });
+    });
+}
+
 // Guards against using a target again that had left before the loss, because the copy has its
 // registration.
 TEST_F(RestoredStoreTest, TargetsThatHadLeftAreNotUsedAgain)
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -184,6 +184,7 @@
     process.relay.add(process.desiredState);
     process.targets.start();
     process.desiredState.start();
+    process.hasBegun = true;
     process.tick = process.loop.scheduleEvery(
             TickPeriod, [&process] { process.registry.removeExpired(process.loop.now()); });
     process.gossip = process.loop.scheduleEvery(GossipPeriod, [this, entry] { gossip(entry); });
@@ -193,6 +194,7 @@
                        [](const Entry &it) { return it.record; });
         process.membership.setRecords(records);
         process.relay.start();
+        process.hasRelayStarted = true;
     });
 }
 
@@ -301,7 +303,11 @@
 {
     m_store.setPath(path);
     m_storeTroubledUntil = std::max(m_storeTroubledUntil, m_schedule.now() + duration);
-    m_schedule.after(duration, [this] { m_store.setPath(StorePath::Open); });
+    m_schedule.after(duration, [this] {
+        if (m_schedule.now() >= m_storeTroubledUntil) {
+            m_store.setPath(StorePath::Open);
+        }
+    });
 }
 
 void StoreSimulation::copyStore()
@@ -313,11 +319,12 @@
 void StoreSimulation::restoreStore(microseconds copyAge, microseconds duration)
 {
     const auto copy = std::prev(m_copies.upper_bound(m_schedule.now() - copyAge));
-    disturbStore(StorePath::Silent, duration);
     m_schedule.after(duration, [this, contents = copy->second] {
         m_store.restore(contents);
         rewriteLostState();
     });
+    // The store serves calls that waited only once it has been restored.
+    disturbStore(StorePath::Silent, duration);
 }
 
 bool StoreSimulation::hasLeft(std::size_t target) const
@@ -409,6 +416,7 @@
 void StoreSimulation::audit()
 {
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        auditPendingWork(i);
         if (isInTouch(m_entries[i])) {
             auditEntry(i);
         }
@@ -416,6 +424,22 @@
     m_schedule.after(AuditPeriod, [this] { audit(); });
 }
 
+void StoreSimulation::auditPendingWork(std::size_t entry)
+{
+    const Process &process = *m_entries[entry].process;
+    if (!process.hasBegun) {
+        return;
+    }
+    for (const Subscription *it : { &process.targets, &process.desiredState }) {
+        if (!it->hasPendingWork()) {
+            report(entry, "has neither a call nor a timer for " + it->kind());
+        }
+    }
+    if (process.hasRelayStarted && !process.relay.hasPendingWork()) {
+        report(entry, "has no timer to poll the watchers");
+    }
+}
+
 void StoreSimulation::auditEntry(std::size_t entry)
 {
     const Process &process = *m_entries[entry].process;
--- a/Tests/gateway/StoreSimulation.h
+++ b/Tests/gateway/StoreSimulation.h
@@ -117,6 +117,9 @@
         Subscription targets;
         Subscription desiredState;
         Relay relay;
+        /// Whether the subscriptions have been started.
+        bool hasBegun = false;
+        bool hasRelayStarted = false;
         VirtualLoop::Timer tick;
         VirtualLoop::Timer gossip;
     };
@@ -150,6 +153,9 @@
     bool isInTouch(const Entry &entry) const;
     bool isStoreStable() const;
     void audit();
+    /// Checks that something is pending by which the entry goes on following the store, also while
+    /// the entry or the store is in trouble.
+    void auditPendingWork(std::size_t entry);
     void auditEntry(std::size_t entry);
     void report(std::size_t entry, const std::string &finding);
     std::size_t indexOf(const InstanceId &instance) const { return m_indices.at(instance); }
--- a/Tests/gateway/VirtualStore.cpp
+++ b/Tests/gateway/VirtualStore.cpp
@@ -214,6 +214,7 @@
                 Page page;
                 page.outcome = CallOutcome::NotApplied;
                 page.reason = "status 503";
+                page.era = StoreEra(m_store.objects().era());
                 respond(page);
                 return;
             }
