--- a/Source/gateway/GatewayContext.h
+++ b/Source/gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "gateway/LogLineSampler.h"
 #include "net/EventLoop.h"
 #include "net/HttpClient.h"
+#include "routing/RequestTrials.h"
 #include "routing/TargetPermits.h"
 
 namespace Tarragon {
@@ -16,6 +17,7 @@
     HttpClient &client;
     GatewayState &state;
     TargetPermits &permits;
+    RequestTrials &trials;
     GatewayMetrics &metrics;
     /// Selects the successful requests that are logged.
     LogLineSampler &successSampler;
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -6,7 +6,9 @@
 #include "gateway/RelayCalls.h"
 #include "gateway/RelayCodec.h"
 #include "gateway/RoutedRequest.h"
+#include "gateway/SuspectCodec.h"
 #include "gateway/TargetFeed.h"
+#include "gateway/TrialRpc.h"
 #include "net/HttpStatus.h"
 #include "net/LogLine.h"
 #include "platform/LookupCodec.h"
@@ -67,6 +69,7 @@
     record.front = settings.front;
     record.rpc = settings.rpc;
     record.issuesPermits = true;
+    record.issuesTrials = true;
     return record;
 }
 
@@ -115,10 +118,21 @@
                        const TargetPermits::ReplySlot &replied) {
                     requestPermit(m_loop, m_gossip.client(issuer), request, replied);
                 })
-    , m_context{ loop, m_client, m_state, m_permits, m_metrics, m_successSampler }
+    , m_trials(
+              m_membership, m_state.suspects(),
+              [this](const InstanceId &issuer, const TrialRequest &request,
+                     const RequestTrials::ReplySlot &replied) {
+                  requestTrial(m_loop, m_gossip.client(issuer), request, replied);
+              },
+              [this](const InstanceId &issuer, const SuspectRecord &suspect) {
+                  endTrial(m_gossip.client(issuer), suspect);
+              })
+    , m_context{ loop, m_client, m_state, m_permits, m_trials, m_metrics, m_successSampler }
     , m_registration(loop, m_store, m_membership, m_incarnation.value())
-    , m_gossip(loop, m_membership, m_state.limits(), settings.rpc, m_incarnation.value(),
-               peerHandlers())
+    , m_gossip(loop, m_membership, m_state.limits(), m_state.suspects(), settings.rpc,
+               m_incarnation.value(), peerHandlers())
+    , m_suspectSharing(loop, m_membership, m_state.suspects(),
+                       [this](const InstanceId &entry) { return m_gossip.client(entry); })
     , m_relay(loop, m_membership, m_health, m_store, relayCalls(m_gossip), settings.isFirstStart)
     , m_lastTickAt(loop.now())
 {
@@ -185,6 +199,16 @@
         const PermitRequest request = decodePermitRequest(question);
         fillPermitReply(answer, m_permits.answer(request, m_loop.now()));
     };
+    handlers.requestTrial = [this](PeerRpc::Peer::RequestTrialParams::Reader question,
+                                   PeerRpc::Peer::RequestTrialResults::Builder answer) {
+        fillTrialReply(answer, m_trials.answer(decodeTrialRequest(question), m_loop.now()));
+    };
+    handlers.endTrial = [this](PeerRpc::Peer::EndTrialParams::Reader params) {
+        m_trials.onEnded(decodeSuspect(params.getSuspect()), m_loop.now());
+    };
+    handlers.shareSuspects = [this](PeerRpc::Peer::ShareSuspectsParams::Reader params) {
+        m_suspectSharing.receive(params);
+    };
     return handlers;
 }
 
@@ -459,6 +483,7 @@
         LOG4CPLUS_WARN(logger(), LogLine("gateway", "limit-ignored").add("target", it).text());
     }
     m_permits.removeUnused(m_loop.now());
+    m_trials.removeUnused(m_loop.now());
 }
 
 void GatewayDaemon::reportStalledSubscriptions() const
@@ -480,6 +505,7 @@
 {
     const MonotonicTime now = m_loop.now();
     m_metrics.setLimitedTargetCount(m_state.limits().limitedCount());
+    m_metrics.setSuspectCount(m_state.suspects().count());
     m_metrics.setLiveEntryCount(m_membership.liveCount(now));
     m_metrics.setRequestsInProgress(m_front->exchangesInProgress());
     m_metrics.setStoreAge(m_health.lastSuccessAt().has_value() ? now - *m_health.lastSuccessAt()
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -6,6 +6,7 @@
 #include "gateway/KindSubscription.h"
 #include "gateway/MembershipGossip.h"
 #include "gateway/StoreRelay.h"
+#include "gateway/SuspectSharing.h"
 #include "net/HttpServer.h"
 #include "net/RpcRuntime.h"
 
@@ -91,9 +92,11 @@
     LogLineSampler m_successSampler;
     EntryMembership m_membership;
     TargetPermits m_permits;
+    RequestTrials m_trials;
     GatewayContext m_context;
     EntryRegistration m_registration;
     MembershipGossip m_gossip;
+    SuspectSharing m_suspectSharing;
     StoreRelay m_relay;
     std::unique_ptr<KindSubscription> m_routeSubscription;
     std::unique_ptr<KindSubscription> m_targetSubscription;
--- a/Source/gateway/GatewayMetrics.cpp
+++ b/Source/gateway/GatewayMetrics.cpp
@@ -46,6 +46,8 @@
                           "Entries that live, this one included"))
     , m_limitedTargets(gauge(m_registry, "tarragon_gateway_limited_targets",
                              "Targets that state a limit for the requests of all entries"))
+    , m_suspects(gauge(m_registry, "tarragon_gateway_suspect_requests",
+                       "Requests under suspicion of ending targets."))
     , m_storeUnavailable(
               gauge(m_registry, "tarragon_gateway_store_lost", "1 while calls to the store fail"))
     , m_inProgress(gauge(m_registry, "tarragon_gateway_requests_in_progress",
@@ -163,6 +165,11 @@
     m_readyTargets.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::setSuspectCount(std::size_t count)
+{
+    m_suspects.Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::setLimitedTargetCount(std::size_t count)
 {
     m_limitedTargets.Set(static_cast<double>(count));
--- a/Source/gateway/GatewayMetrics.h
+++ b/Source/gateway/GatewayMetrics.h
@@ -48,6 +48,7 @@
     void setRetriesLeft(const ServiceId &service, int count);
     /// Sets the number of targets that state a limit.
     void setLimitedTargetCount(std::size_t count);
+    void setSuspectCount(std::size_t count);
     void setSendsInProgress(const ServiceId &service, std::size_t count);
 
     std::string text() const;
@@ -69,6 +70,7 @@
     prometheus::Gauge &m_readyTargets;
     prometheus::Gauge &m_liveEntries;
     prometheus::Gauge &m_limitedTargets;
+    prometheus::Gauge &m_suspects;
     prometheus::Gauge &m_storeUnavailable;
     prometheus::Gauge &m_inProgress;
     prometheus::Family<prometheus::Counter> &m_refusals;
--- a/Source/gateway/GatewayState.h
+++ b/Source/gateway/GatewayState.h
@@ -4,6 +4,7 @@
 #include "routing/RetryLimits.h"
 #include "routing/RouteTable.h"
 #include "routing/ServiceDispatcher.h"
+#include "routing/SuspectRequests.h"
 #include "routing/TargetRegistry.h"
 #include "routing/WeightedServiceSelector.h"
 #include "steering/RetryBudget.h"
@@ -44,6 +45,8 @@
     RetryBudget &retryBudget(const ServiceId &service);
     /// What is known about the limits that targets state.
     TargetLimits &limits() { return *m_limits; }
+    /// What is known about requests that were at targets when these ended.
+    SuspectRequests &suspects() { return m_suspects; }
     const std::map<ServiceId, std::unique_ptr<ServiceDispatcher>> &dispatchers() const
     {
         return m_dispatchers;
@@ -63,6 +66,7 @@
     RouteTablePtr m_table;
     TargetRegistry m_registry;
     std::shared_ptr<TargetLimits> m_limits = std::make_shared<TargetLimits>();
+    SuspectRequests m_suspects;
     std::uint64_t m_appliedRevision = 0;
     std::size_t m_entryCount = 0;
     WeightedServiceSelector m_serviceSelector;
--- a/Source/gateway/MembershipGossip.cpp
+++ b/Source/gateway/MembershipGossip.cpp
@@ -1,6 +1,7 @@
 #include "gateway/MembershipGossip.h"
 
 #include "gateway/LimitCodec.h"
+#include "gateway/SuspectCodec.h"
 
 #include <utility>
 
@@ -31,21 +32,26 @@
 } // namespace
 
 MembershipGossip::MembershipGossip(EventLoop &loop, EntryMembership &membership,
-                                   TargetLimits &limits, const Endpoint &rpc, std::uint64_t seed,
-                                   PeerHandlers handlers)
+                                   TargetLimits &limits, SuspectRequests &suspects,
+                                   const Endpoint &rpc, std::uint64_t seed, PeerHandlers handlers)
     : m_loop(loop)
     , m_membership(membership)
     , m_limits(limits)
+    , m_suspects(suspects)
     , m_network(loop, membership.localEntry().instance, seed)
 {
     handlers.gossip = [this](PeerRpc::Peer::GossipParams::Reader params,
                              PeerRpc::Peer::GossipResults::Builder results) {
         merge(params.getMine());
         merge(params.getLimits());
+        merge(params.getSuspects());
         const std::vector<GossipMemberState> states = m_membership.memberStates();
         fillMemberStates(results.initTheirs(static_cast<unsigned int>(states.size())), states);
         const std::vector<TargetLimitChange> limits = m_limits.recentChanges(m_loop.now());
         fillLimits(results.initLimits(static_cast<unsigned int>(limits.size())), limits);
+        const bool isDifferent = params.getSuspectDigest() != m_suspects.digest();
+        const std::vector<SuspectRecord> suspects = m_suspects.toGossip(isDifferent, m_loop.now());
+        fillSuspects(results.initSuspects(static_cast<unsigned int>(suspects.size())), suspects);
     };
     m_server = std::make_unique<PeerServer>(loop, rpc.address, rpc.port, std::move(handlers));
     m_timer = loop.scheduleEvery(GossipPeriod, [this] { runGossipRound(); });
@@ -86,16 +92,21 @@
     }
     const std::vector<GossipMemberState> states = m_membership.memberStates();
     const std::vector<TargetLimitChange> limits = m_limits.recentChanges(m_loop.now());
+    const std::vector<SuspectRecord> suspects = m_suspects.toGossip(false, m_loop.now());
     client->call(
             &PeerRpc::Peer::Client::gossipRequest, ExchangeTimeout,
-            [&states, &limits](PeerRpc::Peer::GossipParams::Builder params) {
+            [this, &states, &limits, &suspects](PeerRpc::Peer::GossipParams::Builder params) {
                 fillMemberStates(params.initMine(static_cast<unsigned int>(states.size())), states);
                 fillLimits(params.initLimits(static_cast<unsigned int>(limits.size())), limits);
+                fillSuspects(params.initSuspects(static_cast<unsigned int>(suspects.size())),
+                             suspects);
+                params.setSuspectDigest(m_suspects.digest());
             },
             [this](PeerOutcome outcome, const PeerRpc::Peer::GossipResults::Reader *results) {
                 if (outcome == PeerOutcome::Done) {
                     merge(results->getTheirs());
                     merge(results->getLimits());
+                    merge(results->getSuspects());
                 }
             });
 }
@@ -119,4 +130,11 @@
     }
 }
 
+void MembershipGossip::merge(capnp::List<PeerRpc::SuspectItem>::Reader list)
+{
+    for (const SuspectRecord &it : decodeSuspects(list)) {
+        m_suspects.merge(it, m_loop.now());
+    }
+}
+
 } // namespace Tarragon
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -67,6 +67,9 @@
     : m_context(context)
     , m_exchange(std::move(exchange))
     , m_request(Platform::decodeRequest(*m_exchange))
+    , m_fingerprint(fingerprintOf({ m_exchange->method(), m_request.host, m_exchange->uri(),
+                                    m_request.callerIdentity, m_request.affinityKey,
+                                    m_exchange->body() }))
     , m_arrivedAt(context.loop.now())
     , m_table(context.state.table())
 {}
@@ -106,6 +109,10 @@
         onDeadline();
         return;
     }
+    if (!m_hasTrial && m_context.state.suspects().isSuspect(m_fingerprint, m_context.loop.now())) {
+        obtainTrial();
+        return;
+    }
     PlacementQuery query;
     query.route = m_route;
     query.requestHash = stableHash(m_request.id.value());
@@ -133,6 +140,46 @@
     }
 }
 
+void RoutedRequest::obtainTrial()
+{
+    m_context.trials.obtain(m_service, m_fingerprint,
+                            std::chrono::ceil<milliseconds>(remainingTime()), m_context.loop.now(),
+                            [weak = weak_from_this()](bool isGranted, milliseconds retryAfter) {
+                                const std::shared_ptr<RoutedRequest> self = weak.lock();
+                                if (self != nullptr && !self->hasEnded()) {
+                                    self->onTrialDecided(isGranted, retryAfter);
+                                }
+                            });
+}
+
+void RoutedRequest::onTrialDecided(bool isGranted, milliseconds retryAfter)
+{
+    const SuspectRecord suspect = m_context.state.suspects().find(m_fingerprint);
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "trial")
+                                     .add("request", m_request.id)
+                                     .add("fingerprint", m_fingerprint)
+                                     .add("service", m_service)
+                                     .add("endings", suspect.endings.size())
+                                     .add("granted", isGranted)
+                                     .add("retryAfterMs", retryAfter)
+                                     .text());
+    if (isGranted) {
+        m_hasTrial = true;
+        dispatch();
+    } else if (m_verdict == Verdict::NotRun) {
+        refuse("suspect", retryAfter);
+    } else {
+        fail("failed", "targets ended under the request, no trial is permitted");
+    }
+}
+
+void RoutedRequest::endTrial()
+{
+    if (std::exchange(m_hasTrial, false)) {
+        m_context.trials.end(m_service, m_fingerprint, m_context.loop.now());
+    }
+}
+
 void RoutedRequest::obtainPermit(const Placement &placement)
 {
     const KnownTarget *target = m_dispatcher->findTarget(*placement.target);
@@ -181,11 +228,55 @@
         --m_sendCount;
     }
     m_verdict = combined(m_verdict, attempt.verdict());
+    if (attempt.outcome() != SendOutcome::Answered) {
+        logAttempt(attempt);
+    }
+    if (attempt.hasLostConnection()) {
+        checkTarget(attempt);
+        return;
+    }
+    if (attempt.outcome() == SendOutcome::Answered || attempt.outcome() == SendOutcome::Failed) {
+        m_context.state.suspects().onCompleted(m_fingerprint, m_context.loop.now());
+    }
+    continueAfter(attempt);
+}
+
+void RoutedRequest::checkTarget(const TargetAttempt &attempt)
+{
+    const TargetEnding ending = endingOf(attempt.target(), attempt.targetStartMs());
+    // The request may end during the check; the result counts nevertheless.
+    m_targetCheck = std::make_unique<ConnectionCheck>(
+            m_context.loop, attempt.address().address, attempt.address().port, ConnectTimeout,
+            [self = shared_from_this(), target = attempt.target(), ending](
+                    ConnectionOutcome outcome) { self->onTargetChecked(target, ending, outcome); });
+}
+
+void RoutedRequest::onTargetChecked(const TargetId &target, TargetEnding ending,
+                                    ConnectionOutcome outcome)
+{
+    if (outcome == ConnectionOutcome::Refused) {
+        SuspectRequests &suspects = m_context.state.suspects();
+        suspects.onTargetEnded(m_fingerprint, ending, m_context.loop.now());
+        LOG4CPLUS_WARN(logger(),
+                       LogLine("gateway", "target-ended")
+                               .add("request", m_request.id)
+                               .add("fingerprint", m_fingerprint)
+                               .add("target", target)
+                               .add("endings", suspects.find(m_fingerprint).endings.size())
+                               .text());
+    }
+    if (!hasEnded() && m_attempt != nullptr) {
+        continueAfter(*m_attempt);
+    }
+}
+
+void RoutedRequest::continueAfter(TargetAttempt &attempt)
+{
+    endTrial();
     if (attempt.outcome() == SendOutcome::Answered) {
         deliver(attempt);
         return;
     }
-    logAttempt(attempt);
     if (mayRetry(attempt)) {
         if (attempt.outcome() == SendOutcome::Failed) {
             m_fallback = std::move(m_attempt);
@@ -300,6 +391,7 @@
     if (self == nullptr) {
         return;
     }
+    endTrial();
     m_deadlineTimer.reset();
     m_retryTimer.reset();
     m_disconnectedConnection.disconnect();
@@ -372,6 +464,7 @@
     LOG4CPLUS_INFO(logger(),
                    LogLine("gateway", "send-failed")
                            .add("request", m_request.id)
+                           .add("fingerprint", m_fingerprint)
                            .add("target", attempt.target())
                            .add("outcome", describe(attempt.outcome()))
                            .add("status", attempt.status())
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewayContext.h"
 #include "gateway/TargetAttempt.h"
+#include "net/ConnectionCheck.h"
 
 #include <memory>
 #include <set>
@@ -31,7 +32,17 @@
     void obtainPermit(const Placement &placement);
     void onPermitDecided(const Placement &placement, bool isGranted);
     void send(const Placement &placement);
+    /// Runs a request under suspicion once a trial of it is permitted; otherwise refuses it.
+    void obtainTrial();
+    void onTrialDecided(bool isGranted, milliseconds retryAfter);
+    /// Returns the permit for a trial, if the request has one.
+    void endTrial();
     void onDecided(TargetAttempt &attempt);
+    /// Checks whether the target has ended under the request, and then continues.
+    void checkTarget(const TargetAttempt &attempt);
+    void onTargetChecked(const TargetId &target, TargetEnding ending, ConnectionOutcome outcome);
+    /// Answers the caller, or tries another target.
+    void continueAfter(TargetAttempt &attempt);
     /// Whether to try another target after the attempt; if not, records the reason.
     bool mayRetry(const TargetAttempt &attempt);
     void deliver(TargetAttempt &attempt);
@@ -54,6 +65,8 @@
     GatewayContext &m_context;
     HttpExchangePtr m_exchange;
     Platform::CallerRequest m_request;
+    /// Identifies what targets would run, over all attempts of the caller.
+    RequestFingerprint m_fingerprint;
     MonotonicTime m_arrivedAt;
     MonotonicTime m_deadline;
     RouteTablePtr m_table;
@@ -65,6 +78,8 @@
     int m_sendCount = 0;
     /// Number of permits for limited targets that were denied.
     int m_deniedPermits = 0;
+    /// Whether a trial of this request, which is under suspicion, is permitted.
+    bool m_hasTrial = false;
     Verdict m_verdict = Verdict::NotRun;
     std::unique_ptr<TargetAttempt> m_attempt;
     /// An attempt with a failure response of its target, kept in case no other target succeeds.
@@ -76,6 +91,7 @@
     /// Retry-After time sent to a refused caller; 0 if none.
     milliseconds m_retryAfter{ 0 };
     std::vector<std::unique_ptr<TargetAttempt>> m_finishedAttempts;
+    std::unique_ptr<ConnectionCheck> m_targetCheck;
     Timer m_deadlineTimer;
     Timer m_retryTimer;
     sigc::connection m_disconnectedConnection;
--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -54,6 +54,7 @@
 void TargetAttempt::send(HttpClient &client, const HttpRequest &request)
 {
     m_sentAt = m_loop.now();
+    m_address = Endpoint{ request.address, request.port };
     if (const KnownTarget *known = m_dispatcher.findTarget(m_target)) {
         m_targetStartMs = known->registration.startTimeMs;
     }
@@ -213,6 +214,7 @@
         return;
     }
     const bool notSent = failure.stage == HttpStage::Connect || !failure.anySent;
+    m_hasLostConnection = !notSent && !failure.timedOut && !m_headAt.has_value();
     const bool isDeclaredNotRun =
             m_headOutcome == SendOutcome::Declined || m_headOutcome == SendOutcome::WrongTarget;
     if (notSent) {
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -38,6 +38,12 @@
     Verdict verdict() const { return m_verdict; }
     int status() const { return m_response.status; }
     const std::string &reason() const { return m_reason; }
+    /// Whether the connection ended before the target answered a request that had been sent, so
+    /// that the target may have ended.
+    bool hasLostConnection() const { return m_hasLostConnection; }
+    /// Address and start time of the target's process to which the request was sent.
+    const Endpoint &address() const { return m_address; }
+    std::uint64_t targetStartMs() const { return m_targetStartMs; }
     /// Time from sending to the response head, or until now if no head was received.
     microseconds duration() const;
     const Placement &placement() const { return m_placement; }
@@ -68,7 +74,7 @@
     TargetId m_target;
     Placement m_placement;
     DecidedSlot m_decided;
-    /// Start time of the target's process to which the request was sent.
+    Endpoint m_address;
     std::uint64_t m_targetStartMs = 0;
     MonotonicTime m_sentAt;
     std::optional<MonotonicTime> m_headAt;
@@ -85,6 +91,7 @@
     std::uint64_t m_receivedBytes = 0;
     bool m_isComplete = false;
     bool m_isBroken = false;
+    bool m_hasLostConnection = false;
     bool m_endReported = false;
     HttpExchangePtr m_exchange;
     sigc::slot<void()> m_ended;
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -305,6 +305,17 @@
   limit @1 :TargetLimit;
 }
 
+struct SuspectItem {
+  # What an entry knows about a request that was at targets when these ended.
+  fingerprint @0 :UInt64;
+  # Counts how often the request was cleared; the higher number wins.
+  clearances @1 :UInt64;
+  # Hashes of the targets' processes that ended; lists with the same number of clearances add up.
+  endings @2 :List(UInt64);
+  # Trials permitted after the third ending; the higher number wins.
+  lateTrials @3 :UInt32;
+}
+
 interface Peer {
   # Sends the caller's state and returns the receiver's. An instance that receives a higher version
   # than its own fetches that version.
@@ -331,10 +342,12 @@
 
   status @7 () -> (status :Status);
 
-  # Exchanges the membership states of all entries that the caller and the receiver know, and the
-  # limits of targets that have changed lately.
-  gossip @8 (mine :List(RosterItem), limits :List(TargetLimitItem))
-      -> (theirs :List(RosterItem), limits :List(TargetLimitItem));
+  # Exchanges the membership states of all entries that the caller and the receiver know, the limits
+  # of targets that have changed lately, and what is known about requests under suspicion: changes
+  # of late, and all that lasts if the digests of the caller and the receiver differ.
+  gossip @8 (mine :List(RosterItem), limits :List(TargetLimitItem), suspects :List(SuspectItem),
+             suspectDigest :UInt64)
+      -> (theirs :List(RosterItem), limits :List(TargetLimitItem), suspects :List(SuspectItem));
 
   # Requests the changes after the given revisions from an entry that watches the store. watching
   # is false if the receiver's own calls to the store fail. sinceStoreReturnMs is the time since the
@@ -347,4 +360,15 @@
   # available after retryAfterMs.
   requestPermit @10 (target :Text, failureDomain :Text, limit :TargetLimit)
       -> (granted :Bool, retryAfterMs :UInt64, limit :TargetLimit);
+
+  # Tells the receiver what the sender has learned about requests under suspicion.
+  shareSuspects @11 (sender :Text, suspects :List(SuspectItem)) -> ();
+
+  # Requests a permit to run a request under suspicion, from the entry that permits such trials of
+  # the service's requests. If none is granted, one may be available after retryAfterMs.
+  requestTrial @12 (service :Text, suspect :SuspectItem, durationMs :UInt64)
+      -> (granted :Bool, retryAfterMs :UInt64, suspect :SuspectItem);
+
+  # Tells the receiver that a trial that it permitted has ended, and what is known since.
+  endTrial @13 (suspect :SuspectItem) -> ();
 }
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -93,6 +93,7 @@
 CAPNP_DECLARE_SCHEMA(edfb2b6bf9c54c17);
 CAPNP_DECLARE_SCHEMA(f85025e9658e1122);
 CAPNP_DECLARE_SCHEMA(cbcd8ad301744215);
+CAPNP_DECLARE_SCHEMA(cd3eed656487d17c);
 CAPNP_DECLARE_SCHEMA(d5f4e88c326a42cb);
 CAPNP_DECLARE_SCHEMA(fa6c2cbc6f290e47);
 CAPNP_DECLARE_SCHEMA(acc90a34937e4247);
@@ -116,6 +117,12 @@
 CAPNP_DECLARE_SCHEMA(fe0dfac1989f30d4);
 CAPNP_DECLARE_SCHEMA(a27216799013bbb7);
 CAPNP_DECLARE_SCHEMA(c4c0e2c4fa642981);
+CAPNP_DECLARE_SCHEMA(9fdcd7a83c608d97);
+CAPNP_DECLARE_SCHEMA(bc4158ac0f0bbb6c);
+CAPNP_DECLARE_SCHEMA(eec1cacce371c761);
+CAPNP_DECLARE_SCHEMA(dd01809ac40b26e8);
+CAPNP_DECLARE_SCHEMA(9d279fe62b0dca6a);
+CAPNP_DECLARE_SCHEMA(f1d8738d731f2496);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -579,6 +586,21 @@
   };
 };
 
+struct SuspectItem {
+  SuspectItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cd3eed656487d17c, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -609,6 +631,12 @@
   struct RelayResults;
   struct RequestPermitParams;
   struct RequestPermitResults;
+  struct ShareSuspectsParams;
+  struct ShareSuspectsResults;
+  struct RequestTrialParams;
+  struct RequestTrialResults;
+  struct EndTrialParams;
+  struct EndTrialResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -866,7 +894,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae5f9f4a40887fcc, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ae5f9f4a40887fcc, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -881,7 +909,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c462606b5f68823e, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c462606b5f68823e, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -948,6 +976,96 @@
   };
 };
 
+struct Peer::ShareSuspectsParams {
+  ShareSuspectsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9fdcd7a83c608d97, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ShareSuspectsResults {
+  ShareSuspectsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc4158ac0f0bbb6c, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::RequestTrialParams {
+  RequestTrialParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eec1cacce371c761, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::RequestTrialResults {
+  RequestTrialResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dd01809ac40b26e8, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::EndTrialParams {
+  EndTrialParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d279fe62b0dca6a, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::EndTrialResults {
+  EndTrialResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f1d8738d731f2496, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -4010,6 +4128,103 @@
 };
 #endif  // !CAPNP_LITE
 
+class SuspectItem::Reader {
+public:
+  typedef SuspectItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint64_t getClearances() const;
+
+  inline bool hasEndings() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEndings() const;
+
+  inline  ::uint32_t getLateTrials() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectItem::Builder {
+public:
+  typedef SuspectItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint64_t getClearances();
+  inline void setClearances( ::uint64_t value);
+
+  inline bool hasEndings();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEndings();
+  inline void setEndings( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEndings(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEndings(unsigned int size);
+  inline void adoptEndings(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEndings();
+
+  inline  ::uint32_t getLateTrials();
+  inline void setLateTrials( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectItem::Pipeline {
+public:
+  typedef SuspectItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -4051,6 +4266,12 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Tarragon::PeerRpc::Peer::RequestPermitParams,  ::Tarragon::PeerRpc::Peer::RequestPermitResults> requestPermitRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::ShareSuspectsParams,  ::Tarragon::PeerRpc::Peer::ShareSuspectsResults> shareSuspectsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RequestTrialParams,  ::Tarragon::PeerRpc::Peer::RequestTrialResults> requestTrialRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::EndTrialParams,  ::Tarragon::PeerRpc::Peer::EndTrialResults> endTrialRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -4111,6 +4332,18 @@
   typedef  ::Tarragon::PeerRpc::Peer::RequestPermitResults RequestPermitResults;
   typedef ::capnp::CallContext<RequestPermitParams, RequestPermitResults> RequestPermitContext;
   virtual ::kj::Promise<void> requestPermit(RequestPermitContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::ShareSuspectsParams ShareSuspectsParams;
+  typedef  ::Tarragon::PeerRpc::Peer::ShareSuspectsResults ShareSuspectsResults;
+  typedef ::capnp::CallContext<ShareSuspectsParams, ShareSuspectsResults> ShareSuspectsContext;
+  virtual ::kj::Promise<void> shareSuspects(ShareSuspectsContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::RequestTrialParams RequestTrialParams;
+  typedef  ::Tarragon::PeerRpc::Peer::RequestTrialResults RequestTrialResults;
+  typedef ::capnp::CallContext<RequestTrialParams, RequestTrialResults> RequestTrialContext;
+  virtual ::kj::Promise<void> requestTrial(RequestTrialContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::EndTrialParams EndTrialParams;
+  typedef  ::Tarragon::PeerRpc::Peer::EndTrialResults EndTrialResults;
+  typedef ::capnp::CallContext<EndTrialParams, EndTrialResults> EndTrialContext;
+  virtual ::kj::Promise<void> endTrial(EndTrialContext context);
 
   inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -5443,6 +5676,11 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::Tarragon::PeerRpc::TargetLimitItem,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+  inline  ::uint64_t getSuspectDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5485,6 +5723,16 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::TargetLimitItem,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::TargetLimitItem,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+  inline  ::uint64_t getSuspectDigest();
+  inline void setSuspectDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5534,6 +5782,9 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::Tarragon::PeerRpc::TargetLimitItem,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5576,6 +5827,13 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::TargetLimitItem,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::TargetLimitItem,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>> disownSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5968,89 +6226,593 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::ShareSuspectsParams::Reader {
+public:
+  typedef ShareSuspectsParams Reads;
 
-inline bool InstanceRef::Reader::hasInstance() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool InstanceRef::Builder::hasInstance() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void InstanceRef::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool ServiceLoad::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ServiceLoad::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ServiceLoad::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ServiceLoad::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ServiceLoad::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ServiceLoad::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ServiceLoad::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ShareSuspectsParams::Builder {
+public:
+  typedef ShareSuspectsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ShareSuspectsParams::Pipeline {
+public:
+  typedef ShareSuspectsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ShareSuspectsResults::Reader {
+public:
+  typedef ShareSuspectsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ShareSuspectsResults::Builder {
+public:
+  typedef ShareSuspectsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ShareSuspectsResults::Pipeline {
+public:
+  typedef ShareSuspectsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::RequestTrialParams::Reader {
+public:
+  typedef RequestTrialParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSuspect() const;
+  inline  ::Tarragon::PeerRpc::SuspectItem::Reader getSuspect() const;
+
+  inline  ::uint64_t getDurationMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RequestTrialParams::Builder {
+public:
+  typedef RequestTrialParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSuspect();
+  inline  ::Tarragon::PeerRpc::SuspectItem::Builder getSuspect();
+  inline void setSuspect( ::Tarragon::PeerRpc::SuspectItem::Reader value);
+  inline  ::Tarragon::PeerRpc::SuspectItem::Builder initSuspect();
+  inline void adoptSuspect(::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem> disownSuspect();
+
+  inline  ::uint64_t getDurationMs();
+  inline void setDurationMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RequestTrialParams::Pipeline {
+public:
+  typedef RequestTrialParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Tarragon::PeerRpc::SuspectItem::Pipeline getSuspect();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::RequestTrialResults::Reader {
+public:
+  typedef RequestTrialResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getGranted() const;
+
+  inline  ::uint64_t getRetryAfterMs() const;
+
+  inline bool hasSuspect() const;
+  inline  ::Tarragon::PeerRpc::SuspectItem::Reader getSuspect() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RequestTrialResults::Builder {
+public:
+  typedef RequestTrialResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint64_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint64_t value);
+
+  inline bool hasSuspect();
+  inline  ::Tarragon::PeerRpc::SuspectItem::Builder getSuspect();
+  inline void setSuspect( ::Tarragon::PeerRpc::SuspectItem::Reader value);
+  inline  ::Tarragon::PeerRpc::SuspectItem::Builder initSuspect();
+  inline void adoptSuspect(::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem> disownSuspect();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RequestTrialResults::Pipeline {
+public:
+  typedef RequestTrialResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Tarragon::PeerRpc::SuspectItem::Pipeline getSuspect();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::EndTrialParams::Reader {
+public:
+  typedef EndTrialParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSuspect() const;
+  inline  ::Tarragon::PeerRpc::SuspectItem::Reader getSuspect() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::EndTrialParams::Builder {
+public:
+  typedef EndTrialParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSuspect();
+  inline  ::Tarragon::PeerRpc::SuspectItem::Builder getSuspect();
+  inline void setSuspect( ::Tarragon::PeerRpc::SuspectItem::Reader value);
+  inline  ::Tarragon::PeerRpc::SuspectItem::Builder initSuspect();
+  inline void adoptSuspect(::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem>&& value);
+  inline ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem> disownSuspect();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::EndTrialParams::Pipeline {
+public:
+  typedef EndTrialParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Tarragon::PeerRpc::SuspectItem::Pipeline getSuspect();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::EndTrialResults::Reader {
+public:
+  typedef EndTrialResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::EndTrialResults::Builder {
+public:
+  typedef EndTrialResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::EndTrialResults::Pipeline {
+public:
+  typedef EndTrialResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool InstanceRef::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRef::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRef::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServiceLoad::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceLoad::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceLoad::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceLoad::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceLoad::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
 inline  ::uint32_t ServiceLoad::Reader::getRequestsInProgress() const {
   return _reader.getDataField< ::uint32_t>(
@@ -9322,31 +10084,111 @@
   return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::TargetLimit::Builder TargetLimitItem::Builder::getLimit() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::Tarragon::PeerRpc::TargetLimit::Builder TargetLimitItem::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::TargetLimit::Pipeline TargetLimitItem::Pipeline::getLimit() {
+  return  ::Tarragon::PeerRpc::TargetLimit::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void TargetLimitItem::Builder::setLimit( ::Tarragon::PeerRpc::TargetLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::TargetLimit::Builder TargetLimitItem::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TargetLimitItem::Builder::adoptLimit(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::TargetLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::TargetLimit> TargetLimitItem::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SuspectItem::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectItem::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectItem::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SuspectItem::Reader::getClearances() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectItem::Builder::getClearances() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SuspectItem::Builder::setClearances( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectItem::Reader::hasEndings() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectItem::Builder::hasEndings() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SuspectItem::Reader::getEndings() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SuspectItem::Builder::getEndings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectItem::Builder::setEndings( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void SuspectItem::Builder::setEndings(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SuspectItem::Builder::initEndings(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-#if !CAPNP_LITE
-inline  ::Tarragon::PeerRpc::TargetLimit::Pipeline TargetLimitItem::Pipeline::getLimit() {
-  return  ::Tarragon::PeerRpc::TargetLimit::Pipeline(_typeless.getPointerField(1));
+inline void SuspectItem::Builder::adoptEndings(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-#endif  // !CAPNP_LITE
-inline void TargetLimitItem::Builder::setLimit( ::Tarragon::PeerRpc::TargetLimit::Reader value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SuspectItem::Builder::disownEndings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Tarragon::PeerRpc::TargetLimit::Builder TargetLimitItem::Builder::initLimit() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t SuspectItem::Reader::getLateTrials() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void TargetLimitItem::Builder::adoptLimit(
-    ::capnp::Orphan< ::Tarragon::PeerRpc::TargetLimit>&& value) {
-  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t SuspectItem::Builder::getLateTrials() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::Tarragon::PeerRpc::TargetLimit> TargetLimitItem::Builder::disownLimit() {
-  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::TargetLimit>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void SuspectItem::Builder::setLateTrials( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
@@ -9977,6 +10819,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::GossipParams::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GossipParams::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader Peer::GossipParams::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipParams::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::GossipParams::Builder::setSuspects( ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipParams::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::GossipParams::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>> Peer::GossipParams::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::GossipParams::Reader::getSuspectDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::GossipParams::Builder::getSuspectDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::GossipParams::Builder::setSuspectDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::GossipResults::Reader::hasTheirs() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -10045,6 +10935,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::GossipResults::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GossipResults::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader Peer::GossipResults::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipResults::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::GossipResults::Builder::setSuspects( ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder Peer::GossipResults::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::GossipResults::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>> Peer::GossipResults::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::RelayParams::Reader::hasPositions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -10315,6 +11239,267 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ShareSuspectsParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ShareSuspectsParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::ShareSuspectsParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::ShareSuspectsParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ShareSuspectsParams::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::ShareSuspectsParams::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ShareSuspectsParams::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::ShareSuspectsParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ShareSuspectsParams::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ShareSuspectsParams::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader Peer::ShareSuspectsParams::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder Peer::ShareSuspectsParams::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::ShareSuspectsParams::Builder::setSuspects( ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>::Builder Peer::ShareSuspectsParams::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ShareSuspectsParams::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>> Peer::ShareSuspectsParams::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::SuspectItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::RequestTrialParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RequestTrialParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::RequestTrialParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::RequestTrialParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RequestTrialParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::RequestTrialParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RequestTrialParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::RequestTrialParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::RequestTrialParams::Reader::hasSuspect() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RequestTrialParams::Builder::hasSuspect() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Reader Peer::RequestTrialParams::Reader::getSuspect() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Builder Peer::RequestTrialParams::Builder::getSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::SuspectItem::Pipeline Peer::RequestTrialParams::Pipeline::getSuspect() {
+  return  ::Tarragon::PeerRpc::SuspectItem::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::RequestTrialParams::Builder::setSuspect( ::Tarragon::PeerRpc::SuspectItem::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Builder Peer::RequestTrialParams::Builder::initSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::RequestTrialParams::Builder::adoptSuspect(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem> Peer::RequestTrialParams::Builder::disownSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::RequestTrialParams::Reader::getDurationMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::RequestTrialParams::Builder::getDurationMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RequestTrialParams::Builder::setDurationMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::RequestTrialResults::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::RequestTrialResults::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RequestTrialResults::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::RequestTrialResults::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::RequestTrialResults::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RequestTrialResults::Builder::setRetryAfterMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::RequestTrialResults::Reader::hasSuspect() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RequestTrialResults::Builder::hasSuspect() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Reader Peer::RequestTrialResults::Reader::getSuspect() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Builder Peer::RequestTrialResults::Builder::getSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::SuspectItem::Pipeline Peer::RequestTrialResults::Pipeline::getSuspect() {
+  return  ::Tarragon::PeerRpc::SuspectItem::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::RequestTrialResults::Builder::setSuspect( ::Tarragon::PeerRpc::SuspectItem::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Builder Peer::RequestTrialResults::Builder::initSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RequestTrialResults::Builder::adoptSuspect(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem> Peer::RequestTrialResults::Builder::disownSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::EndTrialParams::Reader::hasSuspect() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::EndTrialParams::Builder::hasSuspect() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Reader Peer::EndTrialParams::Reader::getSuspect() const {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Builder Peer::EndTrialParams::Builder::getSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Tarragon::PeerRpc::SuspectItem::Pipeline Peer::EndTrialParams::Pipeline::getSuspect() {
+  return  ::Tarragon::PeerRpc::SuspectItem::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::EndTrialParams::Builder::setSuspect( ::Tarragon::PeerRpc::SuspectItem::Reader value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Tarragon::PeerRpc::SuspectItem::Builder Peer::EndTrialParams::Builder::initSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::EndTrialParams::Builder::adoptSuspect(
+    ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem>&& value) {
+  ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Tarragon::PeerRpc::SuspectItem> Peer::EndTrialParams::Builder::disownSuspect() {
+  return ::capnp::_::PointerHelpers< ::Tarragon::PeerRpc::SuspectItem>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/peer/PeerHandlers.h
+++ b/Source/peer/PeerHandlers.h
@@ -31,6 +31,11 @@
     sigc::slot<void(PeerRpc::Peer::RequestPermitParams::Reader,
                     PeerRpc::Peer::RequestPermitResults::Builder)>
             requestPermit;
+    sigc::slot<void(PeerRpc::Peer::ShareSuspectsParams::Reader)> shareSuspects;
+    sigc::slot<void(PeerRpc::Peer::RequestTrialParams::Reader,
+                    PeerRpc::Peer::RequestTrialResults::Builder)>
+            requestTrial;
+    sigc::slot<void(PeerRpc::Peer::EndTrialParams::Reader)> endTrial;
 };
 
 } // namespace Tarragon
--- a/Source/peer/PeerServer.cpp
+++ b/Source/peer/PeerServer.cpp
@@ -82,6 +82,18 @@
     {
         return handle(m_handlers->requestPermit, context.getParams(), context.getResults());
     }
+    kj::Promise<void> shareSuspects(ShareSuspectsContext context) override
+    {
+        return handle(m_handlers->shareSuspects, context.getParams());
+    }
+    kj::Promise<void> requestTrial(RequestTrialContext context) override
+    {
+        return handle(m_handlers->requestTrial, context.getParams(), context.getResults());
+    }
+    kj::Promise<void> endTrial(EndTrialContext context) override
+    {
+        return handle(m_handlers->endTrial, context.getParams());
+    }
 
 private:
     std::shared_ptr<const PeerHandlers> m_handlers;
--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -138,22 +138,20 @@
     return watchers;
 }
 
-std::optional<InstanceId> EntryMembership::permitIssuer(const TargetId &target,
-                                                        const FailureDomainId &domain,
-                                                        MonotonicTime now) const
+template<typename RankOf>
+std::optional<InstanceId> EntryMembership::firstServingEntry(const RankOf &rankOf,
+                                                             MonotonicTime now) const
 {
     if (!m_hasRecords) {
         return std::nullopt;
     }
-    const std::uint64_t key = stableHash(target.value());
-    using Rank = std::pair<bool, std::uint64_t>;
-    std::optional<InstanceId> issuer;
-    Rank best;
+    std::optional<InstanceId> first;
+    EntryRank best;
     const auto consider = [&](const EntryRecord &it) {
-        const Rank rank(it.domain != domain, rendezvousHash(key, stableHash(it.instance.value())));
-        if (it.issuesPermits && (!issuer.has_value() || rank < best)) {
-            issuer = it.instance;
-            best = rank;
+        const std::optional<EntryRank> rank = rankOf(it);
+        if (rank.has_value() && (!first.has_value() || *rank < best)) {
+            first = it.instance;
+            best = *rank;
         }
     };
     if (m_isServing) {
@@ -164,7 +162,68 @@
             consider(member.record);
         }
     }
-    return issuer;
+    return first;
+}
+
+std::optional<InstanceId> EntryMembership::permitIssuer(const TargetId &target,
+                                                        const FailureDomainId &domain,
+                                                        MonotonicTime now) const
+{
+    const std::uint64_t key = stableHash(target.value());
+    return firstServingEntry(
+            [&domain, key](const EntryRecord &it) -> std::optional<EntryRank> {
+                if (!it.issuesPermits) {
+                    return std::nullopt;
+                }
+                return EntryRank(it.domain != domain,
+                                 rendezvousHash(key, stableHash(it.instance.value())));
+            },
+            now);
+}
+
+std::optional<InstanceId> EntryMembership::trialIssuer(const ServiceId &service,
+                                                       MonotonicTime now) const
+{
+    const std::uint64_t key = stableHash(service.value());
+    return firstServingEntry(
+            [key](const EntryRecord &it) -> std::optional<EntryRank> {
+                if (!it.issuesTrials) {
+                    return std::nullopt;
+                }
+                return EntryRank(false, rendezvousHash(key, stableHash(it.instance.value())));
+            },
+            now);
+}
+
+std::vector<InstanceId> EntryMembership::newsRecipients(bool isOwnNews, MonotonicTime now) const
+{
+    std::vector<InstanceId> recipients;
+    std::map<FailureDomainId, std::vector<std::pair<std::uint64_t, InstanceId>>> others;
+    for (const auto &[id, member] : m_members) {
+        if (!isLive(member, now)) {
+            continue;
+        }
+        if (member.record.domain == m_localEntry.domain) {
+            recipients.push_back(id);
+        } else if (isOwnNews) {
+            others[member.record.domain].emplace_back(stableHash(id.value()), id);
+        }
+    }
+    for (auto &[domain, ranked] : others) {
+        const std::size_t count = std::min(ranked.size(), NewsRelaysPerDomain);
+        std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                          ranked.end());
+        for (std::size_t i = 0; i < count; ++i) {
+            recipients.push_back(ranked[i].second);
+        }
+    }
+    return recipients;
+}
+
+bool EntryMembership::isInLocalDomain(const InstanceId &instance) const
+{
+    const auto it = m_members.find(instance);
+    return it != m_members.end() && it->second.record.domain == m_localEntry.domain;
 }
 
 double EntryMembership::issuableFraction(MonotonicTime now) const
--- a/Source/routing/EntryMembership.h
+++ b/Source/routing/EntryMembership.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace Tarragon {
@@ -27,6 +28,9 @@
     /// Whether the entry issues permits for requests to limited targets. Builds without permits do
     /// not state it.
     bool issuesPermits = false;
+    /// Whether the entry permits trials of requests under suspicion. Builds without trials do not
+    /// state it.
+    bool issuesTrials = false;
 
     friend bool operator==(const EntryRecord &, const EntryRecord &) = default;
 };
@@ -103,6 +107,17 @@
     /// too. Returns nothing before the registered entries are known.
     std::optional<InstanceId> permitIssuer(const TargetId &target, const FailureDomainId &domain,
                                            MonotonicTime now) const;
+    /// Returns the entry that permits trials of requests of the service that are under suspicion:
+    /// the first one by a hash of service and entry. Returns nothing before the registered entries
+    /// are known.
+    std::optional<InstanceId> trialIssuer(const ServiceId &service, MonotonicTime now) const;
+    /// Returns the entries to which news is sent that must be known everywhere within a fraction of
+    /// a second: the live entries of the local failure domain, and with `isOwnNews`, which comes
+    /// from this entry and not from another failure domain, some of each other domain, which pass
+    /// it on within theirs.
+    std::vector<InstanceId> newsRecipients(bool isOwnNews, MonotonicTime now) const;
+    /// Whether the instance is a registered entry of the local failure domain.
+    bool isInLocalDomain(const InstanceId &instance) const;
     /// Returns the part of a target's limit that the local entry may issue: all if most registered
     /// entries are live. In a network partition the other entries may have an issuer too, so that a
     /// minority issues half of its proportion at most.
@@ -126,7 +141,17 @@
         std::optional<MonotonicTime> lastHeartbeatAt;
     };
 
+    /// Entries of another failure domain that pass news on there. Two, so that one of them may
+    /// fail.
+    static constexpr std::size_t NewsRelaysPerDomain = 2;
+    /// Orders entries: a preference, then a hash.
+    using EntryRank = std::pair<bool, std::uint64_t>;
+
     bool isLive(const Member &member, MonotonicTime now) const;
+    /// Returns the live entry that accepts requests of callers and has the lowest rank; entries
+    /// without a rank are left out.
+    template<typename RankOf>
+    std::optional<InstanceId> firstServingEntry(const RankOf &rankOf, MonotonicTime now) const;
 
     EntryRecord m_localEntry;
     EntryMembershipOptions m_options;
--- a/Tests/gateway/GatewayFixture.h
+++ b/Tests/gateway/GatewayFixture.h
@@ -46,8 +46,12 @@
                 m_membership, m_state->limits(),
                 [this](const InstanceId &, const PermitRequest &,
                        const TargetPermits::ReplySlot &replied) { m_asked.push_back(replied); });
+        m_trials = std::make_unique<RequestTrials>(
+                m_membership, m_state->suspects(),
+                [](const InstanceId &, const TrialRequest &, const RequestTrials::ReplySlot &) {},
+                [](const InstanceId &, const SuspectRecord &) {});
         m_context = std::make_unique<GatewayContext>(GatewayContext{
-                m_loop, m_client, *m_state, *m_permits, m_metrics, m_successSampler });
+                m_loop, m_client, *m_state, *m_permits, *m_trials, m_metrics, m_successSampler });
         m_front = std::make_unique<HttpServer>(
                 m_loop, "127.0.0.1", 0, HttpServerLimits{},
                 [this](const HttpExchangePtr &it) { RoutedRequest::begin(*m_context, it); });
@@ -60,6 +64,7 @@
         record.domain = FailureDomainId("d1");
         record.region = RegionId("r1");
         record.issuesPermits = true;
+        record.issuesTrials = true;
         return record;
     }
 
@@ -208,6 +213,7 @@
     /// The entry is the only one, and so issues its own permits.
     EntryMembership m_membership{ ownRecord(), 1 };
     std::unique_ptr<TargetPermits> m_permits;
+    std::unique_ptr<RequestTrials> m_trials;
     /// Requests for permits to other entries, which a test replies to.
     std::vector<TargetPermits::ReplySlot> m_asked;
     std::unique_ptr<GatewayContext> m_context;
--- a/Tests/gateway/OlderBuildTest.cpp
+++ b/Tests/gateway/OlderBuildTest.cpp
@@ -80,7 +80,10 @@
     });
     EntryMembership m_membership{ recordOf("new"), 1 };
     TargetLimits m_limits;
-    MembershipGossip m_gossip{ m_loop, m_membership, m_limits, Endpoint{ "127.0.0.1", 0 }, 1, {} };
+    SuspectRequests m_suspects;
+    MembershipGossip m_gossip{
+        m_loop, m_membership, m_limits, m_suspects, Endpoint{ "127.0.0.1", 0 }, 1, {}
+    };
 };
 
 // Guards against gossip of an older build that is refused, and against a reply that it cannot read.
--- a/Tests/gateway/StoreRelayTest.cpp
+++ b/Tests/gateway/StoreRelayTest.cpp
@@ -25,7 +25,7 @@
                      seed)
         , client(loop)
         , store(client, storeAddress)
-        , gossip(loop, membership, limits, Endpoint{ "127.0.0.1", 0 }, seed, handlers())
+        , gossip(loop, membership, limits, suspects, Endpoint{ "127.0.0.1", 0 }, seed, handlers())
         , subscription(loop, store, health, "servers",
                        { [this](const std::vector<Platform::StoredItem> &list) {
                             items.clear();
@@ -73,6 +73,7 @@
     HttpClient client;
     Platform::ObjectStore store;
     TargetLimits limits;
+    SuspectRequests suspects;
     MembershipGossip gossip;
     KindSubscription subscription;
     StoreRelay relay;
