Gateway: Refuse requests that a planned stop may cut off

What callers saw: of 122 requests sent after the stop signal, which may not be repeated and take up to 4.5 s, 18 reached a target and were cut without an answer as the process ended at 5.8 s of 6 s (the users' measurement). Cause: an entry that stops took each request with its own deadline, also past the end of the grace. A request whose deadline lies beyond the time by which the process exits is now refused at once as not run; other entries accept it. Expected processing times would let more requests in, but a mean says little about the slowest ones, and a refusal costs the caller one round trip.

RoutedRequestTest.StoppingEntryRefusesRequestsThatItMayNotFinish and GatewayDaemonTest.StoppingEntryRefusesRequestsWithMoreTimeThanIsLeft failed without the check (200, and another reason).

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -440,6 +440,8 @@
         return;
     }
     m_shutdownStartedAt = m_loop.now();
+    m_state.setStopTime(*m_shutdownStartedAt + m_settings.bounds.stopGrace - StopMargin
+                        - TickPeriod);
     m_front->closeAfterResponses();
     m_membership.setServing(false);
     m_gossip.announce();
--- a/Source/gateway/GatewayState.h
+++ b/Source/gateway/GatewayState.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Tarragon {
 
@@ -39,6 +40,11 @@
     /// Sets new limits, effective immediately also for retry budgets in use.
     void setBounds(const GatewayBounds &bounds);
 
+    /// Sets the time by which all requests must have ended, because the process then exits.
+    void setStopTime(MonotonicTime time) { m_stopTime = time; }
+    /// Returns that time; nothing while no stop is planned.
+    const std::optional<MonotonicTime> &stopTime() const { return m_stopTime; }
+
     WeightedServiceSelector &serviceSelector() { return m_serviceSelector; }
     /// Returns the dispatcher of a service; null if no route table has contained the service.
     ServiceDispatcher *dispatcher(const ServiceId &service);
@@ -69,6 +75,7 @@
     SuspectRequests m_suspects;
     std::uint64_t m_appliedRevision = 0;
     std::size_t m_entryCount = 0;
+    std::optional<MonotonicTime> m_stopTime;
     WeightedServiceSelector m_serviceSelector;
     std::map<ServiceId, std::unique_ptr<ServiceDispatcher>> m_dispatchers;
     std::map<ServiceId, RetryBudget> m_retryBudgets;
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -19,6 +19,8 @@
 /// Retry-After of requests that arrive before the first route table. A new entry receives it within
 /// a few calls to the store.
 constexpr milliseconds RetryAfterWithoutTable{ 300 };
+/// Retry-After of requests that arrive during a planned stop: other entries accept them at once.
+constexpr milliseconds RetryAfterWhileStopping{ 1 };
 /// Timeout of connecting to a target. A connection within or between regions takes up to 40 ms; a
 /// lost SYN packet is retransmitted after one second, and another target is tried before that.
 constexpr milliseconds ConnectTimeout{ 250 };
@@ -91,6 +93,12 @@
     const milliseconds limit =
             std::min(m_route->timeout, m_request.timeLeft.value_or(m_route->timeout));
     m_deadline = m_arrivedAt + limit;
+    const std::optional<MonotonicTime> &stopTime = m_context.state.stopTime();
+    if (stopTime.has_value() && m_deadline > *stopTime) {
+        // It could still be running when the process exits, and would end without a response.
+        refuse("stopping", RetryAfterWhileStopping);
+        return;
+    }
     m_context.state.retryBudget(m_service).onRequest(m_arrivedAt);
     if (m_dispatcher == nullptr) {
         refuse("unknown-service", RetryAfterWithoutTable);
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -5,6 +5,8 @@
 #include "Support/LoopbackAddress.h"
 #include "Support/PromptCaller.h"
 
+#include <gmock/gmock.h>
+
 #include <optional>
 
 namespace Tarragon {
@@ -152,6 +154,27 @@
     EXPECT_NE(caller.received().find("\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a planned stop that takes requests which it then cuts off.
+TEST_F(GatewayDaemonTest, StoppingEntryRefusesRequestsWithMoreTimeThanIsLeft)
+{
+    writeDesiredState(3);
+    writeTarget("t1");
+    runUntil([this] { return readiness() == 200; });
+    m_daemon->beginShutdown();
+    HttpRequest request;
+    request.address = "127.0.0.1";
+    request.port = m_daemon->ports().front;
+    request.uri = "/x/1";
+    request.headers.set("Host", "a.example");
+    std::optional<HttpResponse> response;
+    const HttpCallPtr call = m_client.fetch(
+            request, ByteCount{ 1'000'000 }, [&response](const HttpResponse &it) { response = it; },
+            [](const HttpFailure &) {});
+    runUntil([&response] { return response.has_value(); });
+    EXPECT_EQ(response->head.status, 503);
+    EXPECT_THAT(response->body, testing::HasSubstr("stopping"));
+}
+
 // Guards against metrics from which an on-call engineer cannot tell why a gateway refuses requests.
 TEST_F(GatewayDaemonTest, MetricsShowRefusalsAndTheAgeOfStoreData)
 {
--- a/Tests/gateway/RoutedRequestTest.cpp
+++ b/Tests/gateway/RoutedRequestTest.cpp
@@ -62,6 +62,24 @@
     EXPECT_EQ(get("/nothing/1").status(), 404);
 }
 
+// Guards against requests that are cut off without an answer at the end of a planned stop, because
+// they were taken when the rest of the grace was too short for them.
+TEST_F(RoutedRequestTest, StoppingEntryRefusesRequestsThatItMayNotFinish)
+{
+    adoptTable();
+    addTarget("t1", answering(answer(200, sealed(), "")));
+    m_state->setStopTime(m_loop.now() + milliseconds(500));
+    for (const char *method : { "GET", "POST" }) {
+        const CallerResult refused = send(callerRequest(method, "/pay/1", "a1"));
+        EXPECT_EQ(refused.status(), 503);
+        EXPECT_NE(refused.header("Retry-After"), "");
+    }
+    EXPECT_EQ(m_arrivals.size(), 0u);
+    HttpRequest shorter = callerRequest("POST", "/pay/1", "a1");
+    shorter.headers.set("Request-Deadline", "100");
+    EXPECT_EQ(send(shorter).status(), 200);
+}
+
 // Guards against a payment that is executed twice: a request that may have been executed is neither
 // sent again nor reported as not run.
 TEST_F(RoutedRequestTest, UnsafeRequestsAreNotRepeatedWhenTheyMayHaveRun)
