--- a/Tests/gateway/LeaveTest.cpp
+++ b/Tests/gateway/LeaveTest.cpp
@@ -1,9 +1,9 @@
 #include "StoreSimulation.h"
+#include "Support/FirstSeed.h"
 
 #include <gmock/gmock.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <iterator>
 #include <set>
 
@@ -12,12 +12,6 @@
 
 using testing::IsEmpty;
 
-std::uint64_t firstSeed()
-{
-    const char *text = std::getenv("TARRAGON_SEED");
-    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
-}
-
 /// Lets targets leave one by one, in the given period; the given fraction without announcing it.
 void scheduleLeaves(StoreSimulation &run, milliseconds period, double unannounced = 0.3)
 {
--- a/Tests/gateway/RestoredStoreTest.cpp
+++ b/Tests/gateway/RestoredStoreTest.cpp
@@ -1,21 +1,15 @@
 #include "StoreSimulation.h"
+#include "Support/FirstSeed.h"
 
 #include <gmock/gmock.h>
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace Tarragon {
 namespace {
 
 using testing::IsEmpty;
 
-std::uint64_t firstSeed()
-{
-    const char *text = std::getenv("TARRAGON_SEED");
-    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
-}
-
 /// Adds changes of the desired state just before the given time.
 void changeJustBefore(StoreSimulation &run, microseconds time)
 {
--- a/Tests/gateway/StoreFollowingTest.cpp
+++ b/Tests/gateway/StoreFollowingTest.cpp
@@ -1,4 +1,5 @@
 #include "ScriptedStore.h"
+#include "Support/FirstSeed.h"
 #include "gateway/EntryRegistrationTemplate.h"
 #include "gateway/KindSubscriptionTemplate.h"
 #include "gateway/StoreRelayTemplate.h"
@@ -11,7 +12,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <memory>
 #include <random>
 #include <set>
@@ -22,12 +22,6 @@
 constexpr const char *FollowedKinds[] = { Platform::DesiredStateKind, Platform::TargetKind,
                                           Platform::EvacuationKind, Platform::EntryKind };
 
-std::uint64_t firstSeed()
-{
-    const char *text = std::getenv("TARRAGON_SEED");
-    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
-}
-
 EntryRecord recordOf(const std::string &id)
 {
     return EntryRecord{ InstanceId(id), FailureDomainId("d1"),      RegionId("r1"),
--- a/Tests/gateway/SuspectTest.cpp
+++ b/Tests/gateway/SuspectTest.cpp
@@ -1,18 +1,11 @@
+#include "Support/FirstSeed.h"
 #include "SuspectSimulation.h"
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-
 namespace Tarragon {
 namespace {
 
-std::uint64_t firstSeed()
-{
-    const char *text = std::getenv("TARRAGON_SEED");
-    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
-}
-
 /// The platform's bound: retries of a request later than the contact time after the third ending.
 constexpr int MaxLateAttempts = 3;
 /// The users' target for requests that do no harm.
