Review: Show entries that exceed their memory by changes of the desired state

Cause: the log of changes keeps up to 4,000 versions of the desired state without a bound on their bytes.

--- a/review/common/Lab.h
+++ b/review/common/Lab.h
@@ -401,7 +401,8 @@
         double at;
         std::uint64_t revision;
         std::string kind;
-        Json object;
+        /// The object as JSON; large objects take less memory as text.
+        std::string object;
         bool isRemoval;
     };
 
@@ -435,7 +436,8 @@
     }
     void record(const std::string &kind, const Json &object, bool isRemoval)
     {
-        m_changes.push_back(Change{ now(), m_revision, kind, object, isRemoval });
+        forgetHistory();
+        m_changes.push_back(Change{ now(), m_revision, kind, object.dump(), isRemoval });
         m_changed.notify_all();
     }
     void forgetHistory()
@@ -589,14 +591,16 @@
             if (after < m_oldestRevision) {
                 return 410;
             }
-            Json events = Json::array();
+            std::string events;
             for (const Change &it : m_changes) {
                 if (it.kind == kind && it.revision > after) {
-                    events.push_back({ { "object", it.object }, { "deleted", it.isRemoval } });
+                    events += events.empty() ? "" : ",";
+                    events += "{\"deleted\":" + std::string(it.isRemoval ? "true" : "false")
+                              + ",\"object\":" + it.object + "}";
                 }
             }
             if (!events.empty() || now() >= end) {
-                text = Json({ { "events", events }, { "as_of", m_revision } }).dump();
+                text = "{\"as_of\":" + std::to_string(m_revision) + ",\"events\":[" + events + "]}";
                 return 200;
             }
             m_changed.wait_for(lock, std::chrono::milliseconds(50));
