--- a/review/common/Lab.h
+++ b/review/common/Lab.h
@@ -684,6 +684,12 @@
         m_surplusDelay = delay;
     }
     int surplusCount() const { return m_surplusCount; }
+    /// Makes the target turn away every n-th request, which does not run.
+    void refuseSome(const std::string &answer, int every)
+    {
+        m_refusal = answer;
+        m_refuseEvery = every;
+    }
     double announce(const std::string &state)
     {
         m_isLeaving = state == "draining";
@@ -722,6 +728,11 @@
                                 + "\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
+            if (m_refuseEvery > 0 && ++m_requests % m_refuseEvery == 0) {
+                note("target: %s turns %s away", m_id.c_str(), attempt.c_str());
+                connection.send(m_refusal);
+                continue;
+            }
             m_runs.add(Run{ attempt, m_id, now() });
             const double end = now() + m_workSeconds;
             if (surplusAt > 0 && surplusAt < end) {
@@ -760,6 +771,9 @@
     double m_workSeconds;
     std::atomic<bool> m_isLeaving{ false };
     int m_sequence = 0;
+    std::string m_refusal;
+    int m_refuseEvery = 0;
+    std::atomic<int> m_requests{ 0 };
     std::string m_surplus;
     int m_surplusEvery = 0;
     double m_surplusDelay = 0;
