Gateway: Verify by the store's revision that watches have shown all changes

Cause: a watch is waited for for 32 s, and nothing compared what it has shown with the store. TCP keep-alive probes find a dead peer only after 4 s, beyond contact_s, and never one that has merely lost a response. The check of the connection made it worse: its success, on another connection, counted as a sign that the waiting watches were good, and was relayed to neighbours as such.

Each entry that watches reads the store's revision each 1.5 s (1 s while neighbours poll it) and verifies each subscription with it: one that has not reached that revision reads the changes after its own. That read may be stale, at a tenth of the price, as its response states its revision; one that does not reach the revision is repeated without. confirmedAt() rises only by what a subscription itself has received or has been verified with. The watch of entries, which is not verified, waits for 5 s.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -39,8 +39,10 @@
 /// Period in which subscriptions are checked for pending work.
 constexpr seconds SubscriptionCheckPeriod{ 5 };
 /// Options for entry registrations. They may arrive late, because gossip shows which entries are
-/// responsive.
-constexpr SubscriptionOptions EntryOptions{ milliseconds(1'000), true, true, false };
+/// responsive. A watch whose response is lost is repeated after its timeout, which is short because
+/// the relay does not verify this kind.
+constexpr SubscriptionOptions EntryOptions{ milliseconds(1'000), true, true, false,
+                                            milliseconds(5'000) };
 /// Time for which evacuations stay in force that are missing since the store was restored from a
 /// copy; the operator writes them again meanwhile.
 constexpr seconds RestoredEvacuationRetention{ 3 };
--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -38,12 +38,16 @@
     /// even if the change source is still undecided or is a neighbour. Set for entries that
     /// restart, because callers are waiting for them.
     bool confirmImmediately = false;
+    /// Time after which a watch without changes ends; the longest that the platform allows, as each
+    /// watch is a priced call.
+    milliseconds watchTime{ 30'000 };
 };
 
 /// Subscription to the objects of one kind in the store. Lists the objects once and then watches
 /// for changes, or receives the changes from neighbours that watch. Lists again when the store no
 /// longer has the history since the last known revision, or was restored from a copy. A watch that
-/// fails is continued from the last known revision.
+/// fails is continued from the last known revision. A watch that waits on a connection which has
+/// gone silent shows nothing until its timeout; verify() finds the changes that it has missed.
 template<TimerLoop Loop, StoreReader Store>
 class BasicKindSubscription
 {
@@ -90,7 +94,7 @@
                              MonotonicTime confirmedAt);
     /// Time as of which the known objects are complete: all changes made before it are included.
     /// Nothing before the first confirmation.
-    std::optional<MonotonicTime> confirmedAt() const;
+    const std::optional<MonotonicTime> &confirmedAt() const { return m_confirmedAt; }
     /// Time after which the changes were made that the handlers receive or have received last.
     /// Nothing if it is unknown.
     const std::optional<MonotonicTime> &changesMadeAfter() const { return m_changesMadeAfter; }
@@ -99,6 +103,10 @@
     void readStoreOnce();
     /// Returns the start time of the watch in progress if it waits for changes; nothing otherwise.
     std::optional<MonotonicTime> watchStartedAt() const;
+    /// Ensures that all changes up to `current` are known, a revision that the store has shown in
+    /// the response to a call which began at `shownAt`. Reads them if they are not, and replaces
+    /// the watch that has not shown them. Does nothing if neighbours relay the changes.
+    void verify(const StoreRevision &current, MonotonicTime shownAt);
     /// Aborts the watch in progress and handles it as failed, because the connection to the store
     /// is interrupted.
     void abortWatch(const std::string &reason);
@@ -106,10 +114,6 @@
     const ChangeLog &log() const { return m_log; }
 
 private:
-    /// Time after which a watch without changes ends; the longest that the platform allows, as each
-    /// watch is a priced call. Broken connections are detected by keep-alive probes, so that this
-    /// time bounds only the delay of changes that the store itself withholds.
-    static constexpr milliseconds WatchTime{ 30'000 };
     static constexpr milliseconds MinWatchTime{ 1 };
     /// Time after the end of a watch within which its result must arrive.
     static constexpr milliseconds WatchResultTimeout{ 2'000 };
@@ -133,8 +137,8 @@
     /// cannot process would otherwise cause a call after each backoff.
     static constexpr milliseconds HandlerRetryDelay{ 2'000 };
 
-    /// Time after which a watch in progress has reached the store; longer than the connect timeout.
-    static constexpr milliseconds WatchSetupTime{ 350 };
+    /// Timeout of a call that reads the changes which a watch may have missed.
+    static constexpr milliseconds VerificationTimeout{ 800 };
     /// Time within which a waiting watch returns a change, including the retransmission of a lost
     /// packet.
     static constexpr milliseconds DeliveryTime{ 500 };
@@ -150,6 +154,11 @@
     void confirm(MonotonicTime time);
     void apply(const Platform::ChangePage &page);
     void callWatch(milliseconds wait);
+    /// Reads the changes that the watch may have missed. A response that may be stale costs a tenth
+    /// and states its revision, so that it suffices if it reaches `current`.
+    void readMissedChanges(const StoreRevision &current, MonotonicTime shownAt, bool allowStale);
+    void onMissedChanges(const Platform::ChangePage &page, MonotonicTime shownAt);
+    bool isWaiting() const { return m_isCalling && m_watchTime == m_options.watchTime; }
     void watch();
     void scheduleWatch();
     void onChanges(const Platform::ChangePage &page);
@@ -173,6 +182,10 @@
     Backoff m_backoff;
     StoreCallOf<Store> m_call;
     MonotonicTime m_callStartedAt;
+    /// The call that reads missed changes.
+    StoreCallOf<Store> m_verification;
+    MonotonicTime m_verificationStartedAt;
+    bool m_isVerifying = false;
     MonotonicTime m_listStartedAt;
     /// Time for which the last watch was asked to wait for changes.
     milliseconds m_watchTime{ 0 };
@@ -196,7 +209,7 @@
     /// The changes received since that list; delivered together with it.
     std::vector<Platform::StoredChange> m_pendingChanges;
     TimerOf<Loop> m_confirmTimer;
-    /// See confirmedAt(); without the watch in progress.
+    /// See confirmedAt().
     std::optional<MonotonicTime> m_confirmedAt;
     std::optional<MonotonicTime> m_changesMadeAfter;
     ChangeSource m_source = ChangeSource::Store;
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -67,7 +67,7 @@
     }
     m_awaitsOtherCall = false;
     m_backoff.reset();
-    m_health.onSuccess(m_loop.now(), m_callStartedAt);
+    m_health.onSuccess(m_loop.now());
     return true;
 }
 
@@ -202,22 +202,7 @@
 template<TimerLoop Loop, StoreReader Store>
 std::optional<MonotonicTime> BasicKindSubscription<Loop, Store>::watchStartedAt() const
 {
-    const bool waits = m_isListed && m_isCalling && m_watchTime == WatchTime;
-    return waits ? std::optional(m_callStartedAt) : std::nullopt;
-}
-
-template<TimerLoop Loop, StoreReader Store>
-std::optional<MonotonicTime> BasicKindSubscription<Loop, Store>::confirmedAt() const
-{
-    const std::optional<MonotonicTime> &successBegan = m_health.lastSuccessBeganAt();
-    const std::optional<MonotonicTime> watchStarted = watchStartedAt();
-    const bool isWaiting =
-            watchStarted.has_value() && m_loop.now() - *watchStarted >= WatchSetupTime;
-    if (isWaiting && successBegan.has_value() && *successBegan > *watchStarted) {
-        // The store responds, so that the waiting watch would have returned earlier changes.
-        return std::max(m_confirmedAt.value_or(*successBegan), *successBegan);
-    }
-    return m_confirmedAt;
+    return m_isListed && isWaiting() ? std::optional(m_callStartedAt) : std::nullopt;
 }
 
 template<TimerLoop Loop, StoreReader Store>
@@ -275,6 +260,72 @@
     }
 }
 
+template<TimerLoop Loop, StoreReader Store>
+void BasicKindSubscription<Loop, Store>::verify(const StoreRevision &current, MonotonicTime shownAt)
+{
+    if (!m_isListed || m_source != ChangeSource::Store || m_isVerifying
+        || current.era != m_revision.era) {
+        return;
+    }
+    if (m_revision >= current) {
+        confirm(shownAt);
+        return;
+    }
+    readMissedChanges(current, shownAt, true);
+}
+
+template<TimerLoop Loop, StoreReader Store>
+void BasicKindSubscription<Loop, Store>::readMissedChanges(const StoreRevision &current,
+                                                           MonotonicTime shownAt, bool allowStale)
+{
+    m_isVerifying = true;
+    m_verificationStartedAt = m_loop.now();
+    m_verification =
+            m_store.watch(m_kind, m_revision, MinWatchTime, VerificationTimeout, allowStale,
+                          [this, current, shownAt, allowStale](const Platform::ChangePage &page) {
+                              m_isVerifying = false;
+                              m_health.onEra(page.era);
+                              if (!m_isListed || m_source != ChangeSource::Store) {
+                                  return;
+                              }
+                              const bool isDone = page.outcome == Platform::CallOutcome::Done;
+                              if (isDone && allowStale && page.revision < current) {
+                                  readMissedChanges(current, shownAt, false);
+                              } else {
+                                  onMissedChanges(page, shownAt);
+                              }
+                          });
+}
+
+template<TimerLoop Loop, StoreReader Store>
+void BasicKindSubscription<Loop, Store>::onMissedChanges(const Platform::ChangePage &page,
+                                                         MonotonicTime shownAt)
+{
+    if (page.outcome != Platform::CallOutcome::Done) {
+        m_health.onFailure(page.reason, m_verificationStartedAt);
+        abortWatch("verification failed: " + page.reason);
+        return;
+    }
+    m_changesMadeAfter = m_confirmedAt;
+    const bool hasMissedChanges = !page.changes.empty() && page.revision > m_revision;
+    if (page.revision > m_revision) {
+        apply(page);
+    }
+    if (!m_isListed) {
+        return;
+    }
+    confirm(shownAt);
+    if (hasMissedChanges && isWaiting() && m_loop.now() - m_callStartedAt >= DeliveryTime) {
+        LOG4CPLUS_WARN(storeLogger(), LogLine("store", "watch-replaced")
+                                              .add("kind", m_kind)
+                                              .add("era", m_revision.era)
+                                              .add("revision", m_revision.number)
+                                              .add("waitedMs", m_loop.now() - m_callStartedAt)
+                                              .text());
+        callWatch(m_options.watchTime);
+    }
+}
+
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::abortWatch(const std::string &reason)
 {
@@ -295,14 +346,15 @@
     // confirms a first list must not wait either.
     const bool mayWait =
             m_backoff.isAtRest() && !m_awaitsOtherCall && !m_unconfirmedSnapshot.has_value();
-    callWatch(mayWait ? WatchTime : MinWatchTime);
+    callWatch(mayWait ? m_options.watchTime : MinWatchTime);
 }
 
 template<TimerLoop Loop, StoreReader Store>
 void BasicKindSubscription<Loop, Store>::callWatch(milliseconds wait)
 {
     m_watchTime = wait;
-    const milliseconds slack = m_watchTime == WatchTime ? WatchResultTimeout : ListTimeout;
+    const milliseconds slack =
+            m_watchTime == m_options.watchTime ? WatchResultTimeout : ListTimeout;
     m_callStartedAt = m_loop.now();
     m_isCalling = true;
     m_call = m_store.watch(m_kind, m_revision, m_watchTime, m_watchTime + slack,
@@ -315,7 +367,7 @@
 {
     const microseconds duration = m_loop.now() - m_callStartedAt;
     // A watch that was waiting returns a change as soon as it is made.
-    const bool wasWaiting = m_watchTime == WatchTime && duration >= DeliveryTime;
+    const bool wasWaiting = m_watchTime == m_options.watchTime && duration >= DeliveryTime;
     const MonotonicTime completeAt = wasWaiting ? m_loop.now() - DeliveryTime : m_callStartedAt;
     m_changesMadeAfter =
             wasWaiting ? std::max(confirmedAt(), std::optional(completeAt)) : confirmedAt();
--- a/Source/gateway/StoreHealth.h
+++ b/Source/gateway/StoreHealth.h
@@ -28,12 +28,11 @@
         m_isUnavailable = true;
         m_becameUnavailable.emit(reason);
     }
-    /// Records that a call which started at the given time has succeeded.
-    void onSuccess(MonotonicTime now, MonotonicTime began)
+    /// Records that a call has succeeded.
+    void onSuccess(MonotonicTime now)
     {
         m_retrier = nullptr;
         m_lastSuccessAt = now;
-        m_lastSuccessBeganAt = std::max(m_lastSuccessBeganAt.value_or(began), began);
         if (m_isUnavailable) {
             m_isUnavailable = false;
             m_outageEndedAt = now;
@@ -91,8 +90,6 @@
     const std::optional<MonotonicTime> &outageEndedAt() const { return m_outageEndedAt; }
     /// Time at which a call last succeeded; nothing before the first success.
     const std::optional<MonotonicTime> &lastSuccessAt() const { return m_lastSuccessAt; }
-    /// Latest start of a call that has succeeded: at that time or later the store responded.
-    const std::optional<MonotonicTime> &lastSuccessBeganAt() const { return m_lastSuccessBeganAt; }
     /// Latest start of a call that has failed; nothing before the first failure.
     const std::optional<MonotonicTime> &lastFailureBeganAt() const { return m_lastFailureBeganAt; }
     /// Emitted with the reason when the first call fails, that is, when an outage starts.
@@ -110,7 +107,6 @@
     const void *m_retrier = nullptr;
     std::optional<MonotonicTime> m_outageEndedAt;
     std::optional<MonotonicTime> m_lastSuccessAt;
-    std::optional<MonotonicTime> m_lastSuccessBeganAt;
     std::optional<MonotonicTime> m_lastFailureBeganAt;
     sigc::signal<void(const std::string &)> m_becameUnavailable;
     sigc::signal<void()> m_becameAvailable;
--- a/Source/gateway/StoreRelay.h
+++ b/Source/gateway/StoreRelay.h
@@ -48,7 +48,7 @@
     void start();
     /// Whether the timers that poll the watchers and check the age of the known objects are
     /// pending. Always the case after start().
-    bool hasPendingWork() const { return m_timer.isActive() && m_viewAgeTimer.isActive(); }
+    bool hasPendingWork() const { return m_timer.isActive() && m_viewCheckTimer.isActive(); }
     /// Fills the reply to a neighbour that polls this entry for changes.
     void fillReply(PeerRpc::Peer::RelayParams::Reader request,
                    PeerRpc::Peer::RelayResults::Builder reply);
@@ -101,13 +101,16 @@
     /// below 2.5 s, the shortest time within which a leaving target must no longer receive
     /// requests.
     static constexpr milliseconds MaxViewAge{ 1'800 };
-    static constexpr milliseconds ViewAgeCheckPeriod{ 100 };
-    /// Period and timeout of the call that checks the connection to the store. A watcher whose
-    /// connection is interrupted delays all of its neighbours, and a waiting watch would show the
-    /// interruption too late. The call used is the cheapest one. An entry that is not polled by
-    /// neighbours checks once for each watch that it starts.
-    static constexpr milliseconds StoreCheckPeriod{ 500 };
+    static constexpr milliseconds ViewCheckPeriod{ 100 };
+    /// Period and timeout of the call that reads the store's revision, with which the subscriptions
+    /// are verified: a watch whose response is lost, or whose connection has gone silent, shows
+    /// nothing until it times out. The period, the timeout and a repeated call stay below 2.5 s,
+    /// the shortest time within which a change must be in force.
+    static constexpr milliseconds StoreCheckPeriod{ 1'400 };
     static constexpr milliseconds StoreCheckTimeout{ 800 };
+    /// The same period while neighbours poll this entry: they add the poll period to the age of the
+    /// known objects, and read the store themselves above MaxViewAge.
+    static constexpr milliseconds PolledStoreCheckPeriod{ 900 };
 
     void poll();
     /// Polls the next of the watchers that have not failed recently.
@@ -115,12 +118,12 @@
     void onReply(const InstanceId &watcher, const PeerRpc::Peer::RelayResults::Reader *reply);
     void applyRelayedChanges(PeerRpc::KindNews::Reader news);
     void setSource(ChangeSource source);
+    /// Checks the store or the age of what neighbours have relayed, depending on the change source.
+    void checkViews();
     /// Reads the kinds once whose known objects are older than MaxViewAge.
     void refreshOldViews();
     bool isWatching() const;
-    /// Checks by a separate call whether the store still responds, because a waiting watch does not
-    /// show that the connection is interrupted. Runs only while neighbours poll this entry or after
-    /// a new watch was started.
+    /// Reads the store's revision and verifies all subscriptions with it.
     void checkStore();
     Subscription *find(const std::string &kind) const;
 
@@ -150,12 +153,12 @@
     std::uint64_t m_pollCount = 0;
     /// Time at which a neighbour last polled this entry.
     std::optional<MonotonicTime> m_lastPolledAt;
-    /// Time at which the connection to the store was last checked.
+    /// Time at which the store was last checked.
     MonotonicTime m_storeCheckedAt;
     StoreCallOf<Store> m_storeCheck;
     bool m_isCheckingStore = false;
     TimerOf<Loop> m_timer;
-    TimerOf<Loop> m_viewAgeTimer;
+    TimerOf<Loop> m_viewCheckTimer;
 };
 
 extern template class BasicStoreRelay<EventLoop, Platform::ObjectStore>;
--- a/Source/gateway/StoreRelayTemplate.h
+++ b/Source/gateway/StoreRelayTemplate.h
@@ -43,7 +43,7 @@
 {
     if (!m_timer.isActive()) {
         m_timer = m_loop.scheduleEvery(PollPeriod, [this] { poll(); });
-        m_viewAgeTimer = m_loop.scheduleEvery(ViewAgeCheckPeriod, [this] { refreshOldViews(); });
+        m_viewCheckTimer = m_loop.scheduleEvery(ViewCheckPeriod, [this] { checkViews(); });
         poll();
     }
 }
@@ -59,7 +59,6 @@
     if (m_membership.domainEntryCount() < MinRelayDomainSize || isWatcher) {
         if (now >= m_earliestWatchAt) {
             setSource(ChangeSource::Store);
-            checkStore();
         }
         return;
     }
@@ -70,9 +69,6 @@
         m_consecutiveReplies = 0;
         setSource(ChangeSource::Store);
     }
-    if (m_source == ChangeSource::Store) {
-        checkStore();
-    }
     pollWatcher(watchers);
 }
 
@@ -199,11 +195,18 @@
 }
 
 template<TimerLoop Loop, StoreReader Store>
-void BasicStoreRelay<Loop, Store>::refreshOldViews()
+void BasicStoreRelay<Loop, Store>::checkViews()
 {
-    if (m_source != ChangeSource::Neighbours) {
-        return;
+    if (m_source == ChangeSource::Store) {
+        checkStore();
+    } else if (m_source == ChangeSource::Neighbours) {
+        refreshOldViews();
     }
+}
+
+template<TimerLoop Loop, StoreReader Store>
+void BasicStoreRelay<Loop, Store>::refreshOldViews()
+{
     const MonotonicTime oldest = m_loop.now() - MaxViewAge;
     for (Subscription *it : m_subscriptions) {
         if (it->hasSnapshot() && it->confirmedAt() < oldest) {
@@ -264,23 +267,22 @@
     const MonotonicTime now = m_loop.now();
     static constexpr seconds RecentPollTime{ 3 };
     const bool isPolled = m_lastPolledAt.has_value() && now - *m_lastPolledAt < RecentPollTime;
-    // A store that stops responding for a moment loses the watches that are started during it.
-    const bool hasNewWatch = std::any_of(
-            m_subscriptions.begin(), m_subscriptions.end(),
-            [this](const Subscription *it) { return it->watchStartedAt() > m_storeCheckedAt; });
-    if ((!isPolled && !hasNewWatch) || m_health.isUnavailable() || m_isCheckingStore
-        || now - m_storeCheckedAt < StoreCheckPeriod) {
+    const milliseconds period = isPolled ? PolledStoreCheckPeriod : StoreCheckPeriod;
+    if (m_health.isUnavailable() || m_isCheckingStore || now - m_storeCheckedAt < period) {
         return;
     }
     m_storeCheckedAt = now;
     m_isCheckingStore = true;
     m_storeCheck =
-            m_store.list(Platform::EvacuationKind, "", StoreCheckTimeout, true,
+            m_store.list(Platform::EvacuationKind, "", StoreCheckTimeout, false,
                          [this, now](const Platform::ItemPage &page) {
                              m_isCheckingStore = false;
                              m_health.onEra(page.era);
                              if (page.outcome == Platform::CallOutcome::Done) {
-                                 m_health.onSuccess(m_loop.now(), now);
+                                 m_health.onSuccess(m_loop.now());
+                                 for (Subscription *it : m_subscriptions) {
+                                     it->verify(page.revision, now);
+                                 }
                                  return;
                              }
                              m_health.onFailure("connection check failed: " + page.reason, now);
--- a/Source/net/HttpClient.cpp
+++ b/Source/net/HttpClient.cpp
@@ -94,14 +94,15 @@
     event_free(deferredEvent);
 }
 
-HttpClientConnection &HttpClient::State::connectionTo(const Destination &destination)
+HttpClientConnection &HttpClient::State::connectionTo(const Destination &destination,
+                                                      milliseconds maxIdleTime)
 {
     const auto it = idleConnections.find(destination);
     if (it != idleConnections.end()) {
         while (!it->second.empty()) {
             HttpClientConnection *connection = it->second.back();
             it->second.pop_back();
-            if (connection->isUsable()) {
+            if (connection->isUsable(maxIdleTime)) {
                 return *connection;
             }
             discard(*connection);
@@ -185,7 +186,8 @@
     std::shared_ptr<HttpCall::State> call = std::make_shared<HttpCall::State>();
     call->handlers = std::move(handlers);
     if (parseSocketAddress(request.address, request.port).has_value()) {
-        m_state->connectionTo({ request.address, request.port }).start(request, method, call);
+        m_state->connectionTo({ request.address, request.port }, request.maxIdleTime)
+                .start(request, method, call);
     } else {
         HttpFailure failure;
         failure.reason = "address is \"" + request.address + "\", expected an IP address";
--- a/Source/net/HttpClient.h
+++ b/Source/net/HttpClient.h
@@ -24,6 +24,9 @@
     milliseconds connectTimeout{ 1'000 };
     /// Timeout of the whole exchange, counted from the call of send().
     milliseconds timeout{ 10'000 };
+    /// An idle connection is reused only if its last response is at most this old. A connection may
+    /// go silent without being closed; then every call on it waits until its timeout.
+    milliseconds maxIdleTime{ 10'000 };
     /// Whether to accept a response with neither Content-Length nor chunked coding, whose body ends
     /// with a regular close of the connection. Otherwise such a response is a failure at the stage
     /// Body, because a truncated body could not be detected.
--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -257,13 +257,15 @@
 void HttpClientConnection::becomeIdle()
 {
     m_idle = true;
+    m_idleSince = m_client->loop.now();
     armTimer(m_idleTimeout);
 }
 
-bool HttpClientConnection::isUsable() const
+bool HttpClientConnection::isUsable(microseconds maxIdleTime) const
 {
     char ch = 0;
-    return evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) == 0
+    return m_client->loop.now() - m_idleSince <= maxIdleTime
+           && evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) == 0
            && recv(bufferevent_getfd(m_bufferEvent), &ch, 1, MSG_PEEK | MSG_DONTWAIT) < 0
            && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -44,8 +44,9 @@
     void closeAfterResponse() { m_reusable = false; }
     /// Keeps the connection open for another call until its idle timeout.
     void becomeIdle();
-    /// Whether an idle connection can be reused: the peer has neither closed it nor sent anything.
-    bool isUsable() const;
+    /// Whether an idle connection can be reused: the peer has neither closed it nor sent anything,
+    /// and its last response is not older than `maxIdleTime`.
+    bool isUsable(microseconds maxIdleTime) const;
     /// Whether a callback of evhttp is running.
     bool isInCallback() const { return m_callbackDepth > 0; }
 
@@ -90,6 +91,7 @@
     bufferevent_event_cb m_evhttpEvent = nullptr;
     int m_callbackDepth = 0;
     bool m_idle = false;
+    MonotonicTime m_idleSince;
     bool m_connected = false;
     bool m_hadCall = false;
     bool m_closing = false;
--- a/Source/net/HttpClientState.h
+++ b/Source/net/HttpClientState.h
@@ -20,8 +20,9 @@
     State(const State &) = delete;
     State &operator=(const State &) = delete;
 
-    /// Returns an idle connection that the peer has not closed, or a new connection.
-    HttpClientConnection &connectionTo(const Destination &destination);
+    /// Returns an idle connection that the peer has not closed and whose last response is not older
+    /// than `maxIdleTime`, or a new connection.
+    HttpClientConnection &connectionTo(const Destination &destination, milliseconds maxIdleTime);
     /// Keeps an idle connection for a later call, or closes it if maxIdleConnections are kept
     /// already.
     void keep(HttpClientConnection &connection);
--- a/Tests/gateway/KindSubscriptionTest.cpp
+++ b/Tests/gateway/KindSubscriptionTest.cpp
@@ -282,7 +282,7 @@
     m_standIn.control({ { "effectDelayMs", 0 } });
     set("t2", 2);
     m_health.onFailure("timed out", m_loop.now());
-    m_health.onSuccess(m_loop.now(), m_loop.now());
+    m_health.onSuccess(m_loop.now());
     runUntil([this] { return m_items.contains("t2"); });
 }
 
@@ -333,7 +333,7 @@
     health.becameUnavailable().connect([&outages](const std::string &) { ++outages; });
     const MonotonicTime start{ seconds(100) };
     health.onFailure("timed out", start);
-    health.onSuccess(start + seconds(5), start + seconds(5));
+    health.onSuccess(start + seconds(5));
     health.onFailure("timed out", start + seconds(4));
     EXPECT_FALSE(health.isUnavailable());
     EXPECT_EQ(outages, 1);
--- a/Tests/gateway/StoreRelayTest.cpp
+++ b/Tests/gateway/StoreRelayTest.cpp
@@ -297,7 +297,7 @@
     health.becameUnavailable().connect([&outages](const std::string &) { ++outages; });
     health.becameAvailable().connect([&recoveries] { ++recoveries; });
     const MonotonicTime start{ seconds(100) };
-    health.onSuccess(start, start);
+    health.onSuccess(start);
     health.onNeighbourOutage(start + seconds(5));
     health.onNeighbourOutage(start + seconds(6));
     EXPECT_EQ(outages, 1);
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -102,6 +102,19 @@
                          }
                      } },
                    seed + 1, OperatorOptions)
+    , evacuations(loop, client, health, Platform::EvacuationKind,
+                  { [this](const std::vector<Platform::StoredItem> &items) {
+                       evacuated.clear();
+                       for (const Platform::StoredItem &it : items) {
+                           evacuated.insert(it.name);
+                       }
+                   },
+                    [this](const std::vector<Platform::StoredChange> &changes) {
+                        for (const Platform::StoredChange &it : changes) {
+                            evacuated.insert(it.item.name);
+                        }
+                    } },
+                  seed + 2, OperatorOptions)
     , relay(
               loop, membership, health, client,
               [&simulation, entry](const InstanceId &watcher, milliseconds timeout,
@@ -182,8 +195,10 @@
 {
     process.relay.add(process.targets);
     process.relay.add(process.desiredState);
+    process.relay.add(process.evacuations);
     process.targets.start();
     process.desiredState.start();
+    process.evacuations.start();
     process.hasBegun = true;
     process.tick = process.loop.scheduleEvery(
             TickPeriod, [&process] { process.registry.removeExpired(process.loop.now()); });
@@ -230,6 +245,9 @@
             onReply(nullptr);
         }
     });
+    if (m_schedule.now() < m_entries[entry].neighboursSilentUntil) {
+        return;
+    }
     theirs.loop.run(NeighbourDelay, [&mine, &theirs, question, hasEnded, onReply,
                                      life = mine.loop.lifetime()] {
         if (life.expired()) {
@@ -277,6 +295,13 @@
     m_versions.emplace_back(version, m_schedule.now());
 }
 
+void StoreSimulation::evacuate()
+{
+    const std::string domain = numbered("d", m_evacuations.size() + DomainCount);
+    m_store.put(Platform::EvacuationKind, domain, nlohmann::json::object());
+    m_evacuations.emplace(domain, m_schedule.now());
+}
+
 void StoreSimulation::disturb(const std::set<std::size_t> &entries, StorePath path,
                               microseconds duration)
 {
@@ -299,6 +324,30 @@
     }
 }
 
+void StoreSimulation::silenceStoreConnections(const std::set<std::size_t> &entries)
+{
+    for (const std::size_t it : entries) {
+        m_entries[it].process->client.silenceConnections();
+    }
+    m_storeTroubledUntil = std::max(m_storeTroubledUntil, m_schedule.now());
+}
+
+void StoreSimulation::silenceWatches(const std::set<std::size_t> &entries, const std::string &kind)
+{
+    for (const std::size_t it : entries) {
+        m_entries[it].process->client.silenceWatches(kind);
+    }
+    m_storeTroubledUntil = std::max(m_storeTroubledUntil, m_schedule.now());
+}
+
+void StoreSimulation::silenceNeighbours(const std::set<std::size_t> &entries, microseconds duration)
+{
+    for (const std::size_t it : entries) {
+        m_entries[it].neighboursSilentUntil = m_schedule.now() + duration;
+        m_entries[it].troubledUntil = std::max(m_entries[it].troubledUntil, m_schedule.now());
+    }
+}
+
 void StoreSimulation::disturbStore(StorePath path, microseconds duration)
 {
     m_store.setPath(path);
@@ -430,7 +479,8 @@
     if (!process.hasBegun) {
         return;
     }
-    for (const Subscription *it : { &process.targets, &process.desiredState }) {
+    for (const Subscription *it :
+         { &process.targets, &process.desiredState, &process.evacuations }) {
         if (!it->hasPendingWork()) {
             report(entry, "has neither a call nor a timer for " + it->kind());
         }
@@ -471,6 +521,13 @@
                                   + ", acknowledged at " + secondsText(acknowledgedAt));
         }
     }
+    for (const auto &[domain, acknowledgedAt] : m_evacuations) {
+        if (!process.evacuated.contains(domain)
+            && now - acknowledgedAt > m_scenario.evacuationTime) {
+            report(entry, "does not know of the evacuation of " + domain + ", acknowledged at "
+                                  + secondsText(acknowledgedAt));
+        }
+    }
 }
 
 void StoreSimulation::report(std::size_t entry, const std::string &finding)
--- a/Tests/gateway/StoreSimulation.h
+++ b/Tests/gateway/StoreSimulation.h
@@ -35,6 +35,7 @@
     microseconds contactTime = seconds(3);
     microseconds drainTime = milliseconds(2'500);
     microseconds configTime = milliseconds(2'500);
+    microseconds evacuationTime = seconds(5);
 };
 
 /// Runs the entries of a deployment in virtual time as far as they follow the store: subscriptions
@@ -62,12 +63,20 @@
     void applyWriteFromBeforeDraining(std::size_t target);
     /// Writes the next version of the desired state.
     void changeDesiredState();
+    /// Writes the evacuation of another failure domain.
+    void evacuate();
 
     /// Interrupts the way of entries to the store.
     void disturb(const std::set<std::size_t> &entries, StorePath path, microseconds duration);
     /// Leaves the next call of each entry to the store without a response. This is no trouble that
     /// excuses the entry.
     void loseNextCalls(const std::set<std::size_t> &entries);
+    /// Silences the present connections of entries to the store for good; new ones work.
+    void silenceStoreConnections(const std::set<std::size_t> &entries);
+    /// Silences those on which the entries watch a kind.
+    void silenceWatches(const std::set<std::size_t> &entries, const std::string &kind);
+    /// Leaves polls of neighbours by these entries without a reply for a time.
+    void silenceNeighbours(const std::set<std::size_t> &entries, microseconds duration);
     /// Interrupts the way of all entries to the store.
     void disturbStore(StorePath path, microseconds duration);
     /// Takes the store away for a time, after which it returns from a copy of the given age. The
@@ -116,6 +125,8 @@
         std::uint64_t version = 0;
         Subscription targets;
         Subscription desiredState;
+        std::set<std::string> evacuated;
+        Subscription evacuations;
         Relay relay;
         /// Whether the subscriptions have been started.
         bool hasBegun = false;
@@ -132,6 +143,8 @@
         /// Time at which the entry noticed that the store is unavailable; nothing while it is
         /// available.
         std::optional<microseconds> unavailableSince;
+        /// End of the time in which polls of neighbours stay without a reply.
+        microseconds neighboursSilentUntil{ 0 };
     };
     /// A target that leaves.
     struct Leave
@@ -170,6 +183,8 @@
     std::vector<Leave> m_leaves;
     /// Acknowledged versions of the desired state, in order.
     std::vector<std::pair<std::uint64_t, microseconds>> m_versions;
+    /// Acknowledged evacuations.
+    std::map<std::string, microseconds> m_evacuations;
     /// Copies of the store's contents, by the time of the copy.
     std::map<microseconds, StandInObjects> m_copies;
     microseconds m_storeTroubledUntil{ 0 };
--- a/Tests/gateway/VirtualStore.cpp
+++ b/Tests/gateway/VirtualStore.cpp
@@ -121,6 +121,14 @@
     bool hasEnded = false;
 };
 
+struct VirtualStoreClient::Connection
+{
+    bool isSilent = false;
+    /// Kind of the watch that waits on the connection; empty if none does.
+    std::string watchedKind;
+    MonotonicTime idleSince;
+};
+
 VirtualStoreClient::Call::Call(std::shared_ptr<CallState> state)
     : m_state(std::move(state))
 {}
@@ -139,6 +147,43 @@
     , m_random(seed)
 {}
 
+void VirtualStoreClient::silenceConnections()
+{
+    for (const std::shared_ptr<Connection> &it : m_idle) {
+        it->isSilent = true;
+    }
+    for (const std::weak_ptr<Connection> &it : m_busy) {
+        if (const std::shared_ptr<Connection> connection = it.lock()) {
+            connection->isSilent = true;
+        }
+    }
+}
+
+void VirtualStoreClient::silenceWatches(const std::string &kind)
+{
+    for (const std::weak_ptr<Connection> &it : m_busy) {
+        const std::shared_ptr<Connection> connection = it.lock();
+        if (connection != nullptr && connection->watchedKind == kind) {
+            connection->isSilent = true;
+        }
+    }
+}
+
+std::shared_ptr<VirtualStoreClient::Connection> VirtualStoreClient::takeConnection()
+{
+    std::erase_if(m_idle, [this](const std::shared_ptr<Connection> &it) {
+        return m_loop.now() - it->idleSince > Platform::ObjectStore::MaxIdleTime;
+    });
+    std::erase_if(m_busy, [](const std::weak_ptr<Connection> &it) { return it.expired(); });
+    std::shared_ptr<Connection> connection = std::make_shared<Connection>();
+    if (!m_idle.empty()) {
+        connection = std::move(m_idle.back());
+        m_idle.pop_back();
+    }
+    m_busy.push_back(connection);
+    return connection;
+}
+
 StorePath VirtualStoreClient::path() const
 {
     return m_path == StorePath::Open ? m_store.path() : m_path;
@@ -176,6 +221,7 @@
         const std::function<void(const std::function<void(const Page &)> &)> &serve)
 {
     const std::shared_ptr<CallState> state = std::make_shared<CallState>();
+    const std::shared_ptr<Connection> connection = takeConnection();
     const auto end = [state, callback](const Page &page) {
         if (!std::exchange(state->hasEnded, true)) {
             callback(page);
@@ -187,6 +233,17 @@
         page.reason = reason;
         end(page);
     };
+    const auto receive = [this, state, connection, end](const Page &page) {
+        if (connection->isSilent) {
+            return;
+        }
+        if (!state->hasEnded) {
+            connection->watchedKind.clear();
+            connection->idleSince = m_loop.now();
+            m_idle.push_back(connection);
+        }
+        end(page);
+    };
     m_loop.run(timeout, [fail] { fail(CallOutcome::Unknown, "timed out"); });
     if (std::exchange(m_losesNextCall, false)) {
         return std::make_unique<Call>(state);
@@ -197,18 +254,22 @@
         return std::make_unique<Call>(state);
     }
     // The store's side of a call ends with the call, so that it does not outlive the process.
-    const auto respond = [this, state, end, fail](const Page &page) {
-        if (state->hasEnded) {
+    const auto respond = [this, state, connection, receive, fail](const Page &page) {
+        if (state->hasEnded || connection->isSilent) {
             return;
         }
         if (m_path == StorePath::Cut) {
             m_loop.run(KeepAliveTimeout,
                        [fail] { fail(CallOutcome::Unknown, "keep-alive probe unanswered"); });
         }
-        whenReachable(state,
-                      [this, end, page] { m_loop.run(m_delay, [end, page] { end(page); }); });
+        whenReachable(state, [this, receive, page] {
+            m_loop.run(m_delay, [receive, page] { receive(page); });
+        });
     };
-    m_loop.run(m_delay, [this, state, serve, respond] {
+    m_loop.run(m_delay, [this, state, connection, serve, respond] {
+        if (connection->isSilent) {
+            return;
+        }
         whenReachable(state, [this, serve, respond] {
             if (path() == StorePath::Rejecting) {
                 Page page;
@@ -240,7 +301,7 @@
                           milliseconds timeout, bool,
                           const sigc::slot<void(const Platform::ChangePage &)> &callback)
 {
-    return call<Platform::ChangePage>(
+    CallPtr result = call<Platform::ChangePage>(
             timeout, callback,
             [&store = m_store, kind, revision,
              wait](const std::function<void(const Platform::ChangePage &)> &respond) {
@@ -253,6 +314,10 @@
                     respond(store.changes(kind, revision));
                 });
             });
+    if (const std::shared_ptr<Connection> connection = m_busy.back().lock()) {
+        connection->watchedKind = kind;
+    }
+    return result;
 }
 
 } // namespace Tarragon
--- a/Tests/gateway/VirtualStore.h
+++ b/Tests/gateway/VirtualStore.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace Tarragon {
 
@@ -78,6 +79,7 @@
 {
 public:
     struct CallState;
+    struct Connection;
     /// A call in progress; destroying it cancels it.
     class Call
     {
@@ -106,11 +108,17 @@
     void setPath(StorePath path);
     /// Leaves the next call without a response.
     void loseNextCall() { m_losesNextCall = true; }
+    /// Leaves everything on all present connections without a response for good.
+    void silenceConnections();
+    /// Does the same to the connections on which watches of a kind wait.
+    void silenceWatches(const std::string &kind);
 
 private:
     template<typename Page>
     CallPtr call(milliseconds timeout, const sigc::slot<void(const Page &)> &callback,
                  const std::function<void(const std::function<void(const Page &)> &)> &serve);
+    /// Returns the connection that became idle last if it may still be reused, or a new one.
+    std::shared_ptr<Connection> takeConnection();
     StorePath path() const;
     /// Runs an action at the store's side as soon as the way is open, if the call has not ended.
     void whenReachable(const std::shared_ptr<CallState> &state,
@@ -123,6 +131,9 @@
     std::mt19937_64 m_random;
     StorePath m_path = StorePath::Open;
     bool m_losesNextCall = false;
+    /// Connections with a call in progress, and those kept for reuse, the latest last.
+    std::vector<std::weak_ptr<Connection>> m_busy;
+    std::vector<std::shared_ptr<Connection>> m_idle;
     /// Actions that wait for the end of a cut.
     std::list<std::function<void()>> m_deferred;
 };
