Gateway: Believe refusals without an id only on a connection's first exchange

Cause: a faulty target writes a refusal without an Attempt-Id after a complete answer. If the connection is in use again when the bytes arrive, they were taken for the answer to the request in progress: only responses with an id were compared. Closing the connection on which such a refusal was given did not cover bytes that follow an answer of another kind.

On the first exchange of a connection there is no earlier response of which a refusal could be a copy. On a later one, a refusal without an id states nothing of a request that must not be repeated: it ends as may-have-run, with 502, and is not sent again. Idempotent requests are sent elsewhere as before. A response head now says whether its connection has carried an exchange before.

--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -223,8 +223,8 @@
     m_triedTargets.insert(*placement.target);
     ++m_sendCount;
     m_attempt = std::make_unique<TargetAttempt>(
-            m_context.loop, *m_dispatcher, m_route->name, m_request.id, placement,
-            [this](TargetAttempt &attempt) { onDecided(attempt); });
+            m_context.loop, *m_dispatcher, m_route->name, m_route->isIdempotent, m_request.id,
+            placement, [this](TargetAttempt &attempt) { onDecided(attempt); });
     m_attempt->send(m_context.client, request);
 }
 
--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -35,10 +35,12 @@
 } // namespace
 
 TargetAttempt::TargetAttempt(EventLoop &loop, ServiceDispatcher &dispatcher, RouteName route,
-                             RequestId request, const Placement &placement, DecidedSlot decided)
+                             bool isIdempotent, RequestId request, const Placement &placement,
+                             DecidedSlot decided)
     : m_loop(loop)
     , m_dispatcher(dispatcher)
     , m_route(std::move(route))
+    , m_isIdempotent(isIdempotent)
     , m_request(std::move(request))
     , m_target(*placement.target)
     , m_placement(placement)
@@ -75,6 +77,7 @@
 void TargetAttempt::onHead(const HttpResponseHead &head)
 {
     m_headAt = m_loop.now();
+    m_isOnReusedConnection = head.onReusedConnection;
     m_response = Platform::decodeTargetResponse(head);
     m_headOutcome = classifyHead();
     if (m_headOutcome == SendOutcome::Broken) {
@@ -93,10 +96,15 @@
         // A copy of a refusal without an id could not be told from a refusal of the next request,
         // so that the connection is not used again.
         m_call.reset();
-        decide(m_headOutcome, Verdict::NotRun);
+        decide(m_headOutcome, isOriginUnknown() ? Verdict::MayHaveRun : Verdict::NotRun);
     }
 }
 
+bool TargetAttempt::isOriginUnknown() const
+{
+    return m_response.id.isEmpty() && m_isOnReusedConnection && !m_isIdempotent;
+}
+
 void TargetAttempt::reportHead()
 {
     if (m_response.load.has_value()) {
@@ -144,10 +152,13 @@
                    + "\", expected \"" + m_request.value() + "\"";
         return SendOutcome::Broken;
     }
-    if (m_response.isMisdirected) {
-        return SendOutcome::WrongTarget;
-    }
-    if (m_response.isNotExecuted) {
+    if (m_response.isMisdirected || m_response.isNotExecuted) {
+        if (isOriginUnknown()) {
+            m_reason = "refusal without an id on a connection that was used before";
+        }
+        if (m_response.isMisdirected) {
+            return isOriginUnknown() ? SendOutcome::Broken : SendOutcome::WrongTarget;
+        }
         return SendOutcome::Declined;
     }
     if (HttpStatus::isSuccess(m_response.status) && !m_response.hasResponseSeal) {
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -20,8 +20,10 @@
     /// Called once when the outcome of the attempt is known.
     using DecidedSlot = sigc::slot<void(TargetAttempt &)>;
 
+    /// `isIdempotent` states whether the request may be executed twice.
     TargetAttempt(EventLoop &loop, ServiceDispatcher &dispatcher, RouteName route,
-                  RequestId request, const Placement &placement, DecidedSlot decided);
+                  bool isIdempotent, RequestId request, const Placement &placement,
+                  DecidedSlot decided);
     ~TargetAttempt();
     TargetAttempt(const TargetAttempt &) = delete;
     TargetAttempt &operator=(const TargetAttempt &) = delete;
@@ -56,6 +58,10 @@
     /// Returns the outcome according to the response head. Answered and Failed are responses of the
     /// target itself.
     SendOutcome classifyHead();
+    /// Whether the response head may belong to an earlier exchange on the connection. Nothing tells
+    /// a refusal without an id from a copy of an earlier one, which a faulty target may send late.
+    /// An idempotent request is sent to another target in either case.
+    bool isOriginUnknown() const;
     /// Whether the request has been executed, according to the response head.
     Verdict headVerdict() const;
     /// Reports load, leaving state, limit and Retry-After in the response head to the dispatcher.
@@ -70,6 +76,7 @@
     EventLoop &m_loop;
     ServiceDispatcher &m_dispatcher;
     RouteName m_route;
+    bool m_isIdempotent;
     RequestId m_request;
     TargetId m_target;
     Placement m_placement;
@@ -78,6 +85,7 @@
     std::uint64_t m_targetStartMs = 0;
     MonotonicTime m_sentAt;
     std::optional<MonotonicTime> m_headAt;
+    bool m_isOnReusedConnection = false;
     Platform::TargetResponse m_response;
     /// Outcome according to the response head, while the body is being received.
     SendOutcome m_headOutcome = SendOutcome::Broken;
--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -426,6 +426,7 @@
     HttpResponseHead head;
     head.status = status;
     head.headers = copyHeaders(request->input_headers);
+    head.onReusedConnection = m_onReusedConnection;
     int lengths = 0;
     int codings = 0;
     bool lengthValid = true;
--- a/Tests/gateway/RoutedRequestTest.cpp
+++ b/Tests/gateway/RoutedRequestTest.cpp
@@ -338,6 +338,39 @@
     EXPECT_EQ(post("/pay/1").status(), 200);
 }
 
+// Guards against a refusal without an id that follows a complete answer, arrives when the
+// connection is in use again and is believed for a payment that is being executed.
+TEST_F(RoutedRequestTest, RefusalWithoutAnIdOnAUsedConnectionRefusesNoPayment)
+{
+    adoptTable();
+    for (const int status : { 503, 421 }) {
+        int arrivals = 0;
+        addTarget("t1", [&arrivals, status](RawSocket &socket, const std::string &) {
+            // The surplus bytes arrive while the target executes the second request.
+            socket.send(++arrivals == 1 ? answer(200, sealed(), "first")
+                                        : answer(status, "Not-Executed: 1\r\n", ""));
+        });
+        EXPECT_EQ(post("/pay/1").status(), 200);
+        EXPECT_EQ(post("/pay/1").status(), 502) << "after a surplus " << status;
+        EXPECT_EQ(arrivals, 2);
+        m_state->registry().remove(TargetId("t1"), m_loop.now());
+    }
+}
+
+// Guards against a read that fails, or is not sent elsewhere, because of such a refusal.
+TEST_F(RoutedRequestTest, RefusalWithoutAnIdOnAUsedConnectionIsBelievedForReads)
+{
+    adoptTable();
+    int arrivals = 0;
+    addTarget("t1", [&arrivals](RawSocket &socket, const std::string &) {
+        socket.send(++arrivals == 1 ? answer(200, sealed(), "first")
+                                    : answer(503, "Not-Executed: 1\r\n", ""));
+    });
+    EXPECT_EQ(get("/read/1").status(), 200);
+    EXPECT_EQ(get("/read/1").status(), 503);
+    EXPECT_EQ(arrivals, 2);
+}
+
 // Guards against a response whose head was cut off and that callers get as a complete one.
 TEST_F(RoutedRequestTest, TruncatedHeadIsNoResponse)
 {
