Net: Bound trailers of lines with a single character

Cause: the first character of a trailer line did not count towards the limit of the trailer, so that lines of one character went on without end: no memory, but the call and its connection, until the request's deadline.

PeerRpcTest plays messages above the limits on the RPC port.

--- a/Source/net/ChunkedDecoder.cpp
+++ b/Source/net/ChunkedDecoder.cpp
@@ -101,7 +101,7 @@
         return ch == '\n';
     case State::TrailerStart:
         m_state = ch == '\r' ? State::TrailerEnd : State::TrailerLine;
-        return ch != '\n' && ch != ':' && ch != ' ';
+        return ch != '\n' && ch != ':' && ch != ' ' && ++m_overheadBytes <= MaxOverheadBytes;
     case State::TrailerLine:
         if (ch == '\r') {
             m_state = State::TrailerLineEnd;
--- a/Tests/peer/PeerRpcTest.cpp
+++ b/Tests/peer/PeerRpcTest.cpp
@@ -203,6 +203,23 @@
     EXPECT_EQ(m_server->connections(), 1U);
 }
 
+// Guards against a peer that announces messages beyond the limits and sends bytes without end,
+// which the server would collect.
+TEST_F(PeerRpcTest, MessagesWithoutEndCostTheirSenderTheConnectionOnly)
+{
+    static constexpr std::size_t FloodBytes = 24'000'000;
+    serve();
+    connect();
+    // The head of a message: the number of segments less one, and the words of the first segment.
+    for (const std::string &head : { std::string("\0\0\0\0\xff\xff\xff\x7f", 8),
+                                     std::string("\xff\x01\0\0\xff\xff\xff\x7f", 8),
+                                     std::string("\xff\xff\xff\x7f\0\0\0\0", 8) }) {
+        sendAndAwaitEnd(head + std::string(FloodBytes, '\0'));
+    }
+    EXPECT_EQ(heartbeat(3).first, PeerOutcome::Done);
+    EXPECT_EQ(m_server->connections(), 1U);
+}
+
 // Guards against a malformed message that ends the server's process.
 TEST_F(PeerRpcTest, MutatedCallsCostTheirSendersTheConnectionOnly)
 {
