Gateway: Take no dropped history at a verification for an outage

Cause: a verification that was answered with 410 counted as a failed call, so that the store was logged as lost and vanished targets were retained as in an outage; the watch's own 410 never did. It now ends the watch with that outcome, and the kind is listed again.

SilentWatchTest.HistoryThatIsGoneAtAVerificationIsNoOutage failed before (one outage) and passes.

--- a/Source/gateway/KindSubscription.h
+++ b/Source/gateway/KindSubscription.h
@@ -108,8 +108,9 @@
     /// the watch that has not shown them. Does nothing if neighbours relay the changes.
     void verify(const StoreRevision &current, MonotonicTime shownAt);
     /// Aborts the watch in progress and handles it as failed, because the connection to the store
-    /// is interrupted.
-    void abortWatch(const std::string &reason);
+    /// is interrupted, or with another outcome.
+    void abortWatch(const std::string &reason,
+                    Platform::CallOutcome outcome = Platform::CallOutcome::Unknown);
     /// Changes received from watches of the store, for relaying to neighbours.
     const ChangeLog &log() const { return m_log; }
 
--- a/Source/gateway/KindSubscriptionTemplate.h
+++ b/Source/gateway/KindSubscriptionTemplate.h
@@ -302,8 +302,10 @@
                                                          MonotonicTime shownAt)
 {
     if (page.outcome != Platform::CallOutcome::Done) {
-        m_health.onFailure(page.reason, m_verificationStartedAt);
-        abortWatch("verification failed: " + page.reason);
+        if (page.outcome != Platform::CallOutcome::HistoryGone) {
+            m_health.onFailure(page.reason, m_verificationStartedAt);
+        }
+        abortWatch("verification failed: " + page.reason, page.outcome);
         return;
     }
     m_changesMadeAfter = m_confirmedAt;
@@ -327,12 +329,13 @@
 }
 
 template<TimerLoop Loop, StoreReader Store>
-void BasicKindSubscription<Loop, Store>::abortWatch(const std::string &reason)
+void BasicKindSubscription<Loop, Store>::abortWatch(const std::string &reason,
+                                                    Platform::CallOutcome outcome)
 {
     if (m_isListed && m_source == ChangeSource::Store && m_isCalling) {
         m_call.reset();
         m_isCalling = false;
-        onFailure(Platform::CallOutcome::Unknown, reason);
+        onFailure(outcome, reason);
     }
 }
 
--- a/Tests/gateway/SilentConnectionTest.cpp
+++ b/Tests/gateway/SilentConnectionTest.cpp
@@ -1,5 +1,6 @@
 #include "StoreSimulation.h"
 #include "Support/FirstSeed.h"
+#include "gateway/KindSubscriptionTemplate.h"
 #include "platform/RegistryDecoder.h"
 #include "platform/RouteTableDecoder.h"
 
@@ -115,6 +116,42 @@
     });
 }
 
+// Guards against a store that has dropped its history and is taken for unavailable, because a
+// verification shows it before the watch does.
+TEST(SilentWatchTest, HistoryThatIsGoneAtAVerificationIsNoOutage)
+{
+    VirtualSchedule schedule;
+    const auto advance = [&schedule] {
+        const microseconds end = schedule.now() + seconds(1);
+        while (schedule.step(end)) {
+        }
+    };
+    VirtualLoop loop(schedule);
+    VirtualStore store(schedule);
+    VirtualStoreClient client(loop, store, milliseconds(5), 0, 1);
+    StoreHealth health;
+    int outages = 0;
+    health.becameUnavailable().connect([&outages](const std::string &) { ++outages; });
+    std::size_t known = 0;
+    BasicKindSubscription<VirtualLoop, VirtualStoreClient> subscription(
+            loop, client, health, Platform::TargetKind,
+            { [&known](const std::vector<Platform::StoredItem> &items) { known = items.size(); },
+              [](const std::vector<Platform::StoredChange> &) {} },
+            1);
+    store.put(Platform::TargetKind, "t1", nlohmann::json::object());
+    subscription.start();
+    advance();
+    ASSERT_EQ(known, 1u);
+    client.silenceWatches(Platform::TargetKind);
+    store.put(Platform::TargetKind, "t2", nlohmann::json::object());
+    store.compact();
+    const StoreRevision current{ subscription.revision().era, store.objects().revision() };
+    subscription.verify(current, loop.now());
+    advance();
+    EXPECT_EQ(known, 2u);
+    EXPECT_EQ(outages, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(EntryCounts, SilentConnectionTest, testing::Values(9, 86));
 
 } // namespace
--- a/Tests/net/HttpClientTest.cpp
+++ b/Tests/net/HttpClientTest.cpp
@@ -523,6 +523,22 @@
     EXPECT_EQ(m_listener.sockets().size(), 1u);
 }
 
+// Guards against a call on a connection that may have gone silent since its last response.
+TEST_F(HttpClientTest, ConnectionIdleForLongerThanTheRequestAllowsIsNotReused)
+{
+    respond("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    for (int i = 0; i < 2; ++i) {
+        CallRecord record;
+        HttpRequest limited = request();
+        limited.maxIdleTime = milliseconds(20);
+        start(record, limited);
+        runUntil([&record] { return record.isEnded(); });
+        EXPECT_TRUE(record.completed);
+        runFor(milliseconds(30));
+    }
+    EXPECT_EQ(m_listener.sockets().size(), 2u);
+}
+
 // Guards against reuse of a connection that the peer has announced to close.
 TEST_F(HttpClientTest, ConnectionIsNotKeptWhenThePeerCloses)
 {
