Tests: Show that cuts which sever connections silently delay no change

The simulation now applies desired states as the daemon does and checks that routes are served and dropped with their version.

--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -1,5 +1,6 @@
 #include "StoreSimulation.h"
 
+#include "gateway/GatewaySettings.h"
 #include "gateway/KindSubscriptionTemplate.h"
 #include "gateway/StoreRelayTemplate.h"
 #include "gateway/TargetFeed.h"
@@ -57,13 +58,42 @@
     return record;
 }
 
+/// Number of versions for which a route that a version has added stays.
+constexpr std::uint64_t RouteLifetime = 3;
+constexpr const char *RouteHost = "stand.example";
+
+std::string routePath(std::uint64_t version)
+{
+    return "/added-by-" + std::to_string(version) + "/";
+}
+
+/// Returns a desired state that adds a route, and drops the one that the version RouteLifetime
+/// before has added.
 nlohmann::json desiredState(std::uint64_t version)
 {
-    const nlohmann::json none = { { "columns", nlohmann::json::array() },
-                                  { "rows", nlohmann::json::array() } };
+    nlohmann::json rows = nlohmann::json::array();
+    for (std::uint64_t it = version - std::min(version, RouteLifetime) + 1; it <= version; ++it) {
+        rows.push_back({ "route" + std::to_string(it), RouteHost, routePath(it), "safe", 1.5, 0.3,
+                         "service0" });
+    }
     return { { "version", "r" + std::to_string(version) },
-             { "routes", none },
-             { "services", none } };
+             { "routes",
+               { { "columns",
+                   { "name", "host", "path_prefix", "kind", "timeout_s", "target_latency_s",
+                     "service" } },
+                 { "rows", rows } } },
+             { "services",
+               { { "columns", { "name" } },
+                 { "rows", nlohmann::json::array({ nlohmann::json::array({ "service0" }) }) } } } };
+}
+
+GatewaySettings settingsOf(const EntryRecord &record)
+{
+    GatewaySettings settings;
+    settings.instance = record.instance;
+    settings.domain = record.domain;
+    settings.region = record.region;
+    return settings;
 }
 
 std::string secondsText(microseconds time)
@@ -79,6 +109,7 @@
     , client(loop, simulation.m_store, simulation.delayTo(entry),
              simulation.m_scenario.callLossRatio, seed)
     , membership(simulation.m_entries[entry].record, seed)
+    , state(settingsOf(simulation.m_entries[entry].record), GatewayBounds{})
     , targets(loop, client, health, Platform::TargetKind,
               { [this](const std::vector<Platform::StoredItem> &items) {
                    applyTargetSnapshot(registry, items, loop.now(), targets.changesMadeAfter(),
@@ -131,7 +162,12 @@
 
 void StoreSimulation::Process::adopt(const Platform::StoredItem &item)
 {
-    version = std::max(version, Platform::decodeRouteTable(item.spec).version.value());
+    state.adopt(Platform::decodeRouteTable(item.spec));
+}
+
+std::uint64_t StoreSimulation::Process::version() const
+{
+    return state.table() == nullptr ? 0 : state.table()->version.value();
 }
 
 StoreSimulation::StoreSimulation(const StoreScenario &scenario)
@@ -216,6 +252,9 @@
 void StoreSimulation::gossip(std::size_t entry)
 {
     for (const InstanceId &it : m_entries[entry].process->membership.beginGossipRound()) {
+        if (!canExchange(entry, indexOf(it))) {
+            continue;
+        }
         Process &mine = *m_entries[entry].process;
         const std::vector<GossipMemberState> states = mine.membership.memberStates();
         Process &theirs = *m_entries[indexOf(it)].process;
@@ -245,7 +284,8 @@
             onReply(nullptr);
         }
     });
-    if (m_schedule.now() < m_entries[entry].neighboursSilentUntil) {
+    if (m_schedule.now() < m_entries[entry].neighboursSilentUntil
+        || !canExchange(entry, indexOf(watcher))) {
         return;
     }
     theirs.loop.run(NeighbourDelay, [&mine, &theirs, question, hasEnded, onReply,
@@ -317,6 +357,38 @@
     });
 }
 
+void StoreSimulation::sever(const std::set<std::size_t> &entries, StorePath path,
+                            microseconds duration)
+{
+    disturb(entries, path, duration);
+    m_schedule.after(duration, [this, entries] {
+        for (const std::size_t it : entries) {
+            m_entries[it].process->client.silenceConnections();
+        }
+    });
+}
+
+void StoreSimulation::isolate(const std::set<std::size_t> &entries, microseconds duration)
+{
+    for (const std::size_t it : entries) {
+        m_entries[it].isolatedUntil = m_schedule.now() + duration;
+        m_entries[it].troubledUntil =
+                std::max(m_entries[it].troubledUntil, m_schedule.now() + duration);
+    }
+}
+
+bool StoreSimulation::canExchange(std::size_t a, std::size_t b) const
+{
+    return m_schedule.now() >= m_entries[a].isolatedUntil
+           && m_schedule.now() >= m_entries[b].isolatedUntil;
+}
+
+void StoreSimulation::answerFromStaleCopy(microseconds duration)
+{
+    m_store.setStaleCopy(m_store.objects());
+    m_schedule.after(duration, [this] { m_store.clearStaleCopy(); });
+}
+
 void StoreSimulation::loseNextCalls(const std::set<std::size_t> &entries)
 {
     for (const std::size_t it : entries) {
@@ -516,11 +588,13 @@
         }
     }
     for (const auto &[version, acknowledgedAt] : m_versions) {
-        if (process.version < version && now - acknowledgedAt > m_scenario.configTime) {
-            report(entry, "has not adopted version " + std::to_string(version)
-                                  + ", acknowledged at " + secondsText(acknowledgedAt));
+        if (process.version() < version && now - acknowledgedAt > m_scenario.configTime) {
+            report(entry, "acts on version " + std::to_string(process.version()) + " and not on "
+                                  + std::to_string(version) + ", acknowledged at "
+                                  + secondsText(acknowledgedAt));
         }
     }
+    auditRoutes(entry);
     for (const auto &[domain, acknowledgedAt] : m_evacuations) {
         if (!process.evacuated.contains(domain)
             && now - acknowledgedAt > m_scenario.evacuationTime) {
@@ -530,6 +604,24 @@
     }
 }
 
+void StoreSimulation::auditRoutes(std::size_t entry)
+{
+    const RouteTablePtr table = m_entries[entry].process->state.table();
+    if (table == nullptr) {
+        return;
+    }
+    const std::uint64_t version = table->version.value();
+    for (std::uint64_t it = 1; it <= version; ++it) {
+        const bool isServed = table->find(RouteHost, routePath(it)) != nullptr;
+        if (isServed != (it + RouteLifetime > version)) {
+            report(entry, (isServed ? "serves a dropped route of version "
+                                    : "does not serve the route of version ")
+                                  + std::to_string(it) + " with version "
+                                  + std::to_string(version));
+        }
+    }
+}
+
 void StoreSimulation::report(std::size_t entry, const std::string &finding)
 {
     const std::string text = m_entries[entry].record.instance.value() + " " + finding;
--- a/Tests/gateway/StoreSimulation.h
+++ b/Tests/gateway/StoreSimulation.h
@@ -2,6 +2,7 @@
 
 #include "VirtualLoop.h"
 #include "VirtualStore.h"
+#include "gateway/GatewayState.h"
 #include "gateway/KindSubscription.h"
 #include "gateway/StoreRelay.h"
 #include "routing/EntryMembership.h"
@@ -68,6 +69,13 @@
 
     /// Interrupts the way of entries to the store.
     void disturb(const std::set<std::size_t> &entries, StorePath path, microseconds duration);
+    /// Does the same, after which the connections of before the end stay silent: the store has
+    /// closed them meanwhile.
+    void sever(const std::set<std::size_t> &entries, StorePath path, microseconds duration);
+    /// Cuts entries off from the other entries.
+    void isolate(const std::set<std::size_t> &entries, microseconds duration);
+    /// Answers calls that allow stale data from the store's contents of now for a time.
+    void answerFromStaleCopy(microseconds duration);
     /// Leaves the next call of each entry to the store without a response. This is no trouble that
     /// excuses the entry.
     void loseNextCalls(const std::set<std::size_t> &entries);
@@ -115,14 +123,15 @@
         Process(StoreSimulation &simulation, std::size_t entry, std::uint64_t seed);
 
         void adopt(const Platform::StoredItem &item);
+        /// Version of the desired state in force; 0 before the first one.
+        std::uint64_t version() const;
 
         VirtualLoop loop;
         VirtualStoreClient client;
         EntryMembership membership;
         StoreHealth health;
         TargetRegistry registry;
-        /// Version of the desired state in force; 0 before the first one.
-        std::uint64_t version = 0;
+        GatewayState state;
         Subscription targets;
         Subscription desiredState;
         std::set<std::string> evacuated;
@@ -145,6 +154,8 @@
         std::optional<microseconds> unavailableSince;
         /// End of the time in which polls of neighbours stay without a reply.
         microseconds neighboursSilentUntil{ 0 };
+        /// End of the time in which the entry is cut off from the other entries.
+        microseconds isolatedUntil{ 0 };
     };
     /// A target that leaves.
     struct Leave
@@ -170,6 +181,10 @@
     /// the entry or the store is in trouble.
     void auditPendingWork(std::size_t entry);
     void auditEntry(std::size_t entry);
+    /// Checks that a version is in force as a whole: with the routes it has added and without those
+    /// it has dropped.
+    void auditRoutes(std::size_t entry);
+    bool canExchange(std::size_t a, std::size_t b) const;
     void report(std::size_t entry, const std::string &finding);
     std::size_t indexOf(const InstanceId &instance) const { return m_indices.at(instance); }
 
--- a/Tests/gateway/VirtualStore.cpp
+++ b/Tests/gateway/VirtualStore.cpp
@@ -52,32 +52,41 @@
     wake("");
 }
 
-Platform::ItemPage VirtualStore::list(const std::string &kind) const
+Platform::ItemPage VirtualStore::list(const std::string &kind, bool allowStale) const
 {
+    const StandInObjects &objects = objectsFor(allowStale);
     Platform::ItemPage page;
     page.outcome = CallOutcome::Done;
-    page.era = StoreEra(m_objects.era());
-    page.revision = StoreRevision{ page.era, m_objects.revision() };
-    for (const StandInObjects::Object &it : m_objects.list(kind, "")) {
+    page.era = StoreEra(objects.era());
+    page.revision = StoreRevision{ page.era, objects.revision() };
+    for (const StandInObjects::Object &it : objects.list(kind, "")) {
         page.items.push_back(
                 Platform::StoredItem{ it.name, StoreRevision{ page.era, it.revision }, it.spec });
     }
     return page;
 }
 
-Platform::ChangePage VirtualStore::changes(const std::string &kind,
-                                           const StoreRevision &revision) const
+Platform::ChangePage VirtualStore::changes(const std::string &kind, const StoreRevision &revision,
+                                           bool allowStale) const
 {
+    const StandInObjects &objects = objectsFor(allowStale);
     Platform::ChangePage page;
-    page.era = StoreEra(m_objects.era());
-    const auto changes = m_objects.changesSince(kind, revision.number);
+    page.era = StoreEra(objects.era());
+    if (page.era == revision.era && &objects != &m_objects
+        && revision.number >= objects.revision()) {
+        // The copy does not have the revision yet.
+        page.outcome = CallOutcome::Done;
+        page.revision = StoreRevision{ page.era, objects.revision() };
+        return page;
+    }
+    const auto changes = objects.changesSince(kind, revision.number);
     if (!changes.has_value() || page.era != revision.era) {
         page.outcome = CallOutcome::HistoryGone;
         page.reason = "status 410";
         return page;
     }
     page.outcome = CallOutcome::Done;
-    page.revision = StoreRevision{ page.era, m_objects.revision() };
+    page.revision = StoreRevision{ page.era, objects.revision() };
     for (const StandInObjects::Change &it : *changes) {
         page.changes.push_back(Platform::StoredChange{
                 { it.object.name, StoreRevision{ page.era, it.object.revision }, it.object.spec },
@@ -199,16 +208,35 @@
     }
 }
 
-void VirtualStoreClient::whenReachable(const std::shared_ptr<CallState> &state,
+bool VirtualStoreClient::isBlocked(StorePath path, Direction direction)
+{
+    switch (path) {
+    case StorePath::Open:
+    case StorePath::Rejecting:
+        return false;
+    case StorePath::Cut:
+    case StorePath::Silent:
+        return true;
+    case StorePath::RequestsLost:
+        return direction == Direction::Request;
+    case StorePath::ResponsesLost:
+        return direction == Direction::Response;
+    }
+    return false;
+}
+
+void VirtualStoreClient::whenReachable(const std::shared_ptr<CallState> &state, Direction direction,
                                        const std::function<void()> &action)
 {
     if (state->hasEnded) {
         return;
     }
-    const auto again = [this, state, action] { whenReachable(state, action); };
-    if (m_path == StorePath::Cut || m_path == StorePath::Silent) {
+    const auto again = [this, state, direction, action] {
+        whenReachable(state, direction, action);
+    };
+    if (isBlocked(m_path, direction)) {
         m_deferred.push_back(again);
-    } else if (m_store.path() == StorePath::Cut || m_store.path() == StorePath::Silent) {
+    } else if (isBlocked(m_store.path(), direction)) {
         m_store.defer(again);
     } else {
         action();
@@ -262,7 +290,7 @@
             m_loop.run(KeepAliveTimeout,
                        [fail] { fail(CallOutcome::Unknown, "keep-alive probe unanswered"); });
         }
-        whenReachable(state, [this, receive, page] {
+        whenReachable(state, Direction::Response, [this, receive, page] {
             m_loop.run(m_delay, [receive, page] { receive(page); });
         });
     };
@@ -270,7 +298,7 @@
         if (connection->isSilent) {
             return;
         }
-        whenReachable(state, [this, serve, respond] {
+        whenReachable(state, Direction::Request, [this, serve, respond] {
             if (path() == StorePath::Rejecting) {
                 Page page;
                 page.outcome = CallOutcome::NotApplied;
@@ -286,32 +314,34 @@
 }
 
 VirtualStoreClient::CallPtr
-VirtualStoreClient::list(const std::string &kind, const std::string &, milliseconds timeout, bool,
+VirtualStoreClient::list(const std::string &kind, const std::string &, milliseconds timeout,
+                         bool allowStale,
                          const sigc::slot<void(const Platform::ItemPage &)> &callback)
 {
     return call<Platform::ItemPage>(
             timeout, callback,
-            [this, kind](const std::function<void(const Platform::ItemPage &)> &respond) {
-                respond(m_store.list(kind));
+            [this, kind,
+             allowStale](const std::function<void(const Platform::ItemPage &)> &respond) {
+                respond(m_store.list(kind, allowStale));
             });
 }
 
 VirtualStoreClient::CallPtr
 VirtualStoreClient::watch(const std::string &kind, const StoreRevision &revision, milliseconds wait,
-                          milliseconds timeout, bool,
+                          milliseconds timeout, bool allowStale,
                           const sigc::slot<void(const Platform::ChangePage &)> &callback)
 {
     CallPtr result = call<Platform::ChangePage>(
             timeout, callback,
-            [&store = m_store, kind, revision,
-             wait](const std::function<void(const Platform::ChangePage &)> &respond) {
-                const Platform::ChangePage page = store.changes(kind, revision);
+            [&store = m_store, kind, revision, wait,
+             allowStale](const std::function<void(const Platform::ChangePage &)> &respond) {
+                const Platform::ChangePage page = store.changes(kind, revision, allowStale);
                 if (page.outcome != CallOutcome::Done || !page.changes.empty()) {
                     respond(page);
                     return;
                 }
-                store.wait(kind, wait, [&store, kind, revision, respond] {
-                    respond(store.changes(kind, revision));
+                store.wait(kind, wait, [&store, kind, revision, allowStale, respond] {
+                    respond(store.changes(kind, revision, allowStale));
                 });
             });
     if (const std::shared_ptr<Connection> connection = m_busy.back().lock()) {
--- a/Tests/gateway/VirtualStore.h
+++ b/Tests/gateway/VirtualStore.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -25,6 +26,11 @@
     Rejecting,
     /// The store does not serve calls before the end.
     Silent,
+    /// No packet arrives at the store; those of open connections are transmitted again after the
+    /// end.
+    RequestsLost,
+    /// The same for the packets that the store sends.
+    ResponsesLost,
 };
 
 /// The platform's store in virtual time: objects, and watches that wait for changes.
@@ -45,14 +51,18 @@
     void defer(const std::function<void()> &action) { m_deferred.push_back(action); }
     /// Drops the history and ends all waiting watches.
     void compact();
+    /// Answers calls that allow stale data from this copy until clearStaleCopy().
+    void setStaleCopy(const StandInObjects &copy) { m_staleCopy = copy; }
+    void clearStaleCopy() { m_staleCopy.reset(); }
 
     /// Returns from a copy of its contents. Waiting watches are answered.
     void restore(const StandInObjects &copy);
 
     /// Reads all objects of a kind.
-    Platform::ItemPage list(const std::string &kind) const;
+    Platform::ItemPage list(const std::string &kind, bool allowStale = false) const;
     /// Reads the changes of a kind after a revision.
-    Platform::ChangePage changes(const std::string &kind, const StoreRevision &revision) const;
+    Platform::ChangePage changes(const std::string &kind, const StoreRevision &revision,
+                                 bool allowStale = false) const;
     /// Calls back once, at the next change of the kind, at the end of the wait, or when the store
     /// ends the watch.
     void wait(const std::string &kind, microseconds time, const std::function<void()> &callback);
@@ -65,9 +75,14 @@
     };
 
     void wake(const std::string &kind);
+    const StandInObjects &objectsFor(bool allowStale) const
+    {
+        return allowStale && m_staleCopy.has_value() ? *m_staleCopy : m_objects;
+    }
 
     VirtualSchedule &m_schedule;
     StandInObjects m_objects;
+    std::optional<StandInObjects> m_staleCopy;
     StorePath m_path = StorePath::Open;
     std::uint64_t m_nextWaiter = 0;
     std::map<std::uint64_t, Waiter> m_waiters;
@@ -120,8 +135,11 @@
     /// Returns the connection that became idle last if it may still be reused, or a new one.
     std::shared_ptr<Connection> takeConnection();
     StorePath path() const;
-    /// Runs an action at the store's side as soon as the way is open, if the call has not ended.
-    void whenReachable(const std::shared_ptr<CallState> &state,
+    /// The packets of a call in one direction.
+    enum class Direction { Request, Response };
+    static bool isBlocked(StorePath path, Direction direction);
+    /// Runs an action as soon as packets pass in the direction, if the call has not ended.
+    void whenReachable(const std::shared_ptr<CallState> &state, Direction direction,
                        const std::function<void()> &action);
 
     VirtualLoop &m_loop;
