Routing: Permit requests to cold targets by one issuer for each target

Cause: each entry had a token bucket with its share of the cold rate. A bucket needs a burst of one request, and fills while the target is warm, so that the entries together may send as many requests at once as there are entries. In the logs all 86 entries consider the targets cold within 0.6 s, and the requests of the second come from different entries, one each. The entries' counts agree.

A request to a cold target now needs a permit of the entry that issues those of limited targets. The request for it states the cold rate. Entries of older builds, whose registrations do not state issuesColdPermits, keep their shares, and issuers issue the rest.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -71,6 +71,7 @@
     record.front = settings.front;
     record.rpc = settings.rpc;
     record.issuesPermits = true;
+    record.issuesColdPermits = true;
     record.issuesTrials = true;
     return record;
 }
@@ -469,7 +470,7 @@
         afterTargetChange();
     }
     if (m_entrySubscription->hasSnapshot()) {
-        m_state.setEntryCount(m_membership.entryCount(), now);
+        m_state.setEntryCount(m_membership.entryCount());
     }
     for (const auto &[service, dispatcher] : m_state.dispatchers()) {
         logTargetChanges(dispatcher->takeTargetChanges());
--- a/Source/gateway/GatewayMetrics.cpp
+++ b/Source/gateway/GatewayMetrics.cpp
@@ -35,9 +35,10 @@
                              "Requests sent to targets, by service and outcome", m_registry))
     , m_retries(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_retries_total",
                                "Requests sent once more, by service", m_registry))
-    , m_permits(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_permits_total",
-                               "Permits for requests to limited targets, by service and outcome",
-                               m_registry))
+    , m_permits(registerFamily(
+              prometheus::BuildCounter(), "tarragon_gateway_permits_total",
+              "Permits for requests to limited and cold targets, by service and outcome",
+              m_registry))
     , m_routeVersion(gauge(m_registry, "tarragon_gateway_route_version",
                            "Version of the route table in force"))
     , m_readyTargets(
--- a/Source/gateway/GatewayMetrics.h
+++ b/Source/gateway/GatewayMetrics.h
@@ -27,7 +27,7 @@
     /// Counts a request sent to a target; `outcome` states how it ended there.
     void recordSend(const ServiceId &service, const std::string &outcome);
     void recordRetry(const ServiceId &service);
-    /// Counts a decision on a permit to send a request to a limited target.
+    /// Counts a decision on a permit to send a request to a limited or cold target.
     void recordPermit(const ServiceId &service, bool isGranted);
     /// Counts a refused request; `reason` is one of the reasons in the request log.
     void recordRefusal(const ServiceId &service, const std::string &reason);
--- a/Source/gateway/GatewayState.cpp
+++ b/Source/gateway/GatewayState.cpp
@@ -54,11 +54,11 @@
     }
     m_appliedRevision = m_registry.revision();
     for (const auto &[id, dispatcher] : m_dispatchers) {
-        dispatcher->setTargets(m_registry.targets(), now);
+        dispatcher->setTargets(m_registry.targets());
     }
 }
 
-void GatewayState::setEntryCount(std::size_t count, MonotonicTime now)
+void GatewayState::setEntryCount(std::size_t count)
 {
     if (count == m_entryCount) {
         return;
@@ -67,7 +67,6 @@
     updateRetryLimits();
     for (const auto &[id, dispatcher] : m_dispatchers) {
         dispatcher->setEntryCount(count);
-        dispatcher->setTargets(m_registry.targets(), now);
     }
 }
 
--- a/Source/gateway/GatewayState.h
+++ b/Source/gateway/GatewayState.h
@@ -35,7 +35,7 @@
     void refreshTargets(MonotonicTime now);
     /// Sets the number of entries by which limits of the whole deployment are divided; 0 means that
     /// it is unknown.
-    void setEntryCount(std::size_t count, MonotonicTime now);
+    void setEntryCount(std::size_t count);
 
     /// Sets new limits, effective immediately also for retry budgets in use.
     void setBounds(const GatewayBounds &bounds);
--- a/Source/gateway/PermitRpc.cpp
+++ b/Source/gateway/PermitRpc.cpp
@@ -8,6 +8,7 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Tarragon {
 
@@ -35,8 +36,17 @@
 
 PermitRequest decodePermitRequest(PeerRpc::Peer::RequestPermitParams::Reader params)
 {
-    return PermitRequest{ TargetId(params.getTarget()), FailureDomainId(params.getFailureDomain()),
-                          decodeLimit(params.getLimit()) };
+    PermitRequest request{ TargetId(params.getTarget()), FailureDomainId(params.getFailureDomain()),
+                           decodeLimit(params.getLimit()), std::nullopt };
+    const double coldRate = params.getColdPerSecond();
+    if (!std::isfinite(coldRate) || coldRate < 0) {
+        throw Error("cold rate is " + std::to_string(coldRate)
+                    + " requests per second, expected a finite number of at least 0");
+    }
+    if (coldRate > 0) {
+        request.coldRate = RequestRate{ coldRate };
+    }
+    return request;
 }
 
 void fillPermitReply(PeerRpc::Peer::RequestPermitResults::Builder results, const PermitReply &reply)
@@ -59,6 +69,7 @@
                 params.setTarget(request.target.value());
                 params.setFailureDomain(request.domain.value());
                 fillLimit(params.initLimit(), request.limit);
+                params.setColdPerSecond(request.coldRate.value_or(RequestRate{}).perSecond);
             },
             [&loop, replied](PeerOutcome outcome,
                              const PeerRpc::Peer::RequestPermitResults::Reader *results) {
--- a/Source/gateway/PermitRpc.h
+++ b/Source/gateway/PermitRpc.h
@@ -6,7 +6,7 @@
 
 namespace Tarragon {
 
-/// Decodes another entry's request for a permit. Throws Error if its limit is invalid.
+/// Decodes another entry's request for a permit. Throws Error if its limit or cold rate is invalid.
 PermitRequest decodePermitRequest(PeerRpc::Peer::RequestPermitParams::Reader params);
 void fillPermitReply(PeerRpc::Peer::RequestPermitResults::Builder results,
                      const PermitReply &reply);
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -24,7 +24,7 @@
 /// Timeout of connecting to a target. A connection within or between regions takes up to 40 ms; a
 /// lost SYN packet is retransmitted after one second, and another target is tried before that.
 constexpr milliseconds ConnectTimeout{ 250 };
-/// Number of permits that may be denied to a request before only targets without a limit are
+/// Number of permits that may be denied to a request before only targets that need none are
 /// considered. Each costs a call to another entry.
 constexpr int MaxDeniedPermits = 2;
 
@@ -191,7 +191,7 @@
 void RoutedRequest::obtainPermit(const Placement &placement)
 {
     const KnownTarget *target = m_dispatcher->findTarget(*placement.target);
-    m_context.permits.obtain(target->registration, m_context.loop.now(),
+    m_context.permits.obtain(target->registration, placement.coldRate, m_context.loop.now(),
                              [weak = weak_from_this(), placement](bool isGranted) {
                                  const std::shared_ptr<RoutedRequest> self = weak.lock();
                                  if (self != nullptr && !self->hasEnded()) {
@@ -442,6 +442,9 @@
         line.add("target", m_attempt->target())
                 .add("expectedWaitMs", m_attempt->placement().expectedWait)
                 .add("expectedWorkMs", m_attempt->placement().expectedProcessingTime);
+        if (m_attempt->placement().coldRate.has_value()) {
+            line.add("cold", true);
+        }
     }
     if (m_refusal.has_value() && m_refusal->busyTarget.has_value()) {
         line.add("busyHome", *m_refusal->busyTarget)
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -27,8 +27,8 @@
     void start();
     /// Selects a target and sends the request to it, or refuses the request.
     void dispatch();
-    /// Sends the request to a limited target once a permit is granted; otherwise selects another
-    /// target.
+    /// Sends the request to a limited or cold target once a permit is granted; otherwise selects
+    /// another target.
     void obtainPermit(const Placement &placement);
     void onPermitDecided(const Placement &placement, bool isGranted);
     void send(const Placement &placement);
@@ -76,7 +76,7 @@
     std::set<TargetId> m_triedTargets;
     /// Number of attempts that reached a target or may have reached it.
     int m_sendCount = 0;
-    /// Number of permits for limited targets that were denied.
+    /// Number of permits for limited and cold targets that were denied.
     int m_deniedPermits = 0;
     /// Whether a trial of this request, which is under suspicion, is permitted.
     bool m_hasTrial = false;
--- a/Source/model/LeastLoadedPolicy.cpp
+++ b/Source/model/LeastLoadedPolicy.cpp
@@ -19,7 +19,7 @@
     return placement;
 }
 
-void LeastLoadedPolicy::setTargets(const TargetRegistry::Targets &targets, MonotonicTime)
+void LeastLoadedPolicy::setTargets(const TargetRegistry::Targets &targets)
 {
     std::map<TargetId, TargetState> states;
     for (const auto &[id, known] : targets) {
--- a/Source/model/LeastLoadedPolicy.h
+++ b/Source/model/LeastLoadedPolicy.h
@@ -14,7 +14,7 @@
     {}
 
     Placement place(const PlacementQuery &query, MonotonicTime now) const;
-    void setTargets(const TargetRegistry::Targets &targets, MonotonicTime now);
+    void setTargets(const TargetRegistry::Targets &targets);
     void setEntryCount(std::size_t) {}
     void onSent(const TargetId &target, MonotonicTime now);
     void onReport(const TargetId &target, const LoadReport &report, MonotonicTime now);
--- a/Source/model/ModelRun.cpp
+++ b/Source/model/ModelRun.cpp
@@ -103,7 +103,7 @@
         hosted.id = id;
         std::unique_ptr<Policy> policy = m_makePolicy(place, hosted);
         policy->setEntryCount(m_entries.size());
-        policy->setTargets(m_registeredTargets, clock());
+        policy->setTargets(m_registeredTargets);
         entry.policies[id] = std::move(policy);
         entry.budgets.emplace(id, RetryBudget(limits.retryRatio, limits.minRetriesPerWindow));
     }
@@ -114,7 +114,7 @@
 {
     for (const std::unique_ptr<Entry> &entry : m_entries) {
         for (const auto &[id, policy] : entry->policies) {
-            policy->setTargets(m_registeredTargets, clock());
+            policy->setTargets(m_registeredTargets);
         }
     }
 }
--- a/Source/model/PlacementPolicy.h
+++ b/Source/model/PlacementPolicy.h
@@ -18,7 +18,7 @@
     {
         policy.place(query, now)
         } -> std::same_as<Placement>;
-    policy.setTargets(targets, now);
+    policy.setTargets(targets);
     policy.setEntryCount(count);
     policy.onSent(target, now);
     policy.onReport(target, report, now);
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -355,10 +355,11 @@
   relay @9 (positions :List(KindPosition))
       -> (watching :Bool, sinceStoreReturnMs :UInt64, news :List(KindNews));
 
-  # Requests a permit for one request to a limited target, from the entry that issues the permits of
-  # all entries. limit is what the caller and the receiver know. If no permit is granted, one may be
+  # Requests a permit for one request to a limited or cold target, from the entry that issues the
+  # permits of all entries. limit is what the caller and the receiver know, coldPerSecond the rate
+  # that the target tolerates while it is cold, 0 if it is warm. If no permit is granted, one may be
   # available after retryAfterMs.
-  requestPermit @10 (target :Text, failureDomain :Text, limit :TargetLimit)
+  requestPermit @10 (target :Text, failureDomain :Text, limit :TargetLimit, coldPerSecond :Float64)
       -> (granted :Bool, retryAfterMs :UInt64, limit :TargetLimit);
 
   # Tells the receiver what the sender has learned about requests under suspicion.
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -954,7 +954,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a27216799013bbb7, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a27216799013bbb7, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6058,6 +6058,8 @@
   inline bool hasLimit() const;
   inline  ::Tarragon::PeerRpc::TargetLimit::Reader getLimit() const;
 
+  inline double getColdPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6107,6 +6109,9 @@
   inline void adoptLimit(::capnp::Orphan< ::Tarragon::PeerRpc::TargetLimit>&& value);
   inline ::capnp::Orphan< ::Tarragon::PeerRpc::TargetLimit> disownLimit();
 
+  inline double getColdPerSecond();
+  inline void setColdPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11172,6 +11177,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline double Peer::RequestPermitParams::Reader::getColdPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double Peer::RequestPermitParams::Builder::getColdPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RequestPermitParams::Builder::setColdPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::RequestPermitResults::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -165,14 +165,14 @@
     return first;
 }
 
-std::optional<InstanceId> EntryMembership::permitIssuer(const TargetId &target,
+std::optional<InstanceId> EntryMembership::permitIssuer(PermitKind kind, const TargetId &target,
                                                         const FailureDomainId &domain,
                                                         MonotonicTime now) const
 {
     const std::uint64_t key = stableHash(target.value());
     return firstServingEntry(
-            [&domain, key](const EntryRecord &it) -> std::optional<EntryRank> {
-                if (!it.issuesPermits) {
+            [kind, &domain, key](const EntryRecord &it) -> std::optional<EntryRank> {
+                if (!(kind == PermitKind::ColdRate ? it.issuesColdPermits : it.issuesPermits)) {
                     return std::nullopt;
                 }
                 return EntryRank(it.domain != domain,
@@ -235,6 +235,15 @@
     return static_cast<double>(live) / static_cast<double>(entryCount()) / 2;
 }
 
+double EntryMembership::coldPermitFraction() const
+{
+    const std::ptrdiff_t others =
+            std::count_if(m_members.begin(), m_members.end(),
+                          [](const auto &it) { return it.second.record.issuesColdPermits; });
+    const std::ptrdiff_t local = m_localEntry.issuesColdPermits ? 1 : 0;
+    return static_cast<double>(others + local) / static_cast<double>(entryCount());
+}
+
 std::size_t EntryMembership::domainEntryCount() const
 {
     return 1
--- a/Source/routing/EntryMembership.h
+++ b/Source/routing/EntryMembership.h
@@ -28,6 +28,9 @@
     /// Whether the entry issues permits for requests to limited targets. Builds without permits do
     /// not state it.
     bool issuesPermits = false;
+    /// Whether the entry issues permits for requests to cold targets. Builds that do not state it
+    /// send each entry's share of the cold rate without permits.
+    bool issuesColdPermits = false;
     /// Whether the entry permits trials of requests under suspicion. Builds without trials do not
     /// state it.
     bool issuesTrials = false;
@@ -35,6 +38,14 @@
     friend bool operator==(const EntryRecord &, const EntryRecord &) = default;
 };
 
+/// Reason why a request to a target needs a permit.
+enum class PermitKind {
+    /// The target states a limit.
+    StatedLimit,
+    /// The target is cold.
+    ColdRate,
+};
+
 /// State of one entry as entries exchange it by gossip.
 struct GossipMemberState
 {
@@ -101,12 +112,12 @@
     /// have not timed out. Entries from which no heartbeat has been received yet are included,
     /// because at the start there are no heartbeats at all.
     std::vector<InstanceId> watchers(std::size_t count, MonotonicTime now) const;
-    /// Returns the entry that issues the permits for requests to a limited target in this failure
-    /// domain: the first one by a hash of target and entry among the live entries of the domain, or
-    /// among all if it has none. An entry that can reach the target then mostly reaches the issuer
-    /// too. Returns nothing before the registered entries are known.
-    std::optional<InstanceId> permitIssuer(const TargetId &target, const FailureDomainId &domain,
-                                           MonotonicTime now) const;
+    /// Returns the entry that issues the permits of this kind for requests to a target in this
+    /// failure domain: the first one by a hash of target and entry among the live entries of the
+    /// domain, or among all if it has none. An entry that can reach the target then mostly reaches
+    /// the issuer too. Returns nothing before the registered entries are known.
+    std::optional<InstanceId> permitIssuer(PermitKind kind, const TargetId &target,
+                                           const FailureDomainId &domain, MonotonicTime now) const;
     /// Returns the entry that permits trials of requests of the service that are under suspicion:
     /// the first one by a hash of service and entry. Returns nothing before the registered entries
     /// are known.
@@ -122,6 +133,9 @@
     /// entries are live. In a network partition the other entries may have an issuer too, so that a
     /// minority issues half of its proportion at most.
     double issuableFraction(MonotonicTime now) const;
+    /// Returns the fraction of the registered entries that ask for permits for cold targets. The
+    /// others send their shares of the cold rate without permits.
+    double coldPermitFraction() const;
     /// Returns the number of registered entries in the local failure domain, including the local
     /// entry.
     std::size_t domainEntryCount() const;
--- a/Source/routing/PermitIssuer.cpp
+++ b/Source/routing/PermitIssuer.cpp
@@ -12,6 +12,11 @@
 /// Rate that is granted below any limit, 0 included: only the response to a request shows that the
 /// target no longer states the limit. One request in 4 s.
 constexpr double MinRequestsPerSecond = 0.25;
+/// Fraction of a cold rate that is granted. While the entries change from one issuer to another,
+/// both may grant it, and the platform tolerates one and a half times the rate and five requests.
+constexpr double ColdRateUtilization = 0.85;
+/// Maximum burst of permits for a cold target.
+constexpr double MaxColdBurst = 2;
 
 } // namespace
 
@@ -20,16 +25,25 @@
     m_limits.merge(request.target, request.limit, now);
     PermitReply reply;
     reply.limit = m_limits.find(request.target);
-    if (!reply.limit.rate.has_value()) {
+    std::optional<double> rate;
+    double burst = MaxColdBurst;
+    if (reply.limit.rate.has_value()) {
+        rate = std::max(reply.limit.rate->perSecond, MinRequestsPerSecond) * fraction;
+        burst = 1 + BurstSeconds * *rate;
+    }
+    if (request.coldRate.has_value()) {
+        const double coldRate = request.coldRate->perSecond * ColdRateUtilization * fraction;
+        rate = std::min(rate.value_or(coldRate), coldRate);
+        burst = std::min(burst, MaxColdBurst);
+    }
+    if (!rate.has_value()) {
         m_buckets.erase(request.target);
         reply.isGranted = true;
         return reply;
     }
-    const double rate =
-            std::max(reply.limit.rate->perSecond * fraction, MinRequestsPerSecond * fraction);
     Bucket &bucket = m_buckets[request.target];
     bucket.usedAt = now;
-    bucket.tokens.configure(rate, 1 + BurstSeconds * rate, now);
+    bucket.tokens.configure(*rate, burst, now);
     if (bucket.tokens.hasToken(now)) {
         bucket.tokens.take(now);
         reply.isGranted = true;
--- a/Source/routing/PermitIssuer.h
+++ b/Source/routing/PermitIssuer.h
@@ -8,8 +8,8 @@
 
 namespace Tarragon {
 
-/// Issues the permits for requests to limited targets, one token bucket a target. A new issuer
-/// starts with empty buckets, because another entry may have issued permits until now.
+/// Issues the permits for requests to limited and cold targets, one token bucket a target. A new
+/// issuer starts with empty buckets, because another entry may have issued permits until now.
 class PermitIssuer
 {
 public:
@@ -20,7 +20,8 @@
         : m_limits(limits)
     {}
 
-    /// Grants or denies a permit. `fraction` is the part of the limit that this issuer may use.
+    /// Grants or denies a permit. `fraction` is the part of the limit and of the cold rate that
+    /// this issuer may use.
     PermitReply issue(const PermitRequest &request, double fraction, MonotonicTime now);
     /// Removes buckets that have not been used for the retention time.
     void removeUnused(MonotonicTime now);
--- a/Source/routing/PermitMessages.h
+++ b/Source/routing/PermitMessages.h
@@ -4,9 +4,11 @@
 #include "base/Units.h"
 #include "routing/TargetLimit.h"
 
+#include <optional>
+
 namespace Tarragon {
 
-/// Asks the issuer for a permit to send one request to a limited target.
+/// Asks the issuer for a permit to send one request to a limited or cold target.
 struct PermitRequest
 {
     TargetId target;
@@ -14,6 +16,9 @@
     FailureDomainId domain;
     /// What the asking entry knows about the target's limit.
     TargetLimit limit;
+    /// Rate of requests that the target tolerates while it is cold; nothing if the asking entry
+    /// knows it as warm.
+    std::optional<RequestRate> coldRate;
 };
 
 struct PermitReply
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -23,10 +23,6 @@
 constexpr double InitialTimeToGoalRatio = 0.6;
 /// Factor by which a cold target is assumed to be slower, in addition to its measured slowdown.
 constexpr double ColdSlowdown = 2.0;
-/// Fraction of the cold rate that is used; the rest is a margin for entries that start or return.
-constexpr double ColdRateUtilization = 0.9;
-/// Burst of requests that one entry may send to a cold target.
-constexpr double ColdBurst = 1.0;
 /// Fraction of a service's targets up to which ejections are applied. If more targets are ejected,
 /// ejections are ignored because the cause is more likely common to all targets.
 constexpr double MaxEjectedFraction = 0.34;
@@ -81,7 +77,7 @@
     m_callerRegions.assign(regions.begin(), regions.end());
 }
 
-void ServiceDispatcher::setTargets(const TargetRegistry::Targets &targets, MonotonicTime now)
+void ServiceDispatcher::setTargets(const TargetRegistry::Targets &targets)
 {
     States states;
     m_regionSlots.clear();
@@ -101,19 +97,11 @@
         if (known.availability == TargetAvailability::Ready) {
             m_regionSlots[state.region] += known.registration.slots.value;
         }
-        configureColdRate(state, now);
         states.emplace(id, std::move(state));
     }
     m_targets = std::move(states);
 }
 
-void ServiceDispatcher::configureColdRate(TargetState &state, MonotonicTime now) const
-{
-    const double share = m_service.coldRequestsPerSecond * ColdRateUtilization
-                         / static_cast<double>(std::max<std::size_t>(m_entryCount, 1));
-    state.coldRate.configure(share, ColdBurst, now);
-}
-
 Placement ServiceDispatcher::place(const PlacementQuery &query, MonotonicTime now)
 {
     const std::vector<Candidate> candidates = candidatesFor(query, now);
@@ -138,7 +126,10 @@
     }
     Placement placement;
     placement.target = best->state->known.registration.id;
-    placement.needsPermit = m_limits->isLimited(*placement.target);
+    placement.needsPermit = needsPermit(*best->state, now);
+    if (isCold(*best->state, now)) {
+        placement.coldRate = RequestRate{ m_service.coldRequestsPerSecond };
+    }
     placement.expectedWait = best->wait;
     placement.expectedProcessingTime = best->processingTime;
     return placement;
@@ -164,7 +155,7 @@
         // region is added.
         const bool isFallbackRegion = isLargeResponse && !hasPreferred && it->region == preferred;
         if ((candidates.size() >= m_options.affinityTargetsPerObject && !isFallbackRegion)
-            || !isWithinColdRate(*it, now) || !isWithinLimit(*it, query, now)) {
+            || !isPermitPossible(*it, query, now)) {
             continue;
         }
         // An object keeps its affinity targets during a backoff; requests without an object go to
@@ -298,17 +289,17 @@
     return std::max(state.backoffUntil - now, microseconds(0));
 }
 
-bool ServiceDispatcher::isWithinColdRate(const TargetState &state, MonotonicTime now) const
+bool ServiceDispatcher::needsPermit(const TargetState &state, MonotonicTime now) const
 {
-    // Without the number of entries, this entry's fraction of the cold rate is unknown.
-    return !isCold(state, now) || (m_entryCount > 0 && state.coldRate.hasToken(now));
+    return isCold(state, now) || m_limits->isLimited(state.known.registration.id);
 }
 
-bool ServiceDispatcher::isWithinLimit(const TargetState &state, const PlacementQuery &query,
-                                      MonotonicTime now) const
+bool ServiceDispatcher::isPermitPossible(const TargetState &state, const PlacementQuery &query,
+                                         MonotonicTime now) const
 {
-    const TargetId &id = state.known.registration.id;
-    return !m_limits->isLimited(id) || (query.mayNeedPermit && m_limits->exhaustedUntil(id) <= now);
+    return !needsPermit(state, now)
+           || (query.mayNeedPermit && m_entryCount > 0
+               && m_limits->exhaustedUntil(state.known.registration.id) <= now);
 }
 
 bool ServiceDispatcher::appliesEjections(MonotonicTime now) const
@@ -377,9 +368,6 @@
     }
     TargetState &state = it->second;
     state.load.onSent();
-    if (isCold(state, now)) {
-        state.coldRate.take(now);
-    }
     if (state.ejection.isHalfOpen(now)) {
         state.ejection.onProbeSent(now);
     }
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -6,7 +6,6 @@
 #include "routing/TargetLimits.h"
 #include "routing/TargetLoad.h"
 #include "routing/TargetRegistry.h"
-#include "routing/TokenBucket.h"
 
 #include <map>
 #include <memory>
@@ -38,7 +37,8 @@
     std::set<TargetId> triedTargets;
     /// Time left until the request's deadline.
     microseconds timeLeft{ 0 };
-    /// Whether a target may be chosen for which a permit is needed.
+    /// Whether a target may be chosen for which a permit is needed, as it states a limit or is
+    /// cold.
     bool mayNeedPermit = true;
 };
 
@@ -69,8 +69,11 @@
 struct Placement
 {
     std::optional<TargetId> target;
-    /// Whether the target states a limit, so that TargetPermits must permit the request first.
+    /// Whether the target states a limit or is cold, so that TargetPermits must permit the request
+    /// first.
     bool needsPermit = false;
+    /// Rate of requests that the target tolerates from all entries together, if it is cold.
+    std::optional<RequestRate> coldRate;
     /// Estimated time until the target begins to process the request.
     microseconds expectedWait{ 0 };
     /// Estimated processing time at the target.
@@ -116,7 +119,7 @@
     /// Applies the service's parameters from a new route table.
     void setService(const HostedService &service) { m_service = service; }
     /// Replaces the targets. Targets that are still running keep their load and ejection state.
-    void setTargets(const TargetRegistry::Targets &targets, MonotonicTime now);
+    void setTargets(const TargetRegistry::Targets &targets);
     /// Sets the number of entries by which limits of the whole deployment are divided; 0 if
     /// unknown.
     void setEntryCount(std::size_t count) { m_entryCount = count; }
@@ -174,7 +177,6 @@
         std::uint64_t hash = 0;
         TargetLoad load;
         TargetEjection ejection;
-        TokenBucket coldRate;
         /// End of the backoff that the target has requested.
         MonotonicTime backoffUntil;
         /// Time until which the target's capacity is reserved for refused callers that were asked
@@ -208,11 +210,10 @@
     bool isUsable(const TargetState &state, const PlacementQuery &query) const;
     bool isCold(const TargetState &state, MonotonicTime now) const;
     static microseconds remainingBackoff(const TargetState &state, MonotonicTime now);
-    /// Whether the target is warm or its cold rate permits another request of this entry.
-    bool isWithinColdRate(const TargetState &state, MonotonicTime now) const;
-    /// Whether the target states no limit, or may have a permit for the request.
-    bool isWithinLimit(const TargetState &state, const PlacementQuery &query,
-                       MonotonicTime now) const;
+    bool needsPermit(const TargetState &state, MonotonicTime now) const;
+    /// Whether the target needs no permit, or may have one for the request.
+    bool isPermitPossible(const TargetState &state, const PlacementQuery &query,
+                          MonotonicTime now) const;
     /// Whether ejected targets are skipped. They are skipped only while few of the service's
     /// targets are ejected.
     bool appliesEjections(MonotonicTime now) const;
@@ -224,7 +225,6 @@
     /// available then for the refused caller.
     Placement refuse(RefusalReason reason, const std::vector<Candidate> &candidates,
                      const PlacementQuery &query, microseconds limit, MonotonicTime now) const;
-    void configureColdRate(TargetState &state, MonotonicTime now) const;
 
     EntryLocality m_locality;
     HostedService m_service;
--- a/Source/routing/TargetLimits.cpp
+++ b/Source/routing/TargetLimits.cpp
@@ -59,10 +59,9 @@
 
 void TargetLimits::setExhaustedUntil(const TargetId &target, MonotonicTime time)
 {
-    const auto it = m_targets.find(target);
-    if (it != m_targets.end()) {
-        it->second.exhaustedUntil = time;
-    }
+    Knowledge &knowledge = m_targets[target];
+    knowledge.exhaustedUntil = time;
+    knowledge.heardAt = std::max(knowledge.heardAt, time);
 }
 
 MonotonicTime TargetLimits::exhaustedUntil(const TargetId &target) const
@@ -94,7 +93,8 @@
 {
     std::vector<std::pair<MonotonicTime, TargetLimitChange>> recent;
     for (const auto &[target, knowledge] : m_targets) {
-        if (now - knowledge.changedAt < GossipTime) {
+        const bool hasLimit = knowledge.limit.version != LimitVersion();
+        if (hasLimit && now - knowledge.changedAt < GossipTime) {
             recent.emplace_back(knowledge.changedAt, TargetLimitChange{ target, knowledge.limit });
         }
     }
--- a/Source/routing/TargetLimits.h
+++ b/Source/routing/TargetLimits.h
@@ -42,8 +42,8 @@
     TargetLimit find(const TargetId &target) const;
     bool isLimited(const TargetId &target) const { return find(target).rate.has_value(); }
 
-    /// Called when no request may be sent to the target before this time, because its limit is used
-    /// up.
+    /// Called when no request may be sent to the target before this time, because its limit or its
+    /// cold rate is used up.
     void setExhaustedUntil(const TargetId &target, MonotonicTime time);
     /// Returns the time from which a request may be sent to the target as far as known here.
     MonotonicTime exhaustedUntil(const TargetId &target) const;
--- a/Source/routing/TargetPermits.cpp
+++ b/Source/routing/TargetPermits.cpp
@@ -22,12 +22,19 @@
     , m_ask(std::move(ask))
 {}
 
-void TargetPermits::obtain(const DiscoveredTarget &target, MonotonicTime now,
-                           const DecidedSlot &decided)
+std::optional<InstanceId> TargetPermits::issuerOf(const PermitRequest &request,
+                                                  MonotonicTime now) const
 {
-    const PermitRequest request{ target.id, target.domain, m_limits.find(target.id) };
-    const std::optional<InstanceId> issuer =
-            m_membership.permitIssuer(target.id, target.domain, now);
+    const PermitKind kind =
+            request.coldRate.has_value() ? PermitKind::ColdRate : PermitKind::StatedLimit;
+    return m_membership.permitIssuer(kind, request.target, request.domain, now);
+}
+
+void TargetPermits::obtain(const DiscoveredTarget &target, std::optional<RequestRate> coldRate,
+                           MonotonicTime now, const DecidedSlot &decided)
+{
+    const PermitRequest request{ target.id, target.domain, m_limits.find(target.id), coldRate };
+    const std::optional<InstanceId> issuer = issuerOf(request, now);
     if (!issuer.has_value()) {
         decided(apply(target.id, now, nullptr, now));
         return;
@@ -46,12 +53,14 @@
 
 PermitReply TargetPermits::answer(const PermitRequest &request, MonotonicTime now)
 {
-    const bool isIssuer = m_membership.permitIssuer(request.target, request.domain, now)
-                          == m_membership.localEntry().instance;
-    if (!isIssuer) {
+    if (issuerOf(request, now) != m_membership.localEntry().instance) {
         return PermitReply{ false, NoIssuerBackoff, m_limits.find(request.target) };
     }
-    return m_issuer.issue(request, m_membership.issuableFraction(now), now);
+    double fraction = m_membership.issuableFraction(now);
+    if (request.coldRate.has_value()) {
+        fraction *= m_membership.coldPermitFraction();
+    }
+    return m_issuer.issue(request, fraction, now);
 }
 
 bool TargetPermits::apply(const TargetId &target, MonotonicTime askedAt, const PermitReply *reply,
--- a/Source/routing/TargetPermits.h
+++ b/Source/routing/TargetPermits.h
@@ -6,11 +6,14 @@
 
 #include <sigc++/sigc++.h>
 
+#include <optional>
+
 namespace Tarragon {
 
-/// Obtains permits for this entry's requests to limited targets. For each target one entry issues
-/// the permits of all, so that the sum keeps the limit wherever the requests arrive; a fixed share
-/// for each entry would be unused at entries without requests. Without a permit, a request goes to
+/// Obtains permits for this entry's requests to limited and cold targets. For each target one entry
+/// issues the permits of all, so that the sum keeps the limit wherever the requests arrive; a fixed
+/// share for each entry would be unused at entries without requests, and the first requests of all
+/// entries together would exceed it. Without a permit, a request goes to
 /// another target or is refused.
 class TargetPermits
 {
@@ -29,14 +32,17 @@
 
     TargetPermits(const EntryMembership &membership, TargetLimits &limits, AskSlot ask);
 
-    /// Obtains a permit for one request to the target.
-    void obtain(const DiscoveredTarget &target, MonotonicTime now, const DecidedSlot &decided);
+    /// Obtains a permit for one request to the target. `coldRate` is the rate that it tolerates
+    /// while it is cold; nothing if it is warm.
+    void obtain(const DiscoveredTarget &target, std::optional<RequestRate> coldRate,
+                MonotonicTime now, const DecidedSlot &decided);
     /// Replies to a request of another entry, or of this one.
     PermitReply answer(const PermitRequest &request, MonotonicTime now);
     /// Removes state that is not used any more.
     void removeUnused(MonotonicTime now);
 
 private:
+    std::optional<InstanceId> issuerOf(const PermitRequest &request, MonotonicTime now) const;
     /// Applies the reply to a request sent at `askedAt`. Returns whether a permit was granted.
     bool apply(const TargetId &target, MonotonicTime askedAt, const PermitReply *reply,
                MonotonicTime now);
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -249,7 +249,7 @@
     bounds.extraRetries = 100;
     const MonotonicTime now(seconds(1));
     GatewayState state(settings, bounds);
-    state.setEntryCount(1, now);
+    state.setEntryCount(1);
     const ServiceId service("one");
     EXPECT_GT(state.retryBudget(service).available(now), 10);
     bounds.extraRetries = 10;
--- a/Tests/gateway/GatewayFixture.h
+++ b/Tests/gateway/GatewayFixture.h
@@ -64,6 +64,7 @@
         record.domain = FailureDomainId("d1");
         record.region = RegionId("r1");
         record.issuesPermits = true;
+        record.issuesColdPermits = true;
         record.issuesTrials = true;
         return record;
     }
@@ -95,7 +96,7 @@
         service.id = ServiceId("service");
         table.services.emplace(service.id, service);
         ASSERT_TRUE(m_state->adopt(std::move(table)));
-        m_state->setEntryCount(1, m_loop.now());
+        m_state->setEntryCount(1);
     }
 
     /// Adds a target that runs the script for each request.
--- a/Tests/gateway/LimitScenario.h
+++ b/Tests/gateway/LimitScenario.h
@@ -45,6 +45,8 @@
     /// Number of objects that requests concern; 0 for requests that concern no object.
     int objects = 400;
     int slotsPerTarget = 6;
+    /// Requests per second that a cold target tolerates from all entries together.
+    double coldRequestsPerSecond = 10;
     /// Mean processing time of a request.
     microseconds work{ 100'000 };
     /// Probability that a limited target responds with a server error.
--- a/Tests/gateway/LimitSimulation.cpp
+++ b/Tests/gateway/LimitSimulation.cpp
@@ -61,7 +61,7 @@
                                  RegionId(numbered("r", std::size_t(i % RegionCount))));
     }
     m_service.id = ServiceId("catalog");
-    m_service.coldRequestsPerSecond = 10;
+    m_service.coldRequestsPerSecond = scenario.coldRequestsPerSecond;
     m_route.name = RouteName("read");
     m_route.host = "stand.example";
     m_route.pathPrefix = "/read/";
@@ -156,6 +156,7 @@
     record.front = Endpoint{ "127.0.0.1", std::uint16_t(20'000 + entry) };
     record.rpc = Endpoint{ "127.0.0.1", std::uint16_t(30'000 + entry) };
     record.issuesPermits = !isOldBuild(entry);
+    record.issuesColdPermits = !isOldBuild(entry);
     m_registrations[it.id] = record;
     it.process = std::make_unique<Process>(
             settingsOf(it.id, it.domain, m_regionOfDomain), record, m_random(),
@@ -225,9 +226,24 @@
 {
     m_targets[target].registration.coldRemaining =
             std::chrono::duration_cast<milliseconds>(duration);
+    m_targets[target].coldUntil = m_schedule.now() + duration;
     refreshTargets();
 }
 
+void LimitSimulation::setEvacuated(const std::set<FailureDomainId> &domains, microseconds maxDelay)
+{
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        const std::uint64_t epoch = m_entries[i].epoch;
+        m_schedule.after(scaled(maxDelay, uniform()), [this, i, epoch, domains] {
+            onEntry(i, epoch, [this, i, domains] {
+                GatewayState &state = m_entries[i].process->state;
+                state.registry().setEvacuated(domains, clock());
+                state.refreshTargets(clock());
+            });
+        });
+    }
+}
+
 void LimitSimulation::refreshTargets()
 {
     std::vector<DiscoveredTarget> registrations;
@@ -262,7 +278,7 @@
     onEntry(entry, epoch, [this, entry, epoch] {
         Process &process = *m_entries[entry].process;
         process.membership.setRecords(records());
-        process.state.setEntryCount(process.membership.entryCount(), clock());
+        process.state.setEntryCount(process.membership.entryCount());
         m_schedule.after(scaled(RegistryPeriod, 0.5 + 0.5 * uniform()),
                          [this, entry, epoch] { refreshRecords(entry, epoch); });
     });
@@ -380,16 +396,16 @@
 {
     Process &process = *m_entries[entry].process;
     ServiceDispatcher &dispatcher = *process.state.dispatcher(m_service.id);
-    process.permits.obtain(dispatcher.findTarget(*placement.target)->registration, clock(),
-                           [this, entry, request, placement, &dispatcher](bool isGranted) {
-                               if (isGranted
-                                   && dispatcher.stillAccepts(*placement.target, clock())) {
-                                   send(entry, request, placement);
-                                   return;
-                               }
-                               ++request->deniedPermits;
-                               dispatch(entry, request);
-                           });
+    process.permits.obtain(
+            dispatcher.findTarget(*placement.target)->registration, placement.coldRate, clock(),
+            [this, entry, request, placement, &dispatcher](bool isGranted) {
+                if (isGranted && dispatcher.stillAccepts(*placement.target, clock())) {
+                    send(entry, request, placement);
+                    return;
+                }
+                ++request->deniedPermits;
+                dispatch(entry, request);
+            });
 }
 
 void LimitSimulation::ask(std::size_t entry, std::uint64_t epoch, const InstanceId &issuer,
@@ -491,6 +507,9 @@
     if (job.isToCold) {
         target.coldArrivals.push_back(m_schedule.now());
     }
+    if (m_schedule.now() < target.coldUntil) {
+        target.arrivalsWhileCold.push_back(m_schedule.now());
+    }
     if (target.running < m_scenario.slotsPerTarget) {
         startJob(index, job);
     } else if (target.waiting.size() < TargetQueue) {
--- a/Tests/gateway/LimitSimulation.h
+++ b/Tests/gateway/LimitSimulation.h
@@ -71,8 +71,10 @@
     void restartTarget(std::size_t target);
     /// Ends a target and gives its address to a new one, of the same service.
     void replaceTarget(std::size_t target);
-    /// Marks a target as cold for the time, in the registry that all entries read.
+    /// Makes a target cold for the time, and writes so in the registry that all entries read.
     void makeCold(std::size_t target, microseconds duration);
+    /// Sets the evacuated failure domains, of which each entry learns within `maxDelay`.
+    void setEvacuated(const std::set<FailureDomainId> &domains, microseconds maxDelay);
 
     const CallerFigures &callers() const { return m_callers; }
     const LimitAudit &audit(std::size_t target) const { return m_targets[target].audit; }
@@ -81,7 +83,17 @@
     {
         return m_targets[target].coldArrivals;
     }
+    /// Times at which requests of any entry arrived while the target was cold.
+    const std::vector<microseconds> &arrivalsWhileCold(std::size_t target) const
+    {
+        return m_targets[target].arrivalsWhileCold;
+    }
     std::size_t entryCount() const { return m_entries.size(); }
+    std::size_t targetCount() const { return m_targets.size(); }
+    const FailureDomainId &domainOf(std::size_t target) const
+    {
+        return m_targets[target].registration.domain;
+    }
     microseconds now() const { return m_schedule.now(); }
 
 private:
@@ -141,6 +153,8 @@
         std::optional<StatedLimit> lastStated;
         LimitAudit audit;
         std::vector<microseconds> coldArrivals;
+        microseconds coldUntil{ 0 };
+        std::vector<microseconds> arrivalsWhileCold;
     };
 
     MonotonicTime clock() const;
--- a/Tests/gateway/OlderBuildTest.cpp
+++ b/Tests/gateway/OlderBuildTest.cpp
@@ -129,13 +129,13 @@
     m_runtime.run();
     EXPECT_TRUE(m_limits.isLimited(TargetId("t1")));
     std::optional<bool> hasReply;
-    requestPermit(
-            m_loop, m_gossip.client(InstanceId("old")),
-            PermitRequest{ TargetId("t1"), FailureDomainId("d1"), m_limits.find(TargetId("t1")) },
-            [this, &hasReply](const PermitReply *reply, MonotonicTime) {
-                hasReply = reply != nullptr;
-                m_runtime.stop();
-            });
+    requestPermit(m_loop, m_gossip.client(InstanceId("old")),
+                  PermitRequest{ TargetId("t1"), FailureDomainId("d1"),
+                                 m_limits.find(TargetId("t1")), std::nullopt },
+                  [this, &hasReply](const PermitReply *reply, MonotonicTime) {
+                      hasReply = reply != nullptr;
+                      m_runtime.stop();
+                  });
     m_runtime.run();
     EXPECT_EQ(hasReply, false);
 }
--- a/Tests/routing/TargetPermitsTest.cpp
+++ b/Tests/routing/TargetPermitsTest.cpp
@@ -21,6 +21,7 @@
     record.region = RegionId("north");
     record.incarnation = Incarnation(1);
     record.issuesPermits = issuesPermits;
+    record.issuesColdPermits = issuesPermits;
     return record;
 }
 
@@ -39,7 +40,19 @@
     void obtain(double time)
     {
         m_granted.reset();
-        m_permits.obtain(target("t1"), at(time), [this](bool isGranted) { m_granted = isGranted; });
+        m_permits.obtain(target("t1"), m_coldRate, at(time),
+                         [this](bool isGranted) { m_granted = isGranted; });
+    }
+    /// Asks this entry for permits, one a millisecond for three seconds, and returns how many it
+    /// grants.
+    int grantedInThreeSeconds()
+    {
+        int granted = 0;
+        const PermitRequest request{ TargetId("t1"), FailureDomainId("n1"), {}, RequestRate{ 10 } };
+        for (int i = 0; i < 3'000; ++i) {
+            granted += m_permits.answer(request, at(1 + i * 0.001)).isGranted ? 1 : 0;
+        }
+        return granted;
     }
     void reply(const PermitReply &reply, double time)
     {
@@ -59,6 +72,7 @@
                                  m_asked.push_back(replied);
                              } };
     std::optional<bool> m_granted;
+    std::optional<RequestRate> m_coldRate;
 };
 
 // Guards against a process that was suspended and uses a permit that is no longer valid.
@@ -102,12 +116,51 @@
 {
     join({ recordOf("e1") }, 0);
     const PermitRequest request{ TargetId("t1"), FailureDomainId("n1"),
-                                 TargetLimit{ RequestRate{ 100 }, LimitVersion(1) } };
+                                 TargetLimit{ RequestRate{ 100 }, LimitVersion(1) }, std::nullopt };
     for (int i = 0; i < 20; ++i) {
         EXPECT_FALSE(m_permits.answer(request, at(0.1 * i)).isGranted);
     }
 }
 
+// Guards against more permits for a cold target than it tolerates: 10 per second.
+TEST_F(TargetPermitsTest, IssuerGrantsNoMoreThanTheColdRate)
+{
+    m_membership.setServing(true);
+    join({}, 0);
+    const int granted = grantedInThreeSeconds();
+    EXPECT_LE(granted, 3 * 10);
+    EXPECT_GE(granted, 3 * 8);
+}
+
+// Guards against a cold rate that is exceeded during an update: entries of an older build send
+// their shares of it without permits, and do not know what they would have to issue.
+TEST_F(TargetPermitsTest, OlderEntriesHaveTheirShareOfTheColdRate)
+{
+    EntryRecord old = recordOf("old");
+    old.issuesColdPermits = false;
+    m_membership.setServing(true);
+    join({ old }, 1);
+    m_coldRate = RequestRate{ 10 };
+    obtain(1);
+    EXPECT_TRUE(m_issuers.empty());
+    const int granted = grantedInThreeSeconds();
+    EXPECT_LE(granted, 3 * 5 + 1);
+    EXPECT_GE(granted, 3 * 4);
+}
+
+// Guards against a cold target that is asked for again before a permit can be available.
+TEST_F(TargetPermitsTest, ColdTargetIsLeftOutUntilTheNextPermit)
+{
+    join({ recordOf("e1") }, 0);
+    m_coldRate = RequestRate{ 10 };
+    obtain(0);
+    reply(PermitReply{ false, milliseconds(120), {} }, 0.05);
+    EXPECT_EQ(m_granted, false);
+    EXPECT_EQ(m_limits.exhaustedUntil(TargetId("t1")), at(0.17));
+    EXPECT_FALSE(m_limits.isLimited(TargetId("t1")));
+    EXPECT_TRUE(m_limits.recentChanges(at(0.1)).empty());
+}
+
 // Guards against waiting for an issuer that does not reply: the target is left out for a while.
 TEST_F(TargetPermitsTest, WithoutAReplyTheTargetIsLeftOut)
 {
