Tests: Show that an invalid desired state is refused as a whole

The test writes one to the stand-in of the store, and a valid one under another name; if either were adopted, the valid one of a lower version that follows would be refused.

--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -31,9 +31,9 @@
         m_daemon = std::make_unique<GatewayDaemon>(m_loop, m_settings, m_log);
     }
 
-    void writeDesiredState(int version)
+    static nlohmann::json desiredState(int version)
     {
-        const nlohmann::json spec = {
+        return {
             { "version", "r" + std::to_string(version) },
             { "routes",
               { { "columns",
@@ -42,8 +42,8 @@
                 { "rows", { { "r-1", "a.example", "/x/", "safe", 1.0, 0.2, "one" } } } } },
             { "services", { { "columns", { "name" } }, { "rows", { { "one" } } } } },
         };
-        write("config", "main", spec);
     }
+    void writeDesiredState(int version) { write("config", "main", desiredState(version)); }
     void writeTarget(const std::string &id)
     {
         write("servers", id,
@@ -175,6 +175,26 @@
     EXPECT_THAT(response->body, testing::HasSubstr("stopping"));
 }
 
+// Guards against an invalid desired state, or one under another name, that replaces the one in
+// force: a valid one with a lower version would then be refused.
+TEST_F(GatewayDaemonTest, InvalidDesiredStateIsRefusedAsAWhole)
+{
+    writeDesiredState(3);
+    writeTarget("t1");
+    runUntil([this] { return readiness() == 200; });
+    nlohmann::json invalid = desiredState(8);
+    invalid["routes"]["rows"].push_back({ "r-2", "a.example", "/y/", "safe", "soon", 0.2, "one" });
+    m_standIn.objects().put("config", "main", invalid);
+    write("config", "other", desiredState(9));
+    m_standIn.objects().put("config", "main", desiredState(6));
+    write("config", "another", nlohmann::json::object());
+    runUntil([this] {
+        const std::string text = ask(m_daemon->ports().metrics, "/metrics").body;
+        return text.find("tarragon_gateway_route_version 6") != std::string::npos;
+    });
+    EXPECT_EQ(readiness(), 200);
+}
+
 // Guards against metrics from which an on-call engineer cannot tell why a gateway refuses requests.
 TEST_F(GatewayDaemonTest, MetricsShowRefusalsAndTheAgeOfStoreData)
 {
