Gateway: Check rates of other entries in one place

The check of the cold rate in a request for a permit repeated that of a limit, with the same message. decodeRate() serves both; the messages are as before.

--- a/Source/gateway/LimitCodec.cpp
+++ b/Source/gateway/LimitCodec.cpp
@@ -23,17 +23,21 @@
     }
 }
 
+RequestRate decodeRate(std::string_view name, double perSecond)
+{
+    if (!std::isfinite(perSecond) || perSecond < 0) {
+        throw Error(std::string(name) + " is " + std::to_string(perSecond)
+                    + " requests per second, expected a finite number of at least 0");
+    }
+    return RequestRate{ perSecond };
+}
+
 TargetLimit decodeLimit(PeerRpc::TargetLimit::Reader reader)
 {
     TargetLimit limit;
     limit.version = LimitVersion(reader.getVersion());
     if (reader.getLimited()) {
-        const double perSecond = reader.getPerSecond();
-        if (!std::isfinite(perSecond) || perSecond < 0) {
-            throw Error("limit is " + std::to_string(perSecond)
-                        + " requests per second, expected a finite number of at least 0");
-        }
-        limit.rate = RequestRate{ perSecond };
+        limit.rate = decodeRate("limit", reader.getPerSecond());
     }
     return limit;
 }
--- a/Source/gateway/PermitRpc.cpp
+++ b/Source/gateway/PermitRpc.cpp
@@ -8,7 +8,6 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace Tarragon {
 
@@ -38,13 +37,9 @@
 {
     PermitRequest request{ TargetId(params.getTarget()), FailureDomainId(params.getFailureDomain()),
                            decodeLimit(params.getLimit()), std::nullopt };
-    const double coldRate = params.getColdPerSecond();
-    if (!std::isfinite(coldRate) || coldRate < 0) {
-        throw Error("cold rate is " + std::to_string(coldRate)
-                    + " requests per second, expected a finite number of at least 0");
-    }
-    if (coldRate > 0) {
-        request.coldRate = RequestRate{ coldRate };
+    const RequestRate coldRate = decodeRate("cold rate", params.getColdPerSecond());
+    if (coldRate > RequestRate{}) {
+        request.coldRate = coldRate;
     }
     return request;
 }
--- a/Source/routing/TargetPermits.h
+++ b/Source/routing/TargetPermits.h
@@ -13,8 +13,8 @@
 /// Obtains permits for this entry's requests to limited and cold targets. For each target one entry
 /// issues the permits of all, so that the sum keeps the limit wherever the requests arrive; a fixed
 /// share for each entry would be unused at entries without requests, and the first requests of all
-/// entries together would exceed it. Without a permit, a request goes to
-/// another target or is refused.
+/// entries together would exceed it. Without a permit, a request goes to another target or is
+/// refused.
 class TargetPermits
 {
 public:
