Membership: Require a second heartbeat of an entry that failed long ago

The last heartbeat of an entry that has failed can arrive long after the failure, from an entry that was cut off meanwhile. It counted as new, so that lookups named the failed entry for the heartbeat timeout again.

An entry whose last heartbeat is older than the timeout and a second is now live again only with its second heartbeat. HeartbeatThatArrivesLateDoesNotReviveAFailedEntry fails without it.

--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -86,10 +86,18 @@
         if (it.incarnation != member.record.incarnation) {
             continue;
         }
-        const bool isNewer =
-                !member.lastHeartbeatAt.has_value() || it.heartbeat > member.state.heartbeat;
-        if (isNewer) {
-            member.state = it;
+        const bool isFirst = !member.lastHeartbeatAt.has_value();
+        if (!isFirst && it.heartbeat <= member.state.heartbeat) {
+            continue;
+        }
+        // The last heartbeat of an entry that has failed may arrive long after the failure, from an
+        // entry that was cut off meanwhile. Only an entry that is running sends another one.
+        const bool isConfirmed =
+                isFirst || member.isReturning
+                || now - *member.lastHeartbeatAt < m_options.heartbeatTimeout + ConfirmationDelay;
+        member.isReturning = !isConfirmed;
+        member.state = it;
+        if (isConfirmed) {
             member.lastHeartbeatAt = now;
         }
     }
--- a/Source/routing/EntryMembership.h
+++ b/Source/routing/EntryMembership.h
@@ -97,7 +97,8 @@
     /// to send to another entry.
     std::vector<GossipMemberState> memberStates() const;
     /// Merges states received from another entry. Ignores unregistered entries, other incarnations
-    /// than the registered one, and heartbeats that have not increased.
+    /// than the registered one, and heartbeats that have not increased. An entry that failed some
+    /// time ago is live again with its second heartbeat.
     void merge(const std::vector<GossipMemberState> &states, MonotonicTime now);
 
     /// Returns the live entries of the region that accept requests of callers, including the local
@@ -153,8 +154,14 @@
         /// Time at which the heartbeat counter last increased; not set if no heartbeat has been
         /// received.
         std::optional<MonotonicTime> lastHeartbeatAt;
+        /// Whether one heartbeat has arrived since the entry was found to have failed.
+        bool isReturning = false;
     };
 
+    /// Time after the heartbeat timeout from which a returning entry needs a second heartbeat.
+    /// Below it, gossip may only have been slow, and a stale heartbeat keeps the entry in lookups
+    /// for no longer than lookups may name a failed one.
+    static constexpr microseconds ConfirmationDelay{ 1'000'000 };
     /// Entries of another failure domain that pass news on there. Two, so that one of them may
     /// fail.
     static constexpr std::size_t NewsRelaysPerDomain = 2;
--- a/Tests/routing/EntryMembershipTest.cpp
+++ b/Tests/routing/EntryMembershipTest.cpp
@@ -90,6 +90,40 @@
     }
 }
 
+// Guards against lookups that name an entry long after its failure, because an entry that was cut
+// off meanwhile spreads a heartbeat that the others have not received.
+TEST_F(EntryMembershipTest, HeartbeatThatArrivesLateDoesNotReviveAFailedEntry)
+{
+    makeFleet(9);
+    run(0, 8);
+    static_cast<void>(m_fleet[0]->beginGossipRound());
+    const std::vector<GossipMemberState> lastStates = m_fleet[0]->memberStates();
+    m_up[0] = false;
+    run(8, 20);
+    EXPECT_FALSE(m_fleet[2]->isLive(m_records[0].instance, at(20)));
+    m_fleet[1]->merge(lastStates, at(20));
+    for (double time = 20; time < 26; time += Round) {
+        run(time, time + Round);
+        for (std::size_t i = 1; i < m_fleet.size(); ++i) {
+            EXPECT_FALSE(m_fleet[i]->isLive(m_records[0].instance, at(time + Round))) << i;
+        }
+    }
+}
+
+// Guards against an entry that stays out of lookups after the end of its partition.
+TEST_F(EntryMembershipTest, EntryThatReturnsIsLiveAgainWithinAFewRounds)
+{
+    makeFleet(9);
+    run(0, 8);
+    m_up[0] = false;
+    run(8, 20);
+    m_up[0] = true;
+    run(20, 23);
+    for (std::size_t i = 1; i < m_fleet.size(); ++i) {
+        EXPECT_TRUE(m_fleet[i]->isLive(m_records[0].instance, at(23))) << i;
+    }
+}
+
 // Guards against live entries that are temporarily missing from lookups because their heartbeats
 // arrive late.
 TEST_F(EntryMembershipTest, LiveEntriesAreAlwaysListed)
