Gateway: Authenticate requests by the keys of workspaces

Deployments with workspaces passed every key on to targets and served requests with unknown and withdrawn keys.

The route table now holds the workspaces. A request without a known key gets 401 unless its route is public; targets get the workspace's name in place of the key; regions must be allowed by route and workspace. Route tables without workspaces are handled as before.

--- a/Source/gateway/GatewayMetrics.cpp
+++ b/Source/gateway/GatewayMetrics.cpp
@@ -26,11 +26,28 @@
 } // namespace
 
 GatewayMetrics::GatewayMetrics()
-    : m_requests(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_requests_total",
-                                "Requests that have ended, by route and outcome", m_registry))
-    , m_requestSeconds(
-              registerFamily(prometheus::BuildHistogram(), "tarragon_gateway_request_seconds",
-                             "Time from arrival to the end of the answer, by route", m_registry))
+    : m_routeRequests{ registerFamily(prometheus::BuildCounter(), "tarragon_gateway_requests_total",
+                                      "Requests that have ended, by route and outcome", m_registry),
+                       registerFamily(
+                               prometheus::BuildHistogram(), "tarragon_gateway_request_seconds",
+                               "Time from arrival to the end of the answer, by route", m_registry),
+                       "route",
+                       MaxRouteLabels,
+                       {},
+                       {} }
+    , m_workspaceRequests{ registerFamily(prometheus::BuildCounter(),
+                                          "tarragon_gateway_workspace_requests_total",
+                                          "Requests that have ended, by workspace and outcome",
+                                          m_registry),
+                           registerFamily(prometheus::BuildHistogram(),
+                                          "tarragon_gateway_workspace_request_seconds",
+                                          "Time from arrival to the end of the answer, by "
+                                          "workspace",
+                                          m_registry),
+                           "workspace",
+                           MaxWorkspaceLabels,
+                           {},
+                           {} }
     , m_sends(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_sends_total",
                              "Requests sent to targets, by service and outcome", m_registry))
     , m_retries(registerFamily(prometheus::BuildCounter(), "tarragon_gateway_retries_total",
@@ -74,30 +91,35 @@
                                        "Requests that are at targets, by service", m_registry))
 {}
 
-std::string GatewayMetrics::routeLabel(const RouteName &route)
+void GatewayMetrics::RequestSeries::record(const std::string &value, const std::string &outcome,
+                                           microseconds duration)
 {
-    if (m_histograms.contains(route.value()) || m_histograms.size() < MaxRouteLabels) {
-        return route.value();
-    }
-    return "other";
-}
-
-void GatewayMetrics::recordRequest(const RouteName &route, const std::string &outcome,
-                                   microseconds duration)
-{
-    const std::string label = routeLabel(route);
-    prometheus::Counter *&counter = m_requestCounters[{ label, outcome }];
+    const bool hasLabel = histograms.contains(value) || histograms.size() < maxLabels;
+    const std::string label = hasLabel ? value : "other";
+    prometheus::Counter *&counter = counters[{ label, outcome }];
     if (counter == nullptr) {
-        counter = &m_requests.Add({ { "route", label }, { "outcome", outcome } });
+        counter = &requests.Add({ { labelName, label }, { "outcome", outcome } });
     }
     counter->Increment();
-    prometheus::Histogram *&histogram = m_histograms[label];
+    prometheus::Histogram *&histogram = histograms[label];
     if (histogram == nullptr) {
-        histogram = &m_requestSeconds.Add({ { "route", label } }, SecondsBuckets);
+        histogram = &requestSeconds.Add({ { labelName, label } }, SecondsBuckets);
     }
     histogram->Observe(inSeconds(duration));
 }
 
+void GatewayMetrics::recordRequest(const RouteName &route, const std::string &outcome,
+                                   microseconds duration)
+{
+    m_routeRequests.record(route.value(), outcome, duration);
+}
+
+void GatewayMetrics::recordWorkspaceRequest(const WorkspaceName &workspace,
+                                            const std::string &outcome, microseconds duration)
+{
+    m_workspaceRequests.record(workspace.value(), outcome, duration);
+}
+
 void GatewayMetrics::recordSend(const ServiceId &service, const std::string &outcome)
 {
     prometheus::Counter *&counter = m_sendCounters[{ service.value(), outcome }];
--- a/Source/gateway/GatewayMetrics.h
+++ b/Source/gateway/GatewayMetrics.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "routing/RouteTable.h"
+#include "routing/Workspace.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -24,6 +25,9 @@
     /// Counts a request that has ended and records its duration. `outcome` is one of the outcomes
     /// in the request log.
     void recordRequest(const RouteName &route, const std::string &outcome, microseconds duration);
+    /// Counts a request of a workspace that has ended and records its duration.
+    void recordWorkspaceRequest(const WorkspaceName &workspace, const std::string &outcome,
+                                microseconds duration);
     /// Counts a request sent to a target; `outcome` states how it ended there.
     void recordSend(const ServiceId &service, const std::string &outcome);
     void recordRetry(const ServiceId &service);
@@ -58,11 +62,25 @@
     /// does not increase the number of metrics without bound.
     static constexpr std::size_t MaxRouteLabels = 64;
 
-    std::string routeLabel(const RouteName &route);
+    /// Maximum number of workspace labels. Further workspaces share one label.
+    static constexpr std::size_t MaxWorkspaceLabels = 100;
+    /// Counters and histograms of requests by a label and their outcome. Labels beyond a maximum
+    /// number share the label "other".
+    struct RequestSeries
+    {
+        prometheus::Family<prometheus::Counter> &requests;
+        prometheus::Family<prometheus::Histogram> &requestSeconds;
+        const char *labelName;
+        std::size_t maxLabels;
+        std::map<std::string, prometheus::Histogram *> histograms;
+        std::map<std::pair<std::string, std::string>, prometheus::Counter *> counters;
+
+        void record(const std::string &value, const std::string &outcome, microseconds duration);
+    };
 
     prometheus::Registry m_registry;
-    prometheus::Family<prometheus::Counter> &m_requests;
-    prometheus::Family<prometheus::Histogram> &m_requestSeconds;
+    RequestSeries m_routeRequests;
+    RequestSeries m_workspaceRequests;
     prometheus::Family<prometheus::Counter> &m_sends;
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_permits;
@@ -81,8 +99,6 @@
     prometheus::Gauge &m_linesSkipped;
     prometheus::Family<prometheus::Gauge> &m_retriesLeft;
     prometheus::Family<prometheus::Gauge> &m_sendsInProgress;
-    std::map<std::string, prometheus::Histogram *> m_histograms;
-    std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_requestCounters;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_sendCounters;
 };
 
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -2,8 +2,10 @@
 
 #include "base/Digest.h"
 #include "document/JsonFields.h"
+#include "gateway/AttemptLog.h"
 #include "net/HttpStatus.h"
 #include "net/LogLine.h"
+#include "routing/RequestAccess.h"
 #include "routing/RetryLimits.h"
 
 #include <log4cplus/logger.h>
@@ -21,6 +23,9 @@
 constexpr milliseconds RetryAfterWithoutTable{ 300 };
 /// Retry-After of requests that arrive during a planned stop: other entries accept them at once.
 constexpr milliseconds RetryAfterWhileStopping{ 1 };
+/// Retry-After of requests whose route and workspace allow no common region. Only operators can
+/// change that.
+constexpr milliseconds RetryAfterWithoutRegion{ 1'000 };
 /// Timeout of connecting to a target. A connection within or between regions takes up to 40 ms; a
 /// lost SYN packet is retransmitted after one second, and another target is tried before that.
 constexpr milliseconds ConnectTimeout{ 250 };
@@ -34,27 +39,6 @@
     return instance;
 }
 
-std::string describe(SendOutcome outcome)
-{
-    switch (outcome) {
-    case SendOutcome::Answered:
-        return "answered";
-    case SendOutcome::Failed:
-        return "failed";
-    case SendOutcome::Declined:
-        return "declined";
-    case SendOutcome::WrongTarget:
-        return "wrong-target";
-    case SendOutcome::Unreachable:
-        return "unreachable";
-    case SendOutcome::Broken:
-        return "broken";
-    case SendOutcome::Aborted:
-        return "abandoned";
-    }
-    return "";
-}
-
 } // namespace
 
 void RoutedRequest::begin(GatewayContext &context, const HttpExchangePtr &exchange)
@@ -88,6 +72,9 @@
                      microseconds(0));
         return;
     }
+    if (!authorize()) {
+        return;
+    }
     m_service = m_context.state.serviceSelector().nextService(*m_route);
     m_dispatcher = m_context.state.dispatcher(m_service);
     const milliseconds limit =
@@ -110,8 +97,41 @@
     dispatch();
 }
 
+bool RoutedRequest::authorize()
+{
+    if (m_context.state.table() == m_accessTable) {
+        return true;
+    }
+    m_accessTable = m_context.state.table();
+    const Access access = checkAccess(*m_accessTable, *m_route, m_request.accessKey);
+    m_workspace = access.workspace;
+    if (access.verdict == AccessVerdict::UnknownKey) {
+        if (m_verdict == Verdict::NotRun) {
+            replyUnauthorized();
+        } else {
+            fail("failed", "the workspace's key is no longer valid");
+        }
+        return false;
+    }
+    if (access.verdict == AccessVerdict::NoCommonRegion) {
+        if (m_verdict == Verdict::NotRun) {
+            refuse("no-common-region", RetryAfterWithoutRegion);
+        } else {
+            fail("failed", "no region is allowed both by the route and by the workspace");
+        }
+        return false;
+    }
+    if (m_accessTable->workspaces.has_value()) {
+        Platform::setForwardedWorkspace(m_request, m_workspace);
+    }
+    return true;
+}
+
 void RoutedRequest::dispatch()
 {
+    if (!authorize()) {
+        return;
+    }
     if (remainingTime() <= microseconds(0)) {
         // The request arrived after its deadline, or this process was suspended before a retry.
         onDeadline();
@@ -123,6 +143,7 @@
     }
     PlacementQuery query;
     query.route = m_route;
+    query.workspace = m_workspace;
     query.requestHash = stableHash(m_request.id.value());
     if (m_route->hasObjectAffinity && !m_request.affinityKey.empty()) {
         query.objectHash = stableHash(m_request.affinityKey, stableHash(m_route->name.value()));
@@ -237,7 +258,7 @@
     }
     m_verdict = combined(m_verdict, attempt.verdict());
     if (attempt.outcome() != SendOutcome::Answered) {
-        logAttempt(attempt);
+        logFailedAttempt(m_request.id, m_fingerprint, attempt);
     }
     if (attempt.hasLostConnection()) {
         checkTarget(attempt);
@@ -373,12 +394,24 @@
     end(outcome, status, reason);
 }
 
+void RoutedRequest::replyUnauthorized()
+{
+    static const std::string outcome = "unauthorized";
+    static const std::string reason = "no known key of a workspace";
+    const std::shared_ptr<RoutedRequest> self = shared_from_this();
+    m_disconnectedConnection.disconnect();
+    const nlohmann::json body = { { "error", outcome }, { "detail", reason } };
+    m_exchange->reply(HttpStatus::Unauthorized, Platform::encodeUnauthorizedHeaders(m_request.id),
+                      dumpJson(body));
+    end(outcome, HttpStatus::Unauthorized, reason);
+}
+
 void RoutedRequest::onDeadline()
 {
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
     if (m_attempt != nullptr) {
         m_verdict = combined(m_verdict, Verdict::MayHaveRun);
-        logAttempt(*m_attempt);
+        logFailedAttempt(m_request.id, m_fingerprint, *m_attempt);
         m_finishedAttempts.push_back(std::move(m_attempt));
     }
     if (m_verdict == Verdict::NotRun) {
@@ -406,6 +439,9 @@
     const microseconds duration = m_context.loop.now() - m_arrivedAt;
     const RouteName route = m_route == nullptr ? RouteName("none") : m_route->name;
     m_context.metrics.recordRequest(route, outcome, duration);
+    if (m_workspace != nullptr) {
+        m_context.metrics.recordWorkspaceRequest(m_workspace->name, outcome, duration);
+    }
     logEnd(outcome, status, reason, duration);
     // Destroying the attempt cancels the call to the target. The attempt may be on the call stack,
     // so that it is destroyed later.
@@ -448,6 +484,9 @@
             line.add("cold", true);
         }
     }
+    if (m_workspace != nullptr) {
+        line.add("workspace", m_workspace->name);
+    }
     if (m_refusal.has_value() && m_refusal->busyTarget.has_value()) {
         line.add("busyHome", *m_refusal->busyTarget)
                 .add("homeWaitMs", m_refusal->expectedWait)
@@ -472,26 +511,4 @@
     LOG4CPLUS_INFO(logger(), line.text());
 }
 
-void RoutedRequest::logAttempt(const TargetAttempt &attempt) const
-{
-    LOG4CPLUS_INFO(logger(),
-                   LogLine("gateway", "send-failed")
-                           .add("request", m_request.id)
-                           .add("fingerprint", m_fingerprint)
-                           .add("target", attempt.target())
-                           .add("connection", attempt.connectionUse().connection)
-                           .add("exchange", attempt.connectionUse().exchange)
-                           .add("outcome", describe(attempt.outcome()))
-                           .add("status", attempt.status())
-                           .add("responseId", attempt.response().id)
-                           .add("sealed", attempt.response().hasResponseSeal)
-                           .add("notExecuted", attempt.response().isNotExecuted)
-                           .add("verdict", toString(attempt.verdict()))
-                           .add("afterMs", attempt.duration())
-                           .add("expectedWaitMs", attempt.placement().expectedWait)
-                           .add("expectedWorkMs", attempt.placement().expectedProcessingTime)
-                           .add("reason", attempt.reason())
-                           .text());
-}
-
 } // namespace Tarragon
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -25,6 +25,9 @@
 
 private:
     void start();
+    /// Checks the request's key against the table in force, if the table has changed since the last
+    /// check. Ends the request and returns false if it may not be handled.
+    bool authorize();
     /// Selects a target and sends the request to it, or refuses the request.
     void dispatch();
     /// Sends the request to a limited or cold target once a permit is granted; otherwise selects
@@ -52,6 +55,7 @@
     void refuse(const std::string &reason, microseconds retryAfter);
     void replyLocally(int status, const std::string &outcome, const std::string &reason,
                       microseconds retryAfter);
+    void replyUnauthorized();
     void onDeadline();
     void onCallerDisconnected();
     void end(const std::string &outcome, int status, const std::string &reason);
@@ -59,7 +63,6 @@
     /// Logs the end of the request; a successful one only if the sampler admits it.
     void logEnd(const std::string &outcome, int status, const std::string &reason,
                 microseconds duration) const;
-    void logAttempt(const TargetAttempt &attempt) const;
     microseconds remainingTime() const { return m_deadline - m_context.loop.now(); }
 
     GatewayContext &m_context;
@@ -71,6 +74,10 @@
     MonotonicTime m_deadline;
     RouteTablePtr m_table;
     const Route *m_route = nullptr;
+    /// Table against which the key was last checked; null before the first check.
+    RouteTablePtr m_accessTable;
+    /// Workspace of the request, part of m_accessTable; null if it has none.
+    const Workspace *m_workspace = nullptr;
     ServiceId m_service;
     ServiceDispatcher *m_dispatcher = nullptr;
     std::set<TargetId> m_triedTargets;
--- a/Source/net/HttpStatus.h
+++ b/Source/net/HttpStatus.h
@@ -5,6 +5,7 @@
 
 inline constexpr int Ok = 200;
 inline constexpr int BadRequest = 400;
+inline constexpr int Unauthorized = 401;
 inline constexpr int NotFound = 404;
 inline constexpr int MethodNotAllowed = 405;
 inline constexpr int RequestTimeout = 408;
--- a/Source/routing/RouteTable.cpp
+++ b/Source/routing/RouteTable.cpp
@@ -1,16 +1,7 @@
 #include "routing/RouteTable.h"
 
-#include <algorithm>
-
 namespace Tarragon {
 
-bool Route::allows(const RegionId &region) const
-{
-    return allowedRegions.empty()
-           || std::find(allowedRegions.begin(), allowedRegions.end(), region)
-                      != allowedRegions.end();
-}
-
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
 {
     const Route *found = nullptr;
--- a/Source/routing/RouteTable.h
+++ b/Source/routing/RouteTable.h
@@ -4,9 +4,12 @@
 #include "base/StrongNumber.h"
 #include "base/Units.h"
 #include "net/HttpServerLimits.h"
+#include "routing/RegionSet.h"
+#include "routing/WorkspaceTable.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,10 +52,12 @@
     /// Whether targets respond faster for objects that they have handled before, so that requests
     /// for an object should go to the same targets.
     bool hasObjectAffinity = false;
-    /// Regions in which requests may be handled; empty means all regions.
-    std::vector<RegionId> allowedRegions;
+    /// Whether requests need no key of a workspace.
+    bool isPublic = false;
+    /// Regions in which requests may be handled.
+    RegionSet allowedRegions;
 
-    bool allows(const RegionId &region) const;
+    bool allows(const RegionId &region) const { return allowedRegions.contains(region); }
 };
 
 /// A service whose targets are discovered at run time.
@@ -74,6 +79,8 @@
     RouteVersion version;
     std::vector<Route> routes;
     std::map<ServiceId, HostedService> services;
+    /// Workspaces whose keys authenticate requests; nothing if requests need no key.
+    std::optional<WorkspaceTable> workspaces;
     /// Limits on the HTTP requests of callers.
     HttpServerLimits limits;
 
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -260,7 +260,7 @@
 {
     RegionSlots slots;
     for (const auto &[region, count] : m_regionSlots) {
-        if (query.route->allows(region)) {
+        if (query.allows(region)) {
             slots[region] = count;
         }
     }
@@ -274,8 +274,7 @@
 
 bool ServiceDispatcher::isUsable(const TargetState &state, const PlacementQuery &query) const
 {
-    return state.known.availability == TargetAvailability::Ready
-           && query.route->allows(state.region)
+    return state.known.availability == TargetAvailability::Ready && query.allows(state.region)
            && !query.triedTargets.contains(state.known.registration.id);
 }
 
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -29,6 +29,8 @@
 struct PlacementQuery
 {
     const Route *route = nullptr;
+    /// Workspace of the request; null if it has none.
+    const Workspace *workspace = nullptr;
     /// Hash of the object that the request concerns; not set if the request names no object.
     std::optional<std::uint64_t> objectHash;
     /// Hash of the request's id, for choices that may differ between requests.
@@ -40,6 +42,13 @@
     /// Whether a target may be chosen for which a permit is needed, as it states a limit or is
     /// cold.
     bool mayNeedPermit = true;
+
+    /// Whether both the route and the workspace allow the request to be handled in the region.
+    bool allows(const RegionId &region) const
+    {
+        return route->allows(region)
+               && (workspace == nullptr || workspace->allowedRegions.contains(region));
+    }
 };
 
 /// Process of a target, identified by its start time, that has announced that it is leaving.
--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -81,6 +81,62 @@
     }
 }
 
+const char *const Workspaces = R"({"columns":["name","api_keys","priority","rate_per_s","burst",
+"allowed_regions"],"rows":[["harbour",["k1","k2"],2,7.5,9,["north"]],["pilots",["k3"],null,0]]})";
+
+// Guards against workspaces that are decoded with other keys, limits or regions than stated.
+TEST(RouteTableDecoderTest, ReadsWorkspaces)
+{
+    Json spec = Json::parse(DesiredState);
+    spec["routes"]["rows"].erase(2);
+    EXPECT_FALSE(decodeRouteTable(spec).workspaces.has_value());
+    spec["tenants"] = Json::parse(Workspaces);
+    spec["routes"]["columns"].push_back("public");
+    spec["routes"]["rows"][0].push_back(true);
+    const RouteTable table = decodeRouteTable(spec);
+    EXPECT_TRUE(table.routes[0].isPublic);
+    EXPECT_FALSE(table.routes[1].isPublic);
+    ASSERT_TRUE(table.workspaces.has_value());
+    const Workspace *harbour = table.workspaces->find(AccessKey("k2"));
+    ASSERT_NE(harbour, nullptr);
+    EXPECT_EQ(harbour->name, WorkspaceName("harbour"));
+    EXPECT_EQ(harbour->priority, 2);
+    EXPECT_EQ(harbour->cap, (UsageCap{ 7.5, 9 }));
+    EXPECT_TRUE(harbour->allowedRegions.contains(RegionId("north")));
+    EXPECT_FALSE(harbour->allowedRegions.contains(RegionId("south")));
+    const Workspace *pilots = table.workspaces->find(AccessKey("k3"));
+    ASSERT_NE(pilots, nullptr);
+    EXPECT_FALSE(pilots->cap.has_value());
+    EXPECT_TRUE(pilots->allowedRegions.contains(RegionId("south")));
+}
+
+// Guards against a table of workspaces that is applied in part, and against keys in error texts.
+TEST(RouteTableDecoderTest, RejectsFaultyWorkspacesWithoutNamingKeys)
+{
+    const std::vector<std::pair<Json::json_pointer, Json>> faults = {
+        { Json::json_pointer("/rows/1/1/0"), "k1" },
+        { Json::json_pointer("/rows/1/0"), "harbour" },
+        { Json::json_pointer("/rows/1/1/0"), "" },
+        { Json::json_pointer("/rows/1/1/0"), 7 },
+        { Json::json_pointer("/rows/1/1"), "k1" },
+        { Json::json_pointer("/rows/1/3"), -1 },
+        { Json::json_pointer("/rows/1"), Json::array({ "x", "k1", "k1", 1, 1, 1, 1 }) },
+        { Json::json_pointer("/rows/1"), "k1" },
+    };
+    for (const auto &[where, value] : faults) {
+        Json spec = Json::parse(DesiredState);
+    spec["routes"]["rows"].erase(2);
+        spec["tenants"] = Json::parse(Workspaces);
+        spec["tenants"][where] = value;
+        try {
+            decodeRouteTable(spec);
+            ADD_FAILURE() << where.to_string() << " " << value;
+        } catch (const std::exception &error) {
+            EXPECT_EQ(std::string(error.what()).find("k1"), std::string::npos) << error.what();
+        }
+    }
+}
+
 StoredItem targetItem()
 {
     return StoredItem{ "i-1", StoreRevision{ StoreEra(1), 5 },
