--- a/Source/gateway/GatewayContext.h
+++ b/Source/gateway/GatewayContext.h
@@ -7,6 +7,7 @@
 #include "net/HttpClient.h"
 #include "routing/RequestTrials.h"
 #include "routing/TargetPermits.h"
+#include "routing/UsageCaps.h"
 
 namespace Tarragon {
 
@@ -18,6 +19,7 @@
     GatewayState &state;
     TargetPermits &permits;
     RequestTrials &trials;
+    UsageCaps &usageCaps;
     GatewayMetrics &metrics;
     /// Selects the successful requests that are logged.
     LogLineSampler &successSampler;
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -9,6 +9,7 @@
 #include "gateway/SuspectCodec.h"
 #include "gateway/TargetFeed.h"
 #include "gateway/TrialRpc.h"
+#include "gateway/UsageRpc.h"
 #include "net/HttpStatus.h"
 #include "net/LogLine.h"
 #include "platform/LookupCodec.h"
@@ -73,6 +74,7 @@
     record.issuesPermits = true;
     record.issuesColdPermits = true;
     record.issuesTrials = true;
+    record.issuesUsage = true;
     return record;
 }
 
@@ -130,7 +132,13 @@
               [this](const InstanceId &issuer, const SuspectRecord &suspect) {
                   endTrial(m_gossip.client(issuer), suspect);
               })
-    , m_context{ loop, m_client, m_state, m_permits, m_trials, m_metrics, m_successSampler }
+    , m_usageCaps(m_membership,
+                  [this](const InstanceId &issuer, const UsageRequests &requests,
+                         const UsageCaps::RepliesSlot &replied) {
+                      requestUsage(m_loop, m_gossip.client(issuer), requests, replied);
+                  })
+    , m_context{ loop,     m_client,    m_state,   m_permits,
+                 m_trials, m_usageCaps, m_metrics, m_successSampler }
     , m_registration(loop, m_store, m_membership, m_incarnation.value())
     , m_gossip(loop, m_membership, m_state.limits(), m_state.suspects(), settings.rpc,
                m_incarnation.value(), peerHandlers())
@@ -206,6 +214,10 @@
                                    PeerRpc::Peer::RequestTrialResults::Builder answer) {
         fillTrialReply(answer, m_trials.answer(decodeTrialRequest(question), m_loop.now()));
     };
+    handlers.requestUsage = [this](PeerRpc::Peer::RequestUsageParams::Reader question,
+                                   PeerRpc::Peer::RequestUsageResults::Builder answer) {
+        fillUsageReplies(answer, m_usageCaps.answer(decodeUsageRequests(question), m_loop.now()));
+    };
     handlers.endTrial = [this](PeerRpc::Peer::EndTrialParams::Reader params) {
         m_trials.onEnded(decodeSuspect(params.getSuspect()), m_loop.now());
     };
@@ -489,6 +501,7 @@
     }
     m_permits.removeUnused(m_loop.now());
     m_trials.removeUnused(m_loop.now());
+    m_usageCaps.removeUnused(m_loop.now());
 }
 
 void GatewayDaemon::reportStalledSubscriptions() const
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -93,6 +93,7 @@
     EntryMembership m_membership;
     TargetPermits m_permits;
     RequestTrials m_trials;
+    UsageCaps m_usageCaps;
     GatewayContext m_context;
     EntryRegistration m_registration;
     MembershipGossip m_gossip;
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -137,6 +137,10 @@
         onDeadline();
         return;
     }
+    if (m_workspace != nullptr && m_workspace->cap.has_value() && !m_hasUsageToken) {
+        obtainUsage();
+        return;
+    }
     if (!m_hasTrial && m_context.state.suspects().isSuspect(m_fingerprint, m_context.loop.now())) {
         obtainTrial();
         return;
@@ -169,6 +173,35 @@
     }
 }
 
+void RoutedRequest::obtainUsage()
+{
+    m_context.usageCaps.obtain(
+            *m_workspace, m_accessTable->version, m_context.loop.now(),
+            [&caps = m_context.usageCaps, &loop = m_context.loop, name = m_workspace->name,
+             weak = weak_from_this()](UsageVerdict verdict, milliseconds retryAfter) {
+                const std::shared_ptr<RoutedRequest> self = weak.lock();
+                if (self != nullptr && !self->hasEnded()) {
+                    self->onUsageDecided(verdict, retryAfter);
+                } else if (verdict == UsageVerdict::Granted) {
+                    caps.giveBack(name, loop.now());
+                }
+            });
+}
+
+void RoutedRequest::onUsageDecided(UsageVerdict verdict, milliseconds retryAfter)
+{
+    if (verdict == UsageVerdict::Granted) {
+        m_hasUsageToken = true;
+        dispatch();
+    } else if (m_verdict != Verdict::NotRun) {
+        fail("failed", "a retry would exceed the workspace's cap");
+    } else if (verdict == UsageVerdict::OverCap) {
+        refuseOverCap(retryAfter);
+    } else {
+        refuse("usage-unknown", retryAfter);
+    }
+}
+
 void RoutedRequest::obtainTrial()
 {
     m_context.trials.obtain(m_service, m_fingerprint,
@@ -257,6 +290,10 @@
         --m_sendCount;
     }
     m_verdict = combined(m_verdict, attempt.verdict());
+    if (attempt.verdict() != Verdict::NotRun) {
+        // A retry would be another run.
+        m_hasUsageToken = false;
+    }
     if (attempt.outcome() != SendOutcome::Answered) {
         logFailedAttempt(m_request.id, m_fingerprint, attempt);
     }
@@ -379,6 +416,13 @@
     replyLocally(HttpStatus::ServiceUnavailable, "refused", reason, retryAfter);
 }
 
+void RoutedRequest::refuseOverCap(milliseconds retryAfter)
+{
+    static const std::string reason = "over-cap";
+    m_context.metrics.recordRefusal(m_service, reason);
+    replyLocally(HttpStatus::TooManyRequests, "refused", reason, retryAfter);
+}
+
 void RoutedRequest::replyLocally(int status, const std::string &outcome, const std::string &reason,
                                  microseconds retryAfter)
 {
@@ -433,6 +477,9 @@
         return;
     }
     endTrial();
+    if (m_hasUsageToken && m_attempt == nullptr && m_verdict == Verdict::NotRun) {
+        m_context.usageCaps.giveBack(m_workspace->name, m_context.loop.now());
+    }
     m_deadlineTimer.reset();
     m_retryTimer.reset();
     m_disconnectedConnection.disconnect();
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -35,6 +35,10 @@
     void obtainPermit(const Placement &placement);
     void onPermitDecided(const Placement &placement, bool isGranted);
     void send(const Placement &placement);
+    /// Obtains permission for one run of the request under its workspace's cap; otherwise refuses
+    /// it.
+    void obtainUsage();
+    void onUsageDecided(UsageVerdict verdict, milliseconds retryAfter);
     /// Runs a request under suspicion once a trial of it is permitted; otherwise refuses it.
     void obtainTrial();
     void onTrialDecided(bool isGranted, milliseconds retryAfter);
@@ -53,6 +57,7 @@
     /// with a failure response of this entry.
     void fail(const std::string &outcome, const std::string &reason);
     void refuse(const std::string &reason, microseconds retryAfter);
+    void refuseOverCap(milliseconds retryAfter);
     void replyLocally(int status, const std::string &outcome, const std::string &reason,
                       microseconds retryAfter);
     void replyUnauthorized();
@@ -85,6 +90,8 @@
     int m_sendCount = 0;
     /// Number of permits for limited and cold targets that were denied.
     int m_deniedPermits = 0;
+    /// Whether the request may run under its workspace's cap.
+    bool m_hasUsageToken = false;
     /// Whether a trial of this request, which is under suspicion, is permitted.
     bool m_hasTrial = false;
     Verdict m_verdict = Verdict::NotRun;
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -316,6 +316,33 @@
   lateTrials @3 :UInt32;
 }
 
+struct UsageRequest {
+  # Asks for tokens of one workspace, each of which permits one request to run.
+  workspace @0 :Text;
+  # The workspace's cap in the sender's route table, and the version of that table.
+  perSecond @1 :Float64;
+  burst @2 :Float64;
+  version @3 :UInt64;
+  # Tokens for requests that are waiting, and for those that are expected.
+  needed @4 :UInt32;
+  expected @5 :UInt32;
+  # Unused tokens of earlier replies.
+  returned @6 :UInt32;
+}
+
+struct UsageReply {
+  workspace @0 :Text;
+  # False if the receiver does not issue the workspace's tokens by its own view.
+  issuer @1 :Bool;
+  granted @2 :UInt32;
+  # Time after which callers without a token may send again.
+  retryAfterMs @3 :UInt32;
+  # Time after which the sender may ask again; 0 if it got all tokens that it needed.
+  askAgainAfterMs @4 :UInt32;
+  # Recently granted tokens as a fraction of the cap.
+  utilization @5 :Float64;
+}
+
 interface Peer {
   # Sends the caller's state and returns the receiver's. An instance that receives a higher version
   # than its own fetches that version.
@@ -372,4 +399,7 @@
 
   # Tells the receiver that a trial that it permitted has ended, and what is known since.
   endTrial @13 (suspect :SuspectItem) -> ();
+
+  # Requests tokens of workspaces with caps from the entry that issues those of all entries.
+  requestUsage @14 (requests :List(UsageRequest)) -> (replies :List(UsageReply));
 }
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -94,6 +94,8 @@
 CAPNP_DECLARE_SCHEMA(f85025e9658e1122);
 CAPNP_DECLARE_SCHEMA(cbcd8ad301744215);
 CAPNP_DECLARE_SCHEMA(cd3eed656487d17c);
+CAPNP_DECLARE_SCHEMA(f52673be12377f9b);
+CAPNP_DECLARE_SCHEMA(d1db252983cda06f);
 CAPNP_DECLARE_SCHEMA(d5f4e88c326a42cb);
 CAPNP_DECLARE_SCHEMA(fa6c2cbc6f290e47);
 CAPNP_DECLARE_SCHEMA(acc90a34937e4247);
@@ -123,6 +125,8 @@
 CAPNP_DECLARE_SCHEMA(dd01809ac40b26e8);
 CAPNP_DECLARE_SCHEMA(9d279fe62b0dca6a);
 CAPNP_DECLARE_SCHEMA(f1d8738d731f2496);
+CAPNP_DECLARE_SCHEMA(c3e6df2de703982e);
+CAPNP_DECLARE_SCHEMA(a3c575dd73672d15);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -601,6 +605,36 @@
   };
 };
 
+struct UsageRequest {
+  UsageRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f52673be12377f9b, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageReply {
+  UsageReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1db252983cda06f, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -637,6 +671,8 @@
   struct RequestTrialResults;
   struct EndTrialParams;
   struct EndTrialResults;
+  struct RequestUsageParams;
+  struct RequestUsageResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1066,6 +1102,36 @@
   };
 };
 
+struct Peer::RequestUsageParams {
+  RequestUsageParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3e6df2de703982e, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::RequestUsageResults {
+  RequestUsageResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3c575dd73672d15, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -4225,6 +4291,223 @@
 };
 #endif  // !CAPNP_LITE
 
+class UsageRequest::Reader {
+public:
+  typedef UsageRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline double getPerSecond() const;
+
+  inline double getBurst() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint32_t getNeeded() const;
+
+  inline  ::uint32_t getExpected() const;
+
+  inline  ::uint32_t getReturned() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageRequest::Builder {
+public:
+  typedef UsageRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint32_t getNeeded();
+  inline void setNeeded( ::uint32_t value);
+
+  inline  ::uint32_t getExpected();
+  inline void setExpected( ::uint32_t value);
+
+  inline  ::uint32_t getReturned();
+  inline void setReturned( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageRequest::Pipeline {
+public:
+  typedef UsageRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageReply::Reader {
+public:
+  typedef UsageReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline bool getIssuer() const;
+
+  inline  ::uint32_t getGranted() const;
+
+  inline  ::uint32_t getRetryAfterMs() const;
+
+  inline  ::uint32_t getAskAgainAfterMs() const;
+
+  inline double getUtilization() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageReply::Builder {
+public:
+  typedef UsageReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline bool getIssuer();
+  inline void setIssuer(bool value);
+
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
+
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
+
+  inline  ::uint32_t getAskAgainAfterMs();
+  inline void setAskAgainAfterMs( ::uint32_t value);
+
+  inline double getUtilization();
+  inline void setUtilization(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageReply::Pipeline {
+public:
+  typedef UsageReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -4272,6 +4555,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Tarragon::PeerRpc::Peer::EndTrialParams,  ::Tarragon::PeerRpc::Peer::EndTrialResults> endTrialRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Tarragon::PeerRpc::Peer::RequestUsageParams,  ::Tarragon::PeerRpc::Peer::RequestUsageResults> requestUsageRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -4344,6 +4629,10 @@
   typedef  ::Tarragon::PeerRpc::Peer::EndTrialResults EndTrialResults;
   typedef ::capnp::CallContext<EndTrialParams, EndTrialResults> EndTrialContext;
   virtual ::kj::Promise<void> endTrial(EndTrialContext context);
+  typedef  ::Tarragon::PeerRpc::Peer::RequestUsageParams RequestUsageParams;
+  typedef  ::Tarragon::PeerRpc::Peer::RequestUsageResults RequestUsageResults;
+  typedef ::capnp::CallContext<RequestUsageParams, RequestUsageResults> RequestUsageContext;
+  virtual ::kj::Promise<void> requestUsage(RequestUsageContext context);
 
   inline  ::Tarragon::PeerRpc::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -6735,48 +7024,210 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::RequestUsageParams::Reader {
+public:
+  typedef RequestUsageParams Reads;
 
-inline bool InstanceRef::Reader::hasInstance() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool InstanceRef::Builder::hasInstance() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void InstanceRef::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequests() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Reader getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RequestUsageParams::Builder {
+public:
+  typedef RequestUsageParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequests();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Builder getRequests();
+  inline void setRequests( ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Builder initRequests(unsigned int size);
+  inline void adoptRequests(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>> disownRequests();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RequestUsageParams::Pipeline {
+public:
+  typedef RequestUsageParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::RequestUsageResults::Reader {
+public:
+  typedef RequestUsageResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplies() const;
+  inline  ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Reader getReplies() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RequestUsageResults::Builder {
+public:
+  typedef RequestUsageResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplies();
+  inline  ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Builder getReplies();
+  inline void setReplies( ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Builder initReplies(unsigned int size);
+  inline void adoptReplies(::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>> disownReplies();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RequestUsageResults::Pipeline {
+public:
+  typedef RequestUsageResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool InstanceRef::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRef::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRef::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void InstanceRef::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRef::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
@@ -10196,6 +10647,228 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UsageRequest::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageRequest::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageRequest::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageRequest::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageRequest::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageRequest::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageRequest::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageRequest::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double UsageRequest::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double UsageRequest::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageRequest::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double UsageRequest::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double UsageRequest::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageRequest::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UsageRequest::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageRequest::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UsageRequest::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageRequest::Reader::getNeeded() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageRequest::Builder::getNeeded() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void UsageRequest::Builder::setNeeded( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageRequest::Reader::getExpected() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageRequest::Builder::getExpected() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void UsageRequest::Builder::setExpected( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageRequest::Reader::getReturned() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageRequest::Builder::getReturned() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void UsageRequest::Builder::setReturned( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageReply::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageReply::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageReply::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageReply::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageReply::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageReply::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageReply::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageReply::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UsageReply::Reader::getIssuer() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool UsageReply::Builder::getIssuer() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageReply::Builder::setIssuer(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageReply::Reader::getGranted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageReply::Builder::getGranted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageReply::Builder::setGranted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageReply::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageReply::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UsageReply::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageReply::Reader::getAskAgainAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageReply::Builder::getAskAgainAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UsageReply::Builder::setAskAgainAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double UsageReply::Reader::getUtilization() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double UsageReply::Builder::getUtilization() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UsageReply::Builder::setUtilization(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -11519,6 +12192,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::RequestUsageParams::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RequestUsageParams::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Reader Peer::RequestUsageParams::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Builder Peer::RequestUsageParams::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RequestUsageParams::Builder::setRequests( ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>::Builder Peer::RequestUsageParams::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RequestUsageParams::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>> Peer::RequestUsageParams::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::RequestUsageResults::Reader::hasReplies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RequestUsageResults::Builder::hasReplies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Reader Peer::RequestUsageResults::Reader::getReplies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Builder Peer::RequestUsageResults::Builder::getReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RequestUsageResults::Builder::setReplies( ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>::Builder Peer::RequestUsageResults::Builder::initReplies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RequestUsageResults::Builder::adoptReplies(
+    ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>> Peer::RequestUsageResults::Builder::disownReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Tarragon::PeerRpc::UsageReply,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/peer/PeerHandlers.h
+++ b/Source/peer/PeerHandlers.h
@@ -36,6 +36,9 @@
                     PeerRpc::Peer::RequestTrialResults::Builder)>
             requestTrial;
     sigc::slot<void(PeerRpc::Peer::EndTrialParams::Reader)> endTrial;
+    sigc::slot<void(PeerRpc::Peer::RequestUsageParams::Reader,
+                    PeerRpc::Peer::RequestUsageResults::Builder)>
+            requestUsage;
 };
 
 } // namespace Tarragon
--- a/Source/peer/PeerServer.cpp
+++ b/Source/peer/PeerServer.cpp
@@ -78,6 +78,10 @@
     {
         return handle(m_handlers->relay, context.getParams(), context.getResults());
     }
+    kj::Promise<void> requestUsage(RequestUsageContext context) override
+    {
+        return handle(m_handlers->requestUsage, context.getParams(), context.getResults());
+    }
     kj::Promise<void> requestPermit(RequestPermitContext context) override
     {
         return handle(m_handlers->requestPermit, context.getParams(), context.getResults());
--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -203,6 +203,20 @@
             now);
 }
 
+std::optional<InstanceId> EntryMembership::usageIssuer(const WorkspaceName &workspace,
+                                                       MonotonicTime now) const
+{
+    const std::uint64_t key = stableHash(workspace.value());
+    return firstServingEntry(
+            [key](const EntryRecord &it) -> std::optional<EntryRank> {
+                if (!it.issuesUsage) {
+                    return std::nullopt;
+                }
+                return EntryRank(false, rendezvousHash(key, stableHash(it.instance.value())));
+            },
+            now);
+}
+
 std::vector<InstanceId> EntryMembership::newsRecipients(bool isOwnNews, MonotonicTime now) const
 {
     std::vector<InstanceId> recipients;
@@ -243,6 +257,13 @@
     return static_cast<double>(live) / static_cast<double>(entryCount()) / 2;
 }
 
+double EntryMembership::usageFraction(MonotonicTime now) const
+{
+    const std::size_t live = liveCount(now);
+    const double proportion = static_cast<double>(live) / static_cast<double>(entryCount());
+    return live * 2 > entryCount() ? 1 : MinorityUsage * proportion;
+}
+
 double EntryMembership::coldPermitFraction() const
 {
     const std::ptrdiff_t others =
--- a/Source/routing/EntryMembership.h
+++ b/Source/routing/EntryMembership.h
@@ -4,6 +4,7 @@
 #include "base/Units.h"
 #include "base/Versions.h"
 #include "document/Topology.h"
+#include "routing/Workspace.h"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,9 @@
     /// Whether the entry permits trials of requests under suspicion. Builds without trials do not
     /// state it.
     bool issuesTrials = false;
+    /// Whether the entry issues tokens of workspaces with caps. Builds without caps do not state
+    /// it.
+    bool issuesUsage = false;
 
     friend bool operator==(const EntryRecord &, const EntryRecord &) = default;
 };
@@ -123,6 +127,9 @@
     /// the first one by a hash of service and entry. Returns nothing before the registered entries
     /// are known.
     std::optional<InstanceId> trialIssuer(const ServiceId &service, MonotonicTime now) const;
+    /// Returns the entry that issues the tokens of a workspace with a cap: the first one by a hash
+    /// of workspace and entry. Returns nothing before the registered entries are known.
+    std::optional<InstanceId> usageIssuer(const WorkspaceName &workspace, MonotonicTime now) const;
     /// Returns the entries to which news is sent that must be known everywhere within a fraction of
     /// a second: the live entries of the local failure domain, and with `isOwnNews`, which comes
     /// from this entry and not from another failure domain, some of each other domain, which pass
@@ -134,6 +141,10 @@
     /// entries are live. In a network partition the other entries may have an issuer too, so that a
     /// minority issues half of its proportion at most.
     double issuableFraction(MonotonicTime now) const;
+    /// Returns the part of a workspace's cap that the local entry may issue: all if most registered
+    /// entries are live, else so little that all sides of a network partition together exceed the
+    /// cap by less than a tenth.
+    double usageFraction(MonotonicTime now) const;
     /// Returns the fraction of the registered entries that ask for permits for cold targets. The
     /// others send their shares of the cold rate without permits.
     double coldPermitFraction() const;
@@ -165,6 +176,9 @@
     /// Entries of another failure domain that pass news on there. Two, so that one of them may
     /// fail.
     static constexpr std::size_t NewsRelaysPerDomain = 2;
+    /// Part of its proportion of a workspace's cap that a side of a partition with less than half
+    /// of the entries may issue.
+    static constexpr double MinorityUsage = 0.2;
     /// Orders entries: a preference, then a hash.
     using EntryRank = std::pair<bool, std::uint64_t>;
 
--- a/Tests/gateway/GatewayFixture.h
+++ b/Tests/gateway/GatewayFixture.h
@@ -50,8 +50,12 @@
                 m_membership, m_state->suspects(),
                 [](const InstanceId &, const TrialRequest &, const RequestTrials::ReplySlot &) {},
                 [](const InstanceId &, const SuspectRecord &) {});
-        m_context = std::make_unique<GatewayContext>(GatewayContext{
-                m_loop, m_client, *m_state, *m_permits, *m_trials, m_metrics, m_successSampler });
+        m_usageCaps = std::make_unique<UsageCaps>(
+                m_membership,
+                [](const InstanceId &, const UsageRequests &, const UsageCaps::RepliesSlot &) {});
+        m_context = std::make_unique<GatewayContext>(
+                GatewayContext{ m_loop, m_client, *m_state, *m_permits, *m_trials, *m_usageCaps,
+                                m_metrics, m_successSampler });
         m_front = std::make_unique<HttpServer>(
                 m_loop, "127.0.0.1", 0, HttpServerLimits{},
                 [this](const HttpExchangePtr &it) { RoutedRequest::begin(*m_context, it); });
@@ -66,6 +70,7 @@
         record.issuesPermits = true;
         record.issuesColdPermits = true;
         record.issuesTrials = true;
+        record.issuesUsage = true;
         return record;
     }
 
@@ -215,6 +220,7 @@
     EntryMembership m_membership{ ownRecord(), 1 };
     std::unique_ptr<TargetPermits> m_permits;
     std::unique_ptr<RequestTrials> m_trials;
+    std::unique_ptr<UsageCaps> m_usageCaps;
     /// Requests for permits to other entries, which a test replies to.
     std::vector<TargetPermits::ReplySlot> m_asked;
     std::unique_ptr<GatewayContext> m_context;
--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -125,7 +125,7 @@
     };
     for (const auto &[where, value] : faults) {
         Json spec = Json::parse(DesiredState);
-    spec["routes"]["rows"].erase(2);
+        spec["routes"]["rows"].erase(2);
         spec["tenants"] = Json::parse(Workspaces);
         spec["tenants"][where] = value;
         try {
