Gateway: Return usage tokens of requests whose key was withdrawn

A request whose key was withdrawn while it held a token ended the process with a segmentation fault, because its workspace was null by then.

--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -137,7 +137,7 @@
         onDeadline();
         return;
     }
-    if (m_workspace != nullptr && m_workspace->cap.has_value() && !m_hasUsageToken) {
+    if (m_workspace != nullptr && m_workspace->cap.has_value() && !m_tokenOf.has_value()) {
         obtainUsage();
         return;
     }
@@ -191,7 +191,7 @@
 void RoutedRequest::onUsageDecided(UsageVerdict verdict, milliseconds retryAfter)
 {
     if (verdict == UsageVerdict::Granted) {
-        m_hasUsageToken = true;
+        m_tokenOf = m_workspace->name;
         dispatch();
     } else if (m_verdict != Verdict::NotRun) {
         fail("failed", "a retry would exceed the workspace's cap");
@@ -292,7 +292,7 @@
     m_verdict = combined(m_verdict, attempt.verdict());
     if (attempt.verdict() != Verdict::NotRun) {
         // A retry would be another run.
-        m_hasUsageToken = false;
+        m_tokenOf.reset();
     }
     if (attempt.outcome() != SendOutcome::Answered) {
         logFailedAttempt(m_request.id, m_fingerprint, attempt);
@@ -477,8 +477,8 @@
         return;
     }
     endTrial();
-    if (m_hasUsageToken && m_attempt == nullptr && m_verdict == Verdict::NotRun) {
-        m_context.usageCaps.giveBack(m_workspace->name, m_context.loop.now());
+    if (m_tokenOf.has_value() && m_attempt == nullptr && m_verdict == Verdict::NotRun) {
+        m_context.usageCaps.giveBack(*m_tokenOf, m_context.loop.now());
     }
     m_deadlineTimer.reset();
     m_retryTimer.reset();
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -90,8 +90,8 @@
     int m_sendCount = 0;
     /// Number of permits for limited and cold targets that were denied.
     int m_deniedPermits = 0;
-    /// Whether the request may run under its workspace's cap.
-    bool m_hasUsageToken = false;
+    /// Workspace under whose cap the request holds a token for one run; nothing if it holds none.
+    std::optional<WorkspaceName> m_tokenOf;
     /// Whether a trial of this request, which is under suspicion, is permitted.
     bool m_hasTrial = false;
     Verdict m_verdict = Verdict::NotRun;
--- a/Tests/gateway/WorkspaceTest.cpp
+++ b/Tests/gateway/WorkspaceTest.cpp
@@ -12,7 +12,8 @@
 class WorkspaceTest : public GatewayTest
 {
 protected:
-    void adopt(std::uint64_t version, const std::string &key, const RegionSet &regions = {})
+    void adopt(std::uint64_t version, const std::string &key, const RegionSet &regions = {},
+               const std::optional<UsageCap> &cap = std::nullopt)
     {
         RouteTable table;
         table.version = RouteVersion(version);
@@ -26,6 +27,7 @@
         workspace.name = WorkspaceName("harbour");
         workspace.keys = { AccessKey(key) };
         workspace.allowedRegions = regions;
+        workspace.cap = cap;
         table.workspaces.emplace();
         table.workspaces->add(workspace);
         ASSERT_TRUE(m_state->adopt(std::move(table)));
@@ -33,6 +35,16 @@
         m_state->refreshTargets(m_loop.now());
     }
 
+    /// Lets the issuer of the workspace, which is this entry, accumulate tokens: the bucket starts
+    /// empty with the first request.
+    void fillTokens(const std::string &key)
+    {
+        const std::size_t arrivals = m_arrivals.size();
+        EXPECT_EQ(sendWithKey("/read/1", "Token " + key).status(), 429);
+        EXPECT_EQ(m_arrivals.size(), arrivals);
+        runFor(milliseconds(700));
+    }
+
     CallerResult sendWithKey(const std::string &uri, const std::string &value)
     {
         HttpRequest request = callerRequest("GET", uri, "a1");
@@ -119,6 +131,42 @@
     EXPECT_EQ(m_arrivals.size(), 1u);
 }
 
+// Guards against an entry that ends because a key is withdrawn while its request holds a token.
+TEST_F(WorkspaceTest, WithdrawnKeysOfWorkspacesWithCapsAreRejectedBeforeARetry)
+{
+    const UsageCap cap{ 1'000, 1'000 };
+    adopt(1, "s3cret", {}, cap);
+    const Script declining = [this, cap](RawSocket &socket, const std::string &) {
+        if (m_state->table()->version == RouteVersion(1)) {
+            adopt(2, "newer", {}, cap);
+        }
+        socket.send(answer(503, "Attempt-Id: a1\r\nNot-Executed: 1\r\n", ""));
+    };
+    addTarget("t1", declining);
+    addTarget("t2", declining);
+    fillTokens("s3cret");
+    EXPECT_EQ(sendWithKey("/read/1", "Token s3cret").status(), 401);
+    EXPECT_EQ(m_arrivals.size(), 1u);
+}
+
+// Guards against requests beyond a cap that reach targets, and against a refusal without its time.
+TEST_F(WorkspaceTest, RequestsBeyondTheCapAreRefusedWithRetryAfter)
+{
+    adopt(1, "s3cret", {}, UsageCap{ 20, 3 });
+    addTarget("t1", answering(answer(200, sealed(), "x")));
+    fillTokens("s3cret");
+    int answered = 0;
+    CallerResult last;
+    for (int i = 0; i < 40 && last.status() != 429; ++i) {
+        last = sendWithKey("/read/1", "Token s3cret");
+        answered += last.status() == 200 ? 1 : 0;
+    }
+    EXPECT_EQ(last.status(), 429);
+    EXPECT_GT(std::stod(last.header("Retry-After")), 0);
+    EXPECT_GT(answered, 0);
+    EXPECT_EQ(m_arrivals.size(), std::size_t(answered));
+}
+
 // Guards against requests that leave the regions of their workspace.
 TEST_F(WorkspaceTest, RequestsStayInTheRegionsOfTheirWorkspace)
 {
