--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -25,6 +25,9 @@
 
 private:
     void start();
+    /// Checks the request's key against the table in force, if the table has changed since the last
+    /// check. Ends the request and returns false if it may not be handled.
+    bool authorize();
     /// Selects a target and sends the request to it, or refuses the request.
     void dispatch();
     /// Sends the request to a limited or cold target once a permit is granted; otherwise selects
@@ -32,6 +35,10 @@
     void obtainPermit(const Placement &placement);
     void onPermitDecided(const Placement &placement, bool isGranted);
     void send(const Placement &placement);
+    /// Obtains permission for one run of the request under its workspace's cap; otherwise refuses
+    /// it.
+    void obtainUsage();
+    void onUsageDecided(UsageVerdict verdict, milliseconds retryAfter);
     /// Runs a request under suspicion once a trial of it is permitted; otherwise refuses it.
     void obtainTrial();
     void onTrialDecided(bool isGranted, milliseconds retryAfter);
@@ -50,8 +57,10 @@
     /// with a failure response of this entry.
     void fail(const std::string &outcome, const std::string &reason);
     void refuse(const std::string &reason, microseconds retryAfter);
+    void refuseOverCap(milliseconds retryAfter);
     void replyLocally(int status, const std::string &outcome, const std::string &reason,
                       microseconds retryAfter);
+    void replyUnauthorized();
     void onDeadline();
     void onCallerDisconnected();
     void end(const std::string &outcome, int status, const std::string &reason);
@@ -59,7 +68,6 @@
     /// Logs the end of the request; a successful one only if the sampler admits it.
     void logEnd(const std::string &outcome, int status, const std::string &reason,
                 microseconds duration) const;
-    void logAttempt(const TargetAttempt &attempt) const;
     microseconds remainingTime() const { return m_deadline - m_context.loop.now(); }
 
     GatewayContext &m_context;
@@ -71,6 +79,10 @@
     MonotonicTime m_deadline;
     RouteTablePtr m_table;
     const Route *m_route = nullptr;
+    /// Table against which the key was last checked; null before the first check.
+    RouteTablePtr m_accessTable;
+    /// Workspace of the request, part of m_accessTable; null if it has none.
+    const Workspace *m_workspace = nullptr;
     ServiceId m_service;
     ServiceDispatcher *m_dispatcher = nullptr;
     std::set<TargetId> m_triedTargets;
@@ -78,6 +90,8 @@
     int m_sendCount = 0;
     /// Number of permits for limited and cold targets that were denied.
     int m_deniedPermits = 0;
+    /// Workspace under whose cap the request holds a token for one run; nothing if it holds none.
+    std::optional<WorkspaceName> m_tokenOf;
     /// Whether a trial of this request, which is under suspicion, is permitted.
     bool m_hasTrial = false;
     Verdict m_verdict = Verdict::NotRun;
--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -86,10 +86,18 @@
         if (it.incarnation != member.record.incarnation) {
             continue;
         }
-        const bool isNewer =
-                !member.lastHeartbeatAt.has_value() || it.heartbeat > member.state.heartbeat;
-        if (isNewer) {
-            member.state = it;
+        const bool isFirst = !member.lastHeartbeatAt.has_value();
+        if (!isFirst && it.heartbeat <= member.state.heartbeat) {
+            continue;
+        }
+        // The last heartbeat of an entry that has failed may arrive long after the failure, from an
+        // entry that was cut off meanwhile. Only an entry that is running sends another one.
+        const bool isConfirmed =
+                isFirst || member.isReturning
+                || now - *member.lastHeartbeatAt < m_options.heartbeatTimeout + ConfirmationDelay;
+        member.isReturning = !isConfirmed;
+        member.state = it;
+        if (isConfirmed) {
             member.lastHeartbeatAt = now;
         }
     }
@@ -195,6 +203,20 @@
             now);
 }
 
+std::optional<InstanceId> EntryMembership::usageIssuer(const WorkspaceName &workspace,
+                                                       MonotonicTime now) const
+{
+    const std::uint64_t key = stableHash(workspace.value());
+    return firstServingEntry(
+            [key](const EntryRecord &it) -> std::optional<EntryRank> {
+                if (!it.issuesUsage) {
+                    return std::nullopt;
+                }
+                return EntryRank(false, rendezvousHash(key, stableHash(it.instance.value())));
+            },
+            now);
+}
+
 std::vector<InstanceId> EntryMembership::newsRecipients(bool isOwnNews, MonotonicTime now) const
 {
     std::vector<InstanceId> recipients;
@@ -235,6 +257,13 @@
     return static_cast<double>(live) / static_cast<double>(entryCount()) / 2;
 }
 
+double EntryMembership::usageFraction(MonotonicTime now) const
+{
+    const std::size_t live = liveCount(now);
+    const double proportion = static_cast<double>(live) / static_cast<double>(entryCount());
+    return live * 2 > entryCount() ? 1 : MinorityUsage * proportion;
+}
+
 double EntryMembership::coldPermitFraction() const
 {
     const std::ptrdiff_t others =
--- a/Source/routing/EntryMembership.h
+++ b/Source/routing/EntryMembership.h
@@ -4,6 +4,7 @@
 #include "base/Units.h"
 #include "base/Versions.h"
 #include "document/Topology.h"
+#include "routing/Workspace.h"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,9 @@
     /// Whether the entry permits trials of requests under suspicion. Builds without trials do not
     /// state it.
     bool issuesTrials = false;
+    /// Whether the entry issues tokens of workspaces with caps. Builds without caps do not state
+    /// it.
+    bool issuesUsage = false;
 
     friend bool operator==(const EntryRecord &, const EntryRecord &) = default;
 };
@@ -97,7 +101,8 @@
     /// to send to another entry.
     std::vector<GossipMemberState> memberStates() const;
     /// Merges states received from another entry. Ignores unregistered entries, other incarnations
-    /// than the registered one, and heartbeats that have not increased.
+    /// than the registered one, and heartbeats that have not increased. An entry that failed some
+    /// time ago is live again with its second heartbeat.
     void merge(const std::vector<GossipMemberState> &states, MonotonicTime now);
 
     /// Returns the live entries of the region that accept requests of callers, including the local
@@ -122,6 +127,9 @@
     /// the first one by a hash of service and entry. Returns nothing before the registered entries
     /// are known.
     std::optional<InstanceId> trialIssuer(const ServiceId &service, MonotonicTime now) const;
+    /// Returns the entry that issues the tokens of a workspace with a cap: the first one by a hash
+    /// of workspace and entry. Returns nothing before the registered entries are known.
+    std::optional<InstanceId> usageIssuer(const WorkspaceName &workspace, MonotonicTime now) const;
     /// Returns the entries to which news is sent that must be known everywhere within a fraction of
     /// a second: the live entries of the local failure domain, and with `isOwnNews`, which comes
     /// from this entry and not from another failure domain, some of each other domain, which pass
@@ -133,6 +141,10 @@
     /// entries are live. In a network partition the other entries may have an issuer too, so that a
     /// minority issues half of its proportion at most.
     double issuableFraction(MonotonicTime now) const;
+    /// Returns the part of a workspace's cap that the local entry may issue: all if most registered
+    /// entries are live, else so little that all sides of a network partition together exceed the
+    /// cap by less than a tenth.
+    double usageFraction(MonotonicTime now) const;
     /// Returns the fraction of the registered entries that ask for permits for cold targets. The
     /// others send their shares of the cold rate without permits.
     double coldPermitFraction() const;
@@ -153,11 +165,20 @@
         /// Time at which the heartbeat counter last increased; not set if no heartbeat has been
         /// received.
         std::optional<MonotonicTime> lastHeartbeatAt;
+        /// Whether one heartbeat has arrived since the entry was found to have failed.
+        bool isReturning = false;
     };
 
+    /// Time after the heartbeat timeout from which a returning entry needs a second heartbeat.
+    /// Below it, gossip may only have been slow, and a stale heartbeat keeps the entry in lookups
+    /// for no longer than lookups may name a failed one.
+    static constexpr microseconds ConfirmationDelay{ 1'000'000 };
     /// Entries of another failure domain that pass news on there. Two, so that one of them may
     /// fail.
     static constexpr std::size_t NewsRelaysPerDomain = 2;
+    /// Part of its proportion of a workspace's cap that a side of a partition with less than half
+    /// of the entries may issue.
+    static constexpr double MinorityUsage = 0.2;
     /// Orders entries: a preference, then a hash.
     using EntryRank = std::pair<bool, std::uint64_t>;
 
