Net: Process pipelined GET and HEAD requests before their turn

A request waited until the response to the one before it on its connection was written (head-of-line blocking). While a GET or HEAD request is in progress, up to eight further ones are now passed to the handler at once. Their responses are held and written in request order: evhttp is given a substitute head when a response's turn comes.

--- a/Source/net/HttpExchange.cpp
+++ b/Source/net/HttpExchange.cpp
@@ -2,8 +2,10 @@
 
 #include "base/Error.h"
 #include "net/Guard.h"
+#include "net/HeldResponse.h"
 #include "net/HttpExchangeState.h"
 #include "net/HttpSyntax.h"
+#include "net/PipelinedRequest.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -45,21 +47,39 @@
     return "";
 }
 
+bool requestsClose(const HttpHeaders &headers)
+{
+    return hasListToken(headers.find("Connection").value_or(""), "close");
+}
+
 bool hasNoBody(int status)
 {
     return status < 200 || status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED;
 }
 
+void emitDrained(const HttpExchange::State &exchange)
+{
+    const sigc::signal<void()> drained = exchange.drainedSignal;
+    guarded("HTTP exchange", [&drained] { drained.emit(); });
+}
+
 void onDrained(evhttp_connection *, void *arg)
 {
     const std::shared_ptr<HttpServerConnection> connection =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     if (connection->exchange != nullptr) {
-        const sigc::signal<void()> drained = connection->exchange->drainedSignal;
-        guarded("HTTP exchange", [&drained] { drained.emit(); });
+        emitDrained(*connection->exchange);
     }
 }
 
+void sendChunk(const HttpExchange::State &exchange, std::string_view data)
+{
+    evbuffer *buffer = evbuffer_new();
+    evbuffer_add(buffer, data.data(), data.size());
+    evhttp_send_reply_chunk_with_cb(exchange.request, buffer, onDrained, exchange.connection.get());
+    evbuffer_free(buffer);
+}
+
 } // namespace
 
 HttpExchange::State::State(std::shared_ptr<HttpServerConnection> serverConnection,
@@ -70,8 +90,27 @@
     , method(methodName(evhttpRequest->type))
 {}
 
+HttpExchange::State::State(std::shared_ptr<HttpServerConnection> serverConnection,
+                           PipelinedRequest pipelined, std::string address,
+                           std::shared_ptr<HeldResponse> heldResponse)
+    : connection(std::move(serverConnection))
+    , held(std::move(heldResponse))
+    , chunkedSupported(true)
+    , method(std::move(pipelined.method))
+    , requestHeaders(std::move(pipelined.headers))
+    , requestBody(std::string())
+    , peerAddress(std::move(address))
+{
+    setTarget(std::move(pipelined.target));
+    held->exchange = this;
+    held->method = method;
+}
+
 HttpExchange::State::~State()
 {
+    if (held != nullptr) {
+        held->exchange = nullptr;
+    }
     if (connection != nullptr && connection->exchange == this) {
         connection->exchange = nullptr;
     }
@@ -103,12 +142,46 @@
     }
 }
 
-void HttpExchange::State::loadTarget()
+void HttpExchange::State::bind(evhttp_request *evhttpRequest)
 {
-    if (target.has_value() || request == nullptr) {
+    const std::shared_ptr<HeldResponse> response = std::exchange(held, nullptr);
+    request = evhttpRequest;
+    connection->exchange = this;
+    if (!started) {
         return;
     }
-    target = request->uri;
+    addHeaders(response->status, response->headers, true);
+    connection->disableIdleTimeout();
+    evhttp_send_reply_start(request, response->status, nullptr);
+    if (response->body.empty()) {
+        // The sender may be paused because of the responses that were held with this one.
+        emitDrained(*this);
+    } else {
+        sendChunk(*this, response->body);
+    }
+}
+
+void HttpExchange::State::holdHead(int status, const HttpHeaders &headers)
+{
+    checkHeaders(headers);
+    bodyless = hasNoBody(status) || method == "HEAD";
+    held->status = status;
+    held->headers = headers;
+    if (requestsClose(headers)) {
+        connection->closeAfterRequestsAhead();
+    }
+}
+
+void HttpExchange::State::loadTarget()
+{
+    if (!target.has_value() && request != nullptr) {
+        setTarget(request->uri);
+    }
+}
+
+void HttpExchange::State::setTarget(std::string requestTarget)
+{
+    target = std::move(requestTarget);
     if (!target->starts_with('/')) {
         // Absolute form of the target. checkRequestHead() has checked the authority.
         const std::size_t authority = target->find("://") + 3;
@@ -151,7 +224,12 @@
         }
         evhttp_add_header(request->output_headers, field.first.c_str(), field.second.c_str());
     }
+    if (requestsClose(headers)) {
+        evhttp_remove_header(request->output_headers, "Connection");
+        connection->closeAfterRequestsAhead();
+    }
     if (connection->mustCloseAfterResponse()) {
+        connection->closeAfterRequestsAhead();
         evhttp_remove_header(request->output_headers, "Connection");
         evhttp_add_header(request->output_headers, "Connection", "close");
     }
@@ -236,6 +314,13 @@
     if (m_state->started) {
         throw Error("reply() called after startReply()");
     }
+    if (m_state->held != nullptr) {
+        m_state->holdHead(status, headers);
+        m_state->held->body = body;
+        m_state->started = true;
+        m_state->ended = true;
+        return;
+    }
     // evhttp adds a Content-Length for the body in its output buffer. Only a response to HEAD or
     // with status 304 may state the length of a body that is not sent.
     const bool lengthOfHead = m_state->method == "HEAD" && body.empty();
@@ -273,6 +358,13 @@
                         + "\", expected up to 18 digits");
         }
     }
+    if (m_state->held != nullptr) {
+        m_state->holdHead(status, headers);
+        m_state->held->isStreamed = true;
+        m_state->remaining = remaining;
+        m_state->started = true;
+        return;
+    }
     m_state->addHeaders(status, headers, true);
     m_state->remaining = remaining;
     m_state->started = true;
@@ -298,14 +390,18 @@
         }
         *m_state->remaining -= data.size();
     }
-    evbuffer *buffer = evbuffer_new();
-    evbuffer_add(buffer, data.data(), data.size());
-    evhttp_send_reply_chunk_with_cb(m_state->request, buffer, onDrained, m_state->connection.get());
-    evbuffer_free(buffer);
+    if (m_state->held != nullptr) {
+        m_state->held->body.append(data);
+        return;
+    }
+    sendChunk(*m_state, data);
 }
 
 std::size_t HttpExchange::bufferedBytes() const
 {
+    if (m_state->held != nullptr) {
+        return m_state->connection->heldBytes();
+    }
     if (m_state->request == nullptr) {
         return 0;
     }
@@ -325,7 +421,9 @@
         throw Error("response is shorter than its Content-Length");
     }
     m_state->ended = true;
-    evhttp_send_reply_end(m_state->request);
+    if (m_state->held == nullptr) {
+        evhttp_send_reply_end(m_state->request);
+    }
 }
 
 void HttpExchange::abort()
@@ -333,6 +431,11 @@
     if (std::exchange(m_state->ended, true)) {
         return;
     }
+    if (m_state->held != nullptr) {
+        m_state->held->isAborted = true;
+        m_state->held->body = std::string();
+        return;
+    }
     const std::shared_ptr<HttpServerConnection> connection = m_state->connection;
     connection->reset();
 }
--- a/Source/net/HttpExchange.h
+++ b/Source/net/HttpExchange.h
@@ -11,7 +11,8 @@
 namespace Tarragon {
 
 /// A request that an HttpServer received, and the response to it. Every exchange ends with reply(),
-/// finish() or abort(). Destroying an exchange before that aborts it.
+/// finish() or abort(). Destroying an exchange before that aborts it. The response to a pipelined
+/// request is held until the responses to the requests before it have been written.
 class HttpExchange
 {
 public:
@@ -45,19 +46,22 @@
     /// Sends the next bytes of a streamed response's body. Aborts the exchange and throws Error if
     /// the body becomes longer than the announced Content-Length.
     void send(std::string_view data);
-    /// Returns how many bytes passed to send() are still buffered in this process.
+    /// Returns how many bytes passed to send() are still buffered in this process. While the
+    /// response is held, these are the bytes of all held responses of the connection.
     std::size_t bufferedBytes() const;
     /// Ends a streamed response. Aborts the exchange and throws Error if the body is shorter than
     /// the announced Content-Length.
     void finish();
-    /// Resets the connection, so that the peer sees that the response is truncated.
+    /// Resets the connection, so that the peer sees that the response is truncated. If the response
+    /// is held, the connection is closed in its turn and nothing of the response is sent.
     void abort();
     /// Whether the exchange has ended or the peer has disconnected.
     bool isEnded() const;
 
     /// Emitted once when the peer disconnects before the exchange has ended.
     sigc::signal<void()> &disconnected();
-    /// Emitted when the buffered bytes of a streamed response have been written to the socket.
+    /// Emitted when the buffered bytes of a streamed response have been written to the socket, and
+    /// when a response without buffered bytes is no longer held.
     sigc::signal<void()> &drained();
 
 private:
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -6,6 +6,7 @@
 #include "net/HttpServerState.h"
 #include "net/HttpStatus.h"
 #include "net/HttpSyntax.h"
+#include "net/PipelinedRequest.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -15,6 +16,8 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <optional>
+#include <utility>
 
 #include <sys/socket.h>
 
@@ -37,6 +40,17 @@
 /// restart the previous one with the next bytes that arrive.
 constexpr timeval NoIdleTimeout{ 604'800, 0 };
 
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
+/// Whether requests behind this one may be processed before it is answered.
+bool isPipelinable(const evhttp_request &request)
+{
+    const char *connection = evhttp_find_header(request.input_headers, "Connection");
+    return (request.type == EVHTTP_REQ_GET || request.type == EVHTTP_REQ_HEAD)
+           && (request.major > 1 || request.minor >= 1)
+           && (connection == nullptr || !hasListToken(connection, "close"));
+}
+
 std::string_view reasonPhrase(int status)
 {
     switch (status) {
@@ -111,8 +125,13 @@
 // before libevent calls them.
 void HttpServerConnection::onInputChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
 {
+    HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
     if (info->n_added > 0) {
-        static_cast<HttpServerConnection *>(arg)->wrapCallbacks();
+        self->wrapCallbacks();
+        // evhttp removes the read callback while it writes a response.
+        if (self->mayReadAhead()) {
+            event_active(self->m_timer, EV_TIMEOUT, 0);
+        }
     }
 }
 
@@ -139,6 +158,10 @@
 {
     switch (m_phase) {
     case Phase::Head:
+        if (!m_requestsAhead.isEmpty()) {
+            startNextResponse();
+            break;
+        }
         moveInputToUnread();
         readHead();
         break;
@@ -151,6 +174,8 @@
         readChunkedBody();
         break;
     case Phase::Exchange:
+        readAhead();
+        break;
     case Phase::Rejected:
     case Phase::Closed:
         break;
@@ -162,18 +187,105 @@
     evbuffer_add_buffer(m_unread, bufferevent_get_input(m_bufferEvent));
 }
 
-void HttpServerConnection::readHead()
+void HttpServerConnection::skipEmptyLines()
 {
     std::array<char, 2> start{};
     while (m_scannedBytes == 0 && evbuffer_copyout(m_unread, start.data(), start.size()) == 2
            && start[0] == '\r' && start[1] == '\n') {
         evbuffer_drain(m_unread, start.size());
     }
+}
+
+bool HttpServerConnection::mayReadAhead() const
+{
+    return m_phase == Phase::Exchange && m_isPipelinable && !m_mustWait && !m_isClosing
+           && m_server->listening && !m_server->closesAfterResponses && m_requestsAhead.hasRoom();
+}
+
+void HttpServerConnection::readAhead()
+{
+    if (mayReadAhead()) {
+        moveInputToUnread();
+        while (mayReadAhead() && readHeadAhead()) {
+        }
+    }
+}
+
+bool HttpServerConnection::readHeadAhead()
+{
+    skipEmptyLines();
+    const std::size_t length = evbuffer_get_length(m_unread);
+    evbuffer_ptr from{};
+    evbuffer_ptr_set(m_unread, &from, m_scannedBytes, EVBUFFER_PTR_SET);
+    const evbuffer_ptr found = evbuffer_search(m_unread, HeadEnd.data(), HeadEnd.size(), &from);
+    const std::size_t headLength = found.pos < 0 ? length : std::size_t(found.pos) + HeadEnd.size();
+    if (headLength > m_server->limits.headerBytes.value) {
+        m_mustWait = true;
+        return false;
+    }
+    if (found.pos < 0) {
+        m_scannedBytes = length - std::min(length, HeadEnd.size() - 1);
+        return false;
+    }
+    m_scannedBytes = 0;
+    const std::string_view head(
+            reinterpret_cast<const char *>(evbuffer_pullup(m_unread, ev_ssize_t(headLength))),
+            headLength);
+    std::optional<PipelinedRequest> request;
+    if (checkRequestHead(head, m_server->limits.bodyBytes).rejectStatus == 0) {
+        request = parsePipelinedRequest(head);
+    }
+    if (!request.has_value()) {
+        // Malformed requests are rejected in their turn as well.
+        m_mustWait = true;
+        return false;
+    }
+    evbuffer_drain(m_unread, headLength);
+    passAhead(std::move(*request));
+    return true;
+}
+
+void HttpServerConnection::passAhead(PipelinedRequest request)
+{
+    char *address = nullptr;
+    ev_uint16_t port = 0;
+    evhttp_connection_get_peer(m_connection, &address, &port);
+    const std::shared_ptr<HeldResponse> response = std::make_shared<HeldResponse>();
+    m_requestsAhead.add(response);
+    ++m_server->exchangesInProgress;
+    disableIdleTimeout();
+    const HttpExchangePtr pointer =
+            std::make_shared<HttpExchange>(std::make_unique<HttpExchange::State>(
+                    shared_from_this(), std::move(request), address, response));
+    const bool done = guarded("HTTP server", [this, &pointer] { m_server->handler(pointer); });
+    if (!done) {
+        pointer->abort();
+    }
+}
+
+void HttpServerConnection::startNextResponse()
+{
+    m_nextResponse = m_requestsAhead.takeNext();
+    --m_server->exchangesInProgress;
+    if (m_nextResponse->isAborted) {
+        m_nextResponse = nullptr;
+        closeWithoutResponse();
+        return;
+    }
+    // evhttp writes a response only to a request that it has read. The exchange has its own copy of
+    // the request, so that only the method matters.
+    const std::string head = m_nextResponse->method + " / HTTP/1.1\r\nHost: pipelined\r\n\r\n";
+    evbuffer_prepend(m_unread, head.data(), head.size());
+    passToEvhttp(head.size());
+}
+
+void HttpServerConnection::readHead()
+{
+    skipEmptyLines();
     const std::size_t length = evbuffer_get_length(m_unread);
     if (length == 0) {
         return;
     }
-    static constexpr std::string_view HeadEnd = "\r\n\r\n";
     evbuffer_ptr from{};
     evbuffer_ptr_set(m_unread, &from, m_scannedBytes, EVBUFFER_PTR_SET);
     const evbuffer_ptr found = evbuffer_search(m_unread, HeadEnd.data(), HeadEnd.size(), &from);
@@ -259,6 +371,7 @@
     server->current = this;
     m_evhttpRead(m_bufferEvent, m_connection);
     server->current = previous;
+    readAhead();
 }
 
 void HttpServerConnection::onRequest(evhttp_request *request)
@@ -273,26 +386,36 @@
         // connections.
         evhttp_remove_header(request->input_headers, "Connection");
     }
+    m_isPipelinable = isPipelinable(*request);
     evhttp_request_set_on_complete_cb(request, onResponseWritten, this);
     const std::shared_ptr<HttpServerConnection> self = shared_from_this();
+    if (m_nextResponse != nullptr) {
+        const std::shared_ptr<HeldResponse> response = std::exchange(m_nextResponse, nullptr);
+        guarded("HTTP server", [&] { response->deliver(self, request); });
+    } else {
+        handle(request);
+    }
+    if (m_phase == Phase::Exchange && exchange != nullptr && !exchange->ended) {
+        // evhttp stops reading while a request is in progress and would not detect a disconnect.
+        disableIdleTimeout();
+        bufferevent_enable(m_bufferEvent, EV_READ);
+    }
+}
+
+void HttpServerConnection::handle(evhttp_request *request)
+{
     std::unique_ptr<HttpExchange::State> state =
-            std::make_unique<HttpExchange::State>(self, request);
+            std::make_unique<HttpExchange::State>(shared_from_this(), request);
     if (m_hasChunkedBody) {
         state->requestBody = std::move(m_chunkedBody);
         m_chunkedBody.clear();
     }
     exchange = state.get();
-    HttpExchangePtr pointer = std::make_shared<HttpExchange>(std::move(state));
+    const HttpExchangePtr pointer = std::make_shared<HttpExchange>(std::move(state));
     const bool done = guarded("HTTP server", [this, &pointer] { m_server->handler(pointer); });
     if (!done) {
         pointer->abort();
     }
-    pointer.reset();
-    if (m_phase == Phase::Exchange && exchange != nullptr && !exchange->ended) {
-        // evhttp stops reading while a request is in progress and would not detect a disconnect.
-        disableIdleTimeout();
-        bufferevent_enable(m_bufferEvent, EV_READ);
-    }
 }
 
 void HttpServerConnection::disableIdleTimeout()
@@ -313,7 +436,8 @@
 
 bool HttpServerConnection::mustCloseAfterResponse() const
 {
-    return m_server == nullptr || !m_server->listening || m_server->closesAfterResponses;
+    return m_requestsAhead.isEmpty()
+           && (m_isClosing || !m_server->listening || m_server->closesAfterResponses);
 }
 
 bool HttpServerConnection::hasPendingRequest(MonotonicTime now) const
@@ -329,6 +453,9 @@
     case Phase::Closed:
         return false;
     }
+    if (!m_requestsAhead.isEmpty()) {
+        return true;
+    }
     if (m_scannedBytes > 0) {
         return now - m_headStartedAt <= m_server->limits.headerTimeout;
     }
@@ -354,10 +481,13 @@
     self->m_hasResponded = true;
     self->m_phase = Phase::Head;
     self->m_scannedBytes = 0;
-    self->enableIdleTimeout();
+    self->m_mustWait = false;
+    if (self->m_requestsAhead.isEmpty()) {
+        self->enableIdleTimeout();
+    }
     // evhttp would parse bytes left in the input buffer without the checks of readHead().
     self->moveInputToUnread();
-    if (evbuffer_get_length(self->m_unread) > 0) {
+    if (evbuffer_get_length(self->m_unread) > 0 || !self->m_requestsAhead.isEmpty()) {
         event_active(self->m_timer, EV_TIMEOUT, 0);
     }
 }
@@ -376,7 +506,7 @@
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     if (self->m_phase == Phase::Rejected) {
         self->closeNow();
-    } else if (self->m_phase == Phase::Head) {
+    } else if (self->m_phase == Phase::Head || self->m_phase == Phase::Exchange) {
         self->readInput();
     }
 }
@@ -390,8 +520,25 @@
                         "Connection: close\r\n\r\n%s",
                         status, std::string(reasonPhrase(status)).c_str(), body.size(),
                         body.c_str());
+    discardInput();
+}
+
+void HttpServerConnection::closeWithoutResponse()
+{
+    // A reset could make the peer lose the responses before this one.
+    m_phase = Phase::Rejected;
+    shutdown(bufferevent_getfd(m_bufferEvent), SHUT_WR);
+    discardInput();
+    m_server->exchangesInProgress -= m_requestsAhead.size();
+    m_requestsAhead.endAll();
+}
+
+void HttpServerConnection::discardInput()
+{
     bufferevent_setcb(m_bufferEvent, onRejectedRead, onRejectedWrite, onRejectedEvent, this);
     const timeval linger = toTimeval(RejectionLingerTime);
+    // The timer may have been activated for input that is discarded now.
+    event_del(m_timer);
     event_add(m_timer, &linger);
     evbuffer *input = bufferevent_get_input(m_bufferEvent);
     evbuffer_drain(input, evbuffer_get_length(input));
@@ -441,6 +588,7 @@
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     self->m_phase = Phase::Closed;
     self->uncountExchange();
+    self->m_server->exchangesInProgress -= self->m_requestsAhead.size();
     event_del(self->m_timer);
     HttpExchange::State *state = self->exchange;
     self->exchange = nullptr;
@@ -448,6 +596,7 @@
     if (state != nullptr) {
         state->onPeerDisconnected();
     }
+    self->m_requestsAhead.endAll();
 }
 
 } // namespace Tarragon
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -4,6 +4,7 @@
 #include "net/ChunkedDecoder.h"
 #include "net/HttpExchange.h"
 #include "net/HttpServer.h"
+#include "net/RequestsAhead.h"
 
 #include <event2/bufferevent.h>
 #include <event2/util.h>
@@ -20,9 +21,13 @@
 
 namespace Tarragon {
 
+struct PipelinedRequest;
+
 /// One connection of an HttpServer. It intercepts input between the bufferevent and evhttp's read
 /// callback: it checks request heads and decodes chunked bodies before evhttp reads them, and
-/// withholds pipelined input from evhttp while a request is in progress.
+/// withholds pipelined input from evhttp while a request is in progress. GET and HEAD requests
+/// behind a GET or HEAD request in progress are passed to the handler at once; evhttp gets a
+/// substitute for each of them when its response can be written.
 class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
 {
 public:
@@ -35,13 +40,17 @@
     /// Replaces evhttp's callbacks by those of this class, once evhttp has set them.
     void attach();
     /// Creates an exchange for a request that evhttp has read and passes it to the server's
-    /// handler.
+    /// handler. If the request stands for one of the requests ahead, delivers its response.
     void onRequest(evhttp_request *request);
     /// Closes the connection with a TCP reset.
     void reset();
-    /// Whether the connection must be closed after its response, because the server is shutting
-    /// down.
+    /// Whether the connection must be closed after the response that is about to start.
     bool mustCloseAfterResponse() const;
+    /// Passes no further request to the handler, and closes the connection after the responses to
+    /// those that were passed on.
+    void closeAfterRequestsAhead() { m_isClosing = true; }
+    /// Returns the number of bytes of responses that wait for the responses before them.
+    std::size_t heldBytes() const { return m_requestsAhead.heldBytes(); }
     /// Whether a request without a complete response has begun to arrive, or may still be in
     /// transit because the connection is new.
     bool hasPendingRequest(MonotonicTime now) const;
@@ -81,7 +90,25 @@
     static void onResponseWritten(evhttp_request *request, void *arg);
 
     void wrapCallbacks();
+    /// Passes a request that evhttp has read to the server's handler.
+    void handle(evhttp_request *request);
     void readInput();
+    /// Passes complete requests behind the one in progress to the handler, as far as they need not
+    /// wait.
+    void readAhead();
+    bool mayReadAhead() const;
+    /// Passes the head at the start of m_unread to the handler if it is complete. Returns whether
+    /// the next one may be read.
+    bool readHeadAhead();
+    void passAhead(PipelinedRequest request);
+    /// Makes evhttp write the response to the first of the requests ahead.
+    void startNextResponse();
+    /// Closes the connection without a response to the request whose turn it is.
+    void closeWithoutResponse();
+    /// Sets the callbacks that discard input until the peer closes the connection.
+    void discardInput();
+    /// Removes empty lines before a request head from m_unread.
+    void skipEmptyLines();
     /// Appends the contents of the input buffer to m_unread.
     void moveInputToUnread();
     void readHead();
@@ -111,6 +138,15 @@
     Phase m_phase = Phase::Head;
     MonotonicTime m_acceptedAt;
     bool m_hasResponded = false;
+    RequestsAhead m_requestsAhead;
+    /// The held response for which evhttp is given a substitute request; null outside of that.
+    std::shared_ptr<HeldResponse> m_nextResponse;
+    /// Whether requests behind the one in progress may be processed before it is answered.
+    bool m_isPipelinable = false;
+    /// Whether the next request must wait for the responses to those before it.
+    bool m_mustWait = false;
+    /// Whether no further request is passed to the handler.
+    bool m_isClosing = false;
     /// Number of bytes at the start of m_unread that were searched for the end of the head without
     /// success; 0 if no part of a head has been received.
     std::size_t m_scannedBytes = 0;
--- a/Tests/net/HttpServerTest.cpp
+++ b/Tests/net/HttpServerTest.cpp
@@ -268,14 +268,15 @@
     EXPECT_EQ(server->exchangesInProgress(), 0u);
 }
 
-// Guards against the handler receiving a second request while the first one is in progress.
+// Guards against the handler receiving a request that may change state while the one before it is
+// in progress, and against a malformed request being rejected out of turn.
 TEST_F(HttpServerTest, PipelinedRequestWaitsForThePreviousOne)
 {
     const std::unique_ptr<HttpServer> server = servePending();
     RawSocket socket(m_loop, server->port());
     socket.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
     runUntil([this] { return m_exchanges.size() == 1; });
-    socket.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+    socket.send("DELETE /2 HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\n\r\n");
     runFor(milliseconds(20));
     EXPECT_EQ(m_exchanges.size(), 1u);
     m_exchanges[0]->reply(200, {}, "one");
