Membership: State the age of heartbeats in gossip

Gossip now states the age of each heartbeat. An entry whose first heartbeat is older than the heartbeat timeout is not live before its second one.

--- a/Source/gateway/MembershipGossip.cpp
+++ b/Source/gateway/MembershipGossip.cpp
@@ -3,6 +3,7 @@
 #include "gateway/LimitCodec.h"
 #include "gateway/SuspectCodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Tarragon {
@@ -16,6 +17,8 @@
 /// Timeout of an exchange. It equals the period because the next round sends everything again, so
 /// that waiting longer has no benefit.
 constexpr milliseconds ExchangeTimeout{ 400 };
+/// Maximum age of a heartbeat in a message, which keeps computations with it from overflowing.
+constexpr std::uint64_t MaxAgeMs = 3'600'000;
 
 void fillMemberStates(capnp::List<PeerRpc::RosterItem>::Builder list,
                       const std::vector<GossipMemberState> &states)
@@ -26,6 +29,7 @@
         item.setIncarnation(states[i].incarnation.value());
         item.setBeat(states[i].heartbeat);
         item.setServing(states[i].isServing);
+        item.setAgeMs(static_cast<std::uint64_t>(states[i].age.count()));
     }
 }
 
@@ -45,7 +49,7 @@
         merge(params.getMine());
         merge(params.getLimits());
         merge(params.getSuspects());
-        const std::vector<GossipMemberState> states = m_membership.memberStates();
+        const std::vector<GossipMemberState> states = m_membership.memberStates(m_loop.now());
         fillMemberStates(results.initTheirs(static_cast<unsigned int>(states.size())), states);
         const std::vector<TargetLimitChange> limits = m_limits.recentChanges(m_loop.now());
         fillLimits(results.initLimits(static_cast<unsigned int>(limits.size())), limits);
@@ -90,7 +94,7 @@
     if (client == nullptr) {
         return;
     }
-    const std::vector<GossipMemberState> states = m_membership.memberStates();
+    const std::vector<GossipMemberState> states = m_membership.memberStates(m_loop.now());
     const std::vector<TargetLimitChange> limits = m_limits.recentChanges(m_loop.now());
     const std::vector<SuspectRecord> suspects = m_suspects.toGossip(false, m_loop.now());
     client->call(
@@ -116,9 +120,9 @@
     std::vector<GossipMemberState> states;
     states.reserve(list.size());
     for (const PeerRpc::RosterItem::Reader it : list) {
-        states.push_back(GossipMemberState{ InstanceId(it.getInstance()),
-                                            Incarnation(it.getIncarnation()), it.getBeat(),
-                                            it.getServing() });
+        states.push_back(GossipMemberState{
+                InstanceId(it.getInstance()), Incarnation(it.getIncarnation()), it.getBeat(),
+                it.getServing(), milliseconds(std::min(it.getAgeMs(), MaxAgeMs)) });
     }
     m_membership.merge(states, m_loop.now());
 }
--- a/Source/peer/Peer.capnp
+++ b/Source/peer/Peer.capnp
@@ -243,6 +243,8 @@
   beat @2 :UInt64;
   # Whether the instance accepts requests of callers.
   serving @3 :Bool;
+  # Time since the instance incremented the counter, as far as it was spent at instances.
+  ageMs @4 :UInt64;
 }
 
 struct KindPosition {
--- a/Source/peer/Peer.capnp.h
+++ b/Source/peer/Peer.capnp.h
@@ -491,7 +491,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c6d31389b912fe9f, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c6d31389b912fe9f, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3556,6 +3556,8 @@
 
   inline bool getServing() const;
 
+  inline  ::uint64_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3600,6 +3602,9 @@
   inline bool getServing();
   inline void setServing(bool value);
 
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10117,6 +10122,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RosterItem::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterItem::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RosterItem::Builder::setAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool KindPosition::Reader::hasKind() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -61,13 +61,15 @@
     return chosen;
 }
 
-std::vector<GossipMemberState> EntryMembership::memberStates() const
+std::vector<GossipMemberState> EntryMembership::memberStates(MonotonicTime now) const
 {
     std::vector<GossipMemberState> states{ GossipMemberState{
             m_localEntry.instance, m_localEntry.incarnation, m_heartbeat, m_isServing } };
     for (const auto &[id, member] : m_members) {
         if (member.lastHeartbeatAt.has_value()) {
-            states.push_back(member.state);
+            GossipMemberState state = member.state;
+            state.age = std::chrono::duration_cast<milliseconds>(now - member.sentAt);
+            states.push_back(std::move(state));
         }
     }
     return states;
@@ -86,21 +88,27 @@
         if (it.incarnation != member.record.incarnation) {
             continue;
         }
-        const bool isFirst = !member.lastHeartbeatAt.has_value();
-        if (!isFirst && it.heartbeat <= member.state.heartbeat) {
+        if (member.lastHeartbeatAt.has_value() && it.heartbeat <= member.state.heartbeat) {
             continue;
         }
-        // The last heartbeat of an entry that has failed may arrive long after the failure, from an
-        // entry that was cut off meanwhile. Only an entry that is running sends another one.
-        const bool isConfirmed =
-                isFirst || member.isReturning
-                || now - *member.lastHeartbeatAt < m_options.heartbeatTimeout + ConfirmationDelay;
+        const bool isConfirmed = member.isReturning || isRecent(member, it, now);
         member.isReturning = !isConfirmed;
         member.state = it;
-        if (isConfirmed) {
-            member.lastHeartbeatAt = now;
-        }
+        member.sentAt = now - it.age;
+        member.lastHeartbeatAt = isConfirmed ? now : now - m_options.heartbeatTimeout;
+    }
+}
+
+bool EntryMembership::isRecent(const Member &member, const GossipMemberState &state,
+                               MonotonicTime now) const
+{
+    // The last heartbeat of an entry that has failed may arrive long after the failure: from an
+    // entry that was cut off meanwhile, or because its registration has only just arrived. Only an
+    // entry that is running sends another one.
+    if (!member.lastHeartbeatAt.has_value()) {
+        return state.age < m_options.heartbeatTimeout;
     }
+    return now - *member.lastHeartbeatAt < m_options.heartbeatTimeout + ConfirmationDelay;
 }
 
 std::vector<EntryRecord> EntryMembership::servingEntries(const RegionId &region,
--- a/Source/routing/EntryMembership.h
+++ b/Source/routing/EntryMembership.h
@@ -60,6 +60,9 @@
     std::uint64_t heartbeat = 0;
     /// Whether the entry accepts requests of callers.
     bool isServing = false;
+    /// Time since the entry incremented the counter, as far as it was spent at entries that passed
+    /// the state on; 0 in states of older builds.
+    milliseconds age{ 0 };
 
     friend bool operator==(const GossipMemberState &, const GossipMemberState &) = default;
 };
@@ -99,10 +102,11 @@
     std::vector<InstanceId> beginGossipRound();
     /// Returns the state of the local entry and of all entries from which a heartbeat was received,
     /// to send to another entry.
-    std::vector<GossipMemberState> memberStates() const;
+    std::vector<GossipMemberState> memberStates(MonotonicTime now) const;
     /// Merges states received from another entry. Ignores unregistered entries, other incarnations
     /// than the registered one, and heartbeats that have not increased. An entry that failed some
-    /// time ago is live again with its second heartbeat.
+    /// time ago is live again with its second heartbeat; so is an entry of which the first
+    /// heartbeat that arrives is older than the heartbeat timeout.
     void merge(const std::vector<GossipMemberState> &states, MonotonicTime now);
 
     /// Returns the live entries of the region that accept requests of callers, including the local
@@ -165,6 +169,8 @@
         /// Time at which the heartbeat counter last increased; not set if no heartbeat has been
         /// received.
         std::optional<MonotonicTime> lastHeartbeatAt;
+        /// Time at which the entry incremented the counter, by the age of the state.
+        MonotonicTime sentAt;
         /// Whether one heartbeat has arrived since the entry was found to have failed.
         bool isReturning = false;
     };
@@ -183,6 +189,8 @@
     using EntryRank = std::pair<bool, std::uint64_t>;
 
     bool isLive(const Member &member, MonotonicTime now) const;
+    /// Whether a newer heartbeat of the member shows that it is running now.
+    bool isRecent(const Member &member, const GossipMemberState &state, MonotonicTime now) const;
     /// Returns the live entry that accepts requests of callers and has the lowest rank; entries
     /// without a rank are left out.
     template<typename RankOf>
--- a/Tests/gateway/LimitSimulation.cpp
+++ b/Tests/gateway/LimitSimulation.cpp
@@ -293,7 +293,7 @@
             if (!isConnected(entry, other)) {
                 continue;
             }
-            const std::vector<GossipMemberState> states = own.memberStates();
+            const std::vector<GossipMemberState> states = own.memberStates(clock());
             const std::vector<TargetLimitChange> limits = limitsFrom(entry);
             const std::uint64_t otherEpoch = m_entries[other].epoch;
             const microseconds delay =
@@ -303,7 +303,7 @@
                     EntryMembership &theirs = m_entries[other].process->membership;
                     theirs.merge(states, clock());
                     mergeLimits(other, limits);
-                    const std::vector<GossipMemberState> reply = theirs.memberStates();
+                    const std::vector<GossipMemberState> reply = theirs.memberStates(clock());
                     const std::vector<TargetLimitChange> replyLimits = limitsFrom(other);
                     m_schedule.after(delay, [this, entry, epoch, reply, replyLimits] {
                         onEntry(entry, epoch, [this, entry, reply, replyLimits] {
--- a/Tests/gateway/StoreSimulation.cpp
+++ b/Tests/gateway/StoreSimulation.cpp
@@ -256,14 +256,15 @@
             continue;
         }
         Process &mine = *m_entries[entry].process;
-        const std::vector<GossipMemberState> states = mine.membership.memberStates();
+        const std::vector<GossipMemberState> states = mine.membership.memberStates(mine.loop.now());
         Process &theirs = *m_entries[indexOf(it)].process;
         theirs.loop.run(NeighbourDelay, [&mine, &theirs, states, life = mine.loop.lifetime()] {
             theirs.membership.merge(states, theirs.loop.now());
             if (life.expired()) {
                 return;
             }
-            const std::vector<GossipMemberState> reply = theirs.membership.memberStates();
+            const std::vector<GossipMemberState> reply =
+                    theirs.membership.memberStates(theirs.loop.now());
             mine.loop.run(NeighbourDelay,
                           [&mine, reply] { mine.membership.merge(reply, mine.loop.now()); });
         });
--- a/Tests/gateway/SuspectSimulation.cpp
+++ b/Tests/gateway/SuspectSimulation.cpp
@@ -184,7 +184,7 @@
         for (const InstanceId &it : mine.membership.beginGossipRound()) {
             const std::size_t other = indexOf(it);
             deliver(entry, other,
-                    [this, entry, epoch, other, states = mine.membership.memberStates(),
+                    [this, entry, epoch, other, states = mine.membership.memberStates(clock()),
                      suspects = mine.suspects.toGossip(false, clock()),
                      digest = mine.suspects.digest()] {
                         Process &theirs = *m_entries[other].process;
@@ -194,7 +194,8 @@
                         }
                         const bool isDifferent = digest != theirs.suspects.digest();
                         deliver(other, entry,
-                                [this, entry, epoch, reply = theirs.membership.memberStates(),
+                                [this, entry, epoch,
+                                 reply = theirs.membership.memberStates(clock()),
                                  records = theirs.suspects.toGossip(isDifferent, clock())] {
                                     if (m_entries[entry].epoch != epoch) {
                                         return;
--- a/Tests/routing/EntryMembershipTest.cpp
+++ b/Tests/routing/EntryMembershipTest.cpp
@@ -51,8 +51,8 @@
                     const std::size_t j = std::stoul(it.value().substr(1));
                     m_crossDomainExchanges += m_records[i].domain == m_records[j].domain ? 0 : 1;
                     if (m_up[j]) {
-                        m_fleet[j]->merge(m_fleet[i]->memberStates(), at(time));
-                        m_fleet[i]->merge(m_fleet[j]->memberStates(), at(time));
+                        m_fleet[j]->merge(m_fleet[i]->memberStates(at(time)), at(time));
+                        m_fleet[i]->merge(m_fleet[j]->memberStates(at(time)), at(time));
                     }
                 }
             }
@@ -97,7 +97,7 @@
     makeFleet(9);
     run(0, 8);
     static_cast<void>(m_fleet[0]->beginGossipRound());
-    const std::vector<GossipMemberState> lastStates = m_fleet[0]->memberStates();
+    const std::vector<GossipMemberState> lastStates = m_fleet[0]->memberStates(at(8));
     m_up[0] = false;
     run(8, 20);
     EXPECT_FALSE(m_fleet[2]->isLive(m_records[0].instance, at(20)));
@@ -110,6 +110,28 @@
     }
 }
 
+// Guards against lookups that name an entry long after its failure, because the first heartbeat of
+// it that arrives was sent long ago: its registration was read late, or this process has started
+// since.
+TEST_F(EntryMembershipTest, FirstHeartbeatThatIsOldDoesNotReviveAFailedEntry)
+{
+    makeFleet(9);
+    std::vector<EntryRecord> earlier = m_records;
+    earlier.erase(earlier.begin());
+    m_fleet[1]->setRecords(earlier);
+    run(0, 8);
+    m_up[0] = false;
+    run(8, 16);
+    m_fleet[1]->setRecords(m_records);
+    for (double time = 16; time < 24; time += Round) {
+        run(time, time + Round);
+        EXPECT_FALSE(m_fleet[1]->isLive(m_records[0].instance, at(time + Round)));
+    }
+    m_up[0] = true;
+    run(24, 27);
+    EXPECT_TRUE(m_fleet[1]->isLive(m_records[0].instance, at(27)));
+}
+
 // Guards against an entry that stays out of lookups after the end of its partition.
 TEST_F(EntryMembershipTest, EntryThatReturnsIsLiveAgainWithinAFewRounds)
 {
