--- a/Tests/Support/PromptCaller.h
+++ b/Tests/Support/PromptCaller.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -24,6 +26,9 @@
         : m_fd(socket(AF_INET, SOCK_STREAM, 0))
     {
         const SocketAddress address = loopbackAddress(port);
+        // A segment would otherwise wait for the acknowledgement of the previous one.
+        const int on = 1;
+        setsockopt(m_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         EXPECT_EQ(connect(m_fd, address.data(), address.length), 0);
     }
     ~PromptCaller() { close(m_fd); }
