--- a/Tests/net/PipelinedExchangeTest.cpp
+++ b/Tests/net/PipelinedExchangeTest.cpp
@@ -127,6 +127,27 @@
     EXPECT_EQ(m_server->exchangesInProgress(), 0u);
 }
 
+// Guards against input that is not noticed while evhttp writes a response, when it has no read
+// callback, also if the rest of the head arrives later.
+TEST_F(PipelinedExchangeTest, RequestDuringAStreamedResponseIsPassedOn)
+{
+    PromptCaller caller(m_server->port());
+    sendGets(caller, 1);
+    m_exchanges[0]->startReply(200, {});
+    m_exchanges[0]->send("part");
+    awaitText(caller, "part");
+    caller.send(get("/2") + get("/3").substr(0, 20));
+    awaitExchanges(2);
+    m_exchanges[0]->send("more");
+    caller.send(get("/3").substr(20));
+    awaitExchanges(3);
+    respond(2);
+    respond(1);
+    m_exchanges[0]->finish();
+    awaitText(caller, "[/3]");
+    EXPECT_LT(caller.received().find("[/2]"), caller.received().find("[/3]"));
+}
+
 // Guards against a connection that occupies any number of slots of the targets.
 TEST_F(PipelinedExchangeTest, NumberOfRequestsAheadIsLimited)
 {
