Routing: Admit usual demand of capped workspaces after starts and idleness

A new bucket started empty, when the first request asked for tokens, and filled at 0.3 of the rate for 1.5 s. After a start of all entries, and for each workspace that nobody had used for a minute, requests far below the cap were refused.

A bucket now fills from the time at which the entry became the issuer, which UsageTenure finds from the live entries. It starts with 8 tokens, or with half a second of the rate if no live entry started long before. It starts again if another entry may have been the issuer meanwhile: before, an entry that regained the role had a full bucket. An entry that has not yet heard from most others asks the issuer by registrations, not itself.

--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -148,7 +148,8 @@
 
 template<typename RankOf>
 std::optional<InstanceId> EntryMembership::firstServingEntry(const RankOf &rankOf,
-                                                             MonotonicTime now) const
+                                                             MonotonicTime now,
+                                                             bool includesUnknown) const
 {
     if (!m_hasRecords) {
         return std::nullopt;
@@ -166,7 +167,8 @@
         consider(m_localEntry);
     }
     for (const auto &[id, member] : m_members) {
-        if (member.state.isServing && isLive(member, now)) {
+        const bool isUnknown = includesUnknown && !member.lastHeartbeatAt.has_value();
+        if (isUnknown || (member.state.isServing && isLive(member, now))) {
             consider(member.record);
         }
     }
@@ -205,6 +207,46 @@
 
 std::optional<InstanceId> EntryMembership::usageIssuer(const WorkspaceName &workspace,
                                                        MonotonicTime now) const
+{
+    return firstUsageEntry(workspace, now, false);
+}
+
+std::optional<InstanceId> EntryMembership::probableUsageIssuer(const WorkspaceName &workspace,
+                                                               MonotonicTime now) const
+{
+    return firstUsageEntry(workspace, now, usageFraction(now) < 1);
+}
+
+bool EntryMembership::precedes(const InstanceId &first, const InstanceId &second,
+                               const WorkspaceName &workspace)
+{
+    const std::uint64_t key = stableHash(workspace.value());
+    return rendezvousHash(key, stableHash(first.value()))
+           < rendezvousHash(key, stableHash(second.value()));
+}
+
+std::set<InstanceId> EntryMembership::usageEntries(MonotonicTime now) const
+{
+    std::set<InstanceId> entries;
+    for (const auto &[id, member] : m_members) {
+        if (member.record.issuesUsage && member.state.isServing && isLive(member, now)) {
+            entries.insert(id);
+        }
+    }
+    return entries;
+}
+
+bool EntryMembership::startedWithOthers(MonotonicTime now) const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [this, now](const auto &it) {
+        return !isLive(it.second, now)
+               || it.second.state.heartbeat <= m_heartbeat + FleetStartRounds;
+    });
+}
+
+std::optional<InstanceId> EntryMembership::firstUsageEntry(const WorkspaceName &workspace,
+                                                           MonotonicTime now,
+                                                           bool includesUnknown) const
 {
     const std::uint64_t key = stableHash(workspace.value());
     return firstServingEntry(
@@ -214,7 +256,7 @@
                 }
                 return EntryRank(false, rendezvousHash(key, stableHash(it.instance.value())));
             },
-            now);
+            now, includesUnknown);
 }
 
 std::vector<InstanceId> EntryMembership::newsRecipients(bool isOwnNews, MonotonicTime now) const
--- a/Source/routing/EntryMembership.h
+++ b/Source/routing/EntryMembership.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -130,6 +131,18 @@
     /// Returns the entry that issues the tokens of a workspace with a cap: the first one by a hash
     /// of workspace and entry. Returns nothing before the registered entries are known.
     std::optional<InstanceId> usageIssuer(const WorkspaceName &workspace, MonotonicTime now) const;
+    /// Returns the entry to ask for tokens of the workspace. This is the issuer, except that an
+    /// entry which has not heard from most of the others also considers those from which no
+    /// heartbeat has been received: after its start it would otherwise ask itself.
+    std::optional<InstanceId> probableUsageIssuer(const WorkspaceName &workspace,
+                                                  MonotonicTime now) const;
+    /// Whether the first entry is chosen before the second as the issuer of the workspace.
+    static bool precedes(const InstanceId &first, const InstanceId &second,
+                         const WorkspaceName &workspace);
+    /// Returns the live entries that may issue tokens of workspaces.
+    std::set<InstanceId> usageEntries(MonotonicTime now) const;
+    /// Whether no live entry started long before the local one.
+    bool startedWithOthers(MonotonicTime now) const;
     /// Returns the entries to which news is sent that must be known everywhere within a fraction of
     /// a second: the live entries of the local failure domain, and with `isOwnNews`, which comes
     /// from this entry and not from another failure domain, some of each other domain, which pass
@@ -176,6 +189,9 @@
     /// Entries of another failure domain that pass news on there. Two, so that one of them may
     /// fail.
     static constexpr std::size_t NewsRelaysPerDomain = 2;
+    /// Gossip rounds by which the heartbeat of an entry may be ahead of the local one if both
+    /// started together: entries are back within 2 s, which is 5 rounds.
+    static constexpr std::uint64_t FleetStartRounds = 10;
     /// Part of its proportion of a workspace's cap that a side of a partition with less than half
     /// of the entries may issue.
     static constexpr double MinorityUsage = 0.2;
@@ -185,8 +201,12 @@
     bool isLive(const Member &member, MonotonicTime now) const;
     /// Returns the live entry that accepts requests of callers and has the lowest rank; entries
     /// without a rank are left out.
+    /// With `includesUnknown`, entries from which no heartbeat has been received are candidates.
     template<typename RankOf>
-    std::optional<InstanceId> firstServingEntry(const RankOf &rankOf, MonotonicTime now) const;
+    std::optional<InstanceId> firstServingEntry(const RankOf &rankOf, MonotonicTime now,
+                                                bool includesUnknown = false) const;
+    std::optional<InstanceId> firstUsageEntry(const WorkspaceName &workspace, MonotonicTime now,
+                                              bool includesUnknown) const;
 
     EntryRecord m_localEntry;
     EntryMembershipOptions m_options;
--- a/Source/routing/UsageCaps.cpp
+++ b/Source/routing/UsageCaps.cpp
@@ -22,6 +22,7 @@
 
 UsageCaps::UsageCaps(const EntryMembership &membership, AskSlot ask)
     : m_membership(membership)
+    , m_tenure(membership)
     , m_ask(std::move(ask))
 {}
 
@@ -29,7 +30,7 @@
                                                      MonotonicTime now) const
 {
     if (now >= state.issuerKnownUntil) {
-        state.issuer = m_membership.usageIssuer(name, now);
+        state.issuer = m_membership.probableUsageIssuer(name, now);
         state.issuerKnownUntil = now + IssuerLookupPeriod;
     }
     return state.issuer;
@@ -208,13 +209,15 @@
 
 UsageReplies UsageCaps::answer(const UsageRequests &requests, MonotonicTime now)
 {
+    m_tenure.observe(now);
     const double fraction = m_membership.usageFraction(now);
     const std::size_t entries = m_membership.entryCount();
     UsageReplies replies;
     replies.reserve(requests.size());
     for (const UsageRequest &it : requests) {
         if (m_membership.usageIssuer(it.workspace, now) == m_membership.localEntry().instance) {
-            replies.push_back(m_issuer.issue(it, fraction, entries, now));
+            replies.push_back(
+                    m_issuer.issue(it, fraction, entries, m_tenure.of(it.workspace), now));
         } else {
             replies.push_back(UsageReply{ it.workspace });
         }
@@ -224,6 +227,7 @@
 
 void UsageCaps::removeUnused(MonotonicTime now)
 {
+    m_tenure.observe(now);
     m_issuer.removeUnused(now);
     std::erase_if(m_workspaces, [now](const auto &it) {
         return it.second.waiting.empty() && now - it.second.usedAt >= Retention;
--- a/Source/routing/UsageCaps.h
+++ b/Source/routing/UsageCaps.h
@@ -52,7 +52,8 @@
     void giveBack(const WorkspaceName &workspace, MonotonicTime now);
     /// Replies to the requests of another entry, or of this one.
     UsageReplies answer(const UsageRequests &requests, MonotonicTime now);
-    /// Removes state that is not used any more.
+    /// Removes state that is not used any more, and observes which entries are live. Must be called
+    /// several times a second.
     void removeUnused(MonotonicTime now);
     /// Returns the number of workspaces of which this entry holds or has asked for tokens lately.
     std::size_t activeWorkspaces() const { return m_workspaces.size(); }
@@ -96,6 +97,7 @@
                MonotonicTime now);
 
     const EntryMembership &m_membership;
+    UsageTenure m_tenure;
     UsageIssuer m_issuer;
     AskSlot m_ask;
     std::map<WorkspaceName, State> m_workspaces;
--- a/Source/routing/UsageIssuer.cpp
+++ b/Source/routing/UsageIssuer.cpp
@@ -15,6 +15,14 @@
 /// within the tolerated excess of a tenth of five seconds.
 constexpr milliseconds StartTime{ 1'500 };
 constexpr double StartFraction = 0.3;
+/// Tokens with which a bucket starts, for caps of a few requests per second: half of the tolerated
+/// excess that does not depend on the cap, as an issuer may change twice in 5 s.
+constexpr double StartTokens = 8;
+/// Tokens with which a bucket starts if all entries started together, as a time at the capped rate
+/// and a fraction of the burst. Entries learn of each other one after another, so that two of them
+/// may be the issuer within 5 s; together they start with one full bucket.
+constexpr double FleetStartSeconds = 0.5;
+constexpr double FleetStartBurst = 0.5;
 /// Fraction of a full bucket above which tokens are granted for expected requests. Below it they
 /// are left to requests that wait.
 constexpr double MinLevelForExpected = 0.5;
@@ -32,6 +40,13 @@
     return std::max(cap.burst, 1 + MinBurstSeconds * cap.perSecond);
 }
 
+double startTokens(const UsageCap &cap, bool isFleetStart)
+{
+    const double together =
+            std::min(FleetStartSeconds * cap.perSecond, FleetStartBurst * cap.burst);
+    return std::min(std::max(StartTokens, isFleetStart ? together : 0), capacityOf(cap));
+}
+
 milliseconds toMilliseconds(double value)
 {
     return milliseconds(static_cast<std::int64_t>(std::ceil(value * 1'000)));
@@ -39,35 +54,41 @@
 
 } // namespace
 
-UsageIssuer::Bucket &UsageIssuer::bucketOf(const UsageRequest &request, MonotonicTime now)
+UsageIssuer::Bucket &UsageIssuer::bucketOf(const UsageRequest &request, double fraction,
+                                           const UsageTenure::Start &start, MonotonicTime now)
 {
     const auto [it, isNew] = m_buckets.try_emplace(request.workspace);
     Bucket &bucket = it->second;
-    if (isNew) {
-        bucket.startedAt = now;
-        bucket.refilledAt = now;
-    }
+    // An entry that was replaced as issuer for some time starts again.
+    const bool isRestarted = isNew || bucket.start.at < start.at;
     if (isNew || request.version > bucket.version) {
         bucket.cap = request.cap;
         bucket.version = request.version;
     }
+    if (isRestarted) {
+        bucket.start = start;
+        bucket.refilledAt = start.at;
+        bucket.tokens = startTokens(bucket.cap, start.isFleetStart) * fraction;
+    }
     bucket.usedAt = now;
     return bucket;
 }
 
 void UsageIssuer::refill(Bucket &bucket, double fraction, MonotonicTime now)
 {
-    const double start = now - bucket.startedAt < StartTime ? StartFraction : 1;
-    const double added = std::max(inSeconds(now - bucket.refilledAt), 0.0) * bucket.cap.perSecond
-                         * fraction * start;
+    const MonotonicTime startEnd =
+            bucket.start.isFleetStart ? bucket.start.at : bucket.start.at + StartTime;
+    const double starting = std::max(inSeconds(std::min(now, startEnd) - bucket.refilledAt), 0.0);
+    const double started = std::max(inSeconds(now - std::max(bucket.refilledAt, startEnd)), 0.0);
+    const double added = (StartFraction * starting + started) * bucket.cap.perSecond * fraction;
     bucket.tokens = std::min(bucket.tokens + added, capacityOf(bucket.cap) * fraction);
     bucket.refilledAt = now;
 }
 
 UsageReply UsageIssuer::issue(const UsageRequest &request, double fraction, std::size_t entries,
-                              MonotonicTime now)
+                              const UsageTenure::Start &start, MonotonicTime now)
 {
-    Bucket &bucket = bucketOf(request, now);
+    Bucket &bucket = bucketOf(request, fraction, start, now);
     refill(bucket, fraction, now);
     const double capacity = capacityOf(bucket.cap) * fraction;
     bucket.tokens = std::min(bucket.tokens + request.returned, std::max(capacity, bucket.tokens));
