--- a/Tests/gateway/UsageSimulation.cpp
+++ b/Tests/gateway/UsageSimulation.cpp
@@ -255,13 +255,13 @@
             if (!isConnected(entry, other)) {
                 continue;
             }
-            const std::vector<GossipMemberState> states = own.memberStates();
+            const std::vector<GossipMemberState> states = own.memberStates(clock());
             const std::uint64_t otherEpoch = m_entries[other].epoch;
             m_schedule.after(delay(), [this, entry, epoch, other, otherEpoch, states] {
                 onEntry(other, otherEpoch, [this, entry, epoch, other, states] {
                     EntryMembership &theirs = m_entries[other].process->membership;
                     theirs.merge(states, clock());
-                    const std::vector<GossipMemberState> reply = theirs.memberStates();
+                    const std::vector<GossipMemberState> reply = theirs.memberStates(clock());
                     m_schedule.after(delay(), [this, entry, epoch, reply] {
                         onEntry(entry, epoch, [this, entry, reply] {
                             m_entries[entry].process->membership.merge(reply, clock());
