--- a/CMake/TarragonPackage.cmake
+++ b/CMake/TarragonPackage.cmake
@@ -18,7 +18,8 @@
 # tarragon_tests(name [lib ...]) adds the GoogleTest program test-<name>, built from all sources of
 # the calling directory, and registers each of its tests with CTest. These macros hold paths for the
 # tests: TARRAGON_TEST_DATA the calling directory, TARRAGON_SOURCE_DIR the source tree, and
-# TARRAGON_BIN_DIR the folder of the built programs.
+# TARRAGON_BIN_DIR the folder of the built programs. The tests get the CTest properties in
+# TARRAGON_TEST_PROPERTIES, if it is set.
 function(tarragon_tests name)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   if(NOT sources)
@@ -32,6 +33,6 @@
     TARRAGON_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
     TARRAGON_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
   gtest_discover_tests(test-${name} TEST_PREFIX "${name}." DISCOVERY_MODE PRE_TEST
-    PROPERTIES TIMEOUT 300)
+    PROPERTIES TIMEOUT 300 ${TARRAGON_TEST_PROPERTIES})
 endfunction()
 include(GoogleTest)
