Net: Limit the memory that the requests of all clients hold

Bodies are now stored once and sent by reference. One budget for each process, half of the machine's memory (memoryMegabytes), limits what requests hold; the number of connections is limited to three quarters of the descriptors (maxDescriptors). Without room, stalled connections are closed first, then the request gets 503 with Retry-After. Small bodies have a reserve.

--- a/Source/daemon/main.cpp
+++ b/Source/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include "net/EventLoop.h"
 #include "net/LogWriter.h"
 #include "net/Logging.h"
+#include "net/MemoryBudget.h"
 #include "platform/SettingsLocation.h"
 
 #include <cxxopts.hpp>
@@ -33,6 +34,7 @@
     const std::shared_ptr<LogBuffer> log = initializeLogging(settings.logLevel);
     // Writing to a connection that the caller has closed must not terminate the process.
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+    MemoryBudget::ofProcess().configure(settings.memoryMegabytes, settings.maxDescriptors);
     EventLoop loop;
     const LogWriter writer(loop, log, STDOUT_FILENO);
     Daemon daemon(loop, settings);
@@ -45,6 +47,7 @@
 int runGateway(const GatewaySettings &settings, const std::string &file)
 {
     const std::shared_ptr<LogBuffer> log = initializeLogging(settings.logLevel);
+    MemoryBudget::ofProcess().configure(settings.memoryMegabytes, settings.maxDescriptors);
     EventLoop loop;
     const LogWriter writer(loop, log, STDOUT_FILENO);
     GatewayDaemon daemon(loop, settings, *log);
--- a/Source/entry/AdminApi.cpp
+++ b/Source/entry/AdminApi.cpp
@@ -127,7 +127,7 @@
 {
     DocumentEdit edit;
     try {
-        edit = parseApplyBody(exchange->body());
+        edit = parseApplyBody(std::string(exchange->body()));
     } catch (const Error &error) {
         refuse(*exchange, 400, "bad-request", error.what());
         return;
@@ -142,7 +142,7 @@
 {
     PlannedStop stop;
     try {
-        stop = parseStopBody(exchange->body());
+        stop = parseStopBody(std::string(exchange->body()));
     } catch (const Error &error) {
         refuse(*exchange, 400, "bad-request", error.what());
         return;
--- a/Source/entry/Daemon.cpp
+++ b/Source/entry/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "document/DocumentParser.h"
 #include "entry/Failure.h"
 #include "entry/StatusReport.h"
+#include "net/MemoryMetrics.h"
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -168,7 +169,10 @@
         return;
     }
     if (path == "/metrics") {
-        replyWithText(*exchange, 200, "text/plain; version=0.0.4", m_metrics.text());
+        replyWithText(
+                *exchange, 200, "text/plain; version=0.0.4",
+                m_metrics.text()
+                        + memoryMetricsText("tarragonstage", MemoryBudget::ofProcess().counts()));
         return;
     }
     if (path == "/healthz") {
--- a/Source/entry/ProxiedRequest.cpp
+++ b/Source/entry/ProxiedRequest.cpp
@@ -241,7 +241,7 @@
     request.port = endpoint.port;
     request.id = m_head.requestId;
     request.method = m_exchange->method();
-    request.body = m_exchange->body();
+    request.sharedBody = m_exchange->sharedBody();
     request.connectTimeout = m_connectTimeout;
     // Rounded down, so that the receiver times out no later than this entry.
     request.timeout = std::chrono::floor<milliseconds>(until - m_context.loop.now());
--- a/Source/entry/Settings.cpp
+++ b/Source/entry/Settings.cpp
@@ -13,6 +13,12 @@
 
 namespace {
 
+/// One terabyte, above any machine.
+constexpr std::uint64_t MaxMegabytes = 1'000'000;
+/// Above the maximum that systems permit.
+constexpr std::uint64_t MaxDescriptors = 1'000'000'000;
+/// Below, a process could not open its own files and listeners.
+constexpr std::uint64_t MinMachineLimit = 16;
 /// Highest allowed value of maxBodyBytes and responseBufferBytes.
 constexpr std::uint64_t MaxBodyLimit = 64 * 1024 * 1024;
 
@@ -228,6 +234,10 @@
     settings.peers = parsePeers(reader, file, findings);
     settings.documentFile = reader.optionalText("document", "");
     parseLog(reader, file, findings, settings);
+    settings.memoryMegabytes = reader.optionalNumber("memoryMegabytes", settings.memoryMegabytes,
+                                                     MinMachineLimit, MaxMegabytes);
+    settings.maxDescriptors = reader.optionalNumber("maxDescriptors", settings.maxDescriptors,
+                                                    MinMachineLimit, MaxDescriptors);
     settings.maxBody.value =
             reader.optionalNumber("maxBodyBytes", settings.maxBody.value, 1, MaxBodyLimit);
     settings.responseBuffer.value = reader.optionalNumber(
--- a/Source/entry/Settings.h
+++ b/Source/entry/Settings.h
@@ -4,7 +4,9 @@
 #include "base/Units.h"
 #include "document/Finding.h"
 #include "document/Topology.h"
+#include "net/MemoryBudget.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,6 +42,10 @@
     /// Amount of a response that may be buffered for a slow caller before reading from the target
     /// is paused, in bytes.
     ByteCount responseBuffer{ 256 * 1024 };
+    /// Memory of the machine in megabytes; the requests of all clients may hold a part of it.
+    std::uint64_t memoryMegabytes = MemoryBudget::DefaultMemoryMegabytes;
+    /// Number of file descriptors that the process may open.
+    std::uint64_t maxDescriptors = MemoryBudget::DefaultMaxDescriptors;
     /// Time that requests in progress may still take after SIGTERM or a planned stop.
     seconds stopDeadline{ 60 };
     /// Timeout of a call to the object store.
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -12,6 +12,7 @@
 #include "gateway/UsageRpc.h"
 #include "net/HttpStatus.h"
 #include "net/LogLine.h"
+#include "net/MemoryMetrics.h"
 #include "platform/LookupCodec.h"
 #include "platform/RegistryDecoder.h"
 #include "platform/RouteTableDecoder.h"
@@ -538,7 +539,8 @@
     for (const auto &[service, dispatcher] : m_state.dispatchers()) {
         m_metrics.setSendsInProgress(service, dispatcher->sendsInProgress());
     }
-    return m_metrics.text();
+    return m_metrics.text()
+           + memoryMetricsText("tarragon_gateway", MemoryBudget::ofProcess().counts());
 }
 
 void GatewayDaemon::checkShutdown()
--- a/Source/gateway/GatewaySettings.cpp
+++ b/Source/gateway/GatewaySettings.cpp
@@ -16,6 +16,12 @@
 constexpr double MaxSeconds = 3'600;
 constexpr double MaxRetries = 1e6;
 constexpr double MaxLinesPerSecond = 1e6;
+/// One terabyte, above any machine.
+constexpr double MaxMegabytes = 1e6;
+/// Above the maximum that systems permit.
+constexpr double MaxDescriptors = 1e9;
+/// Below, a process could not open its own files and listeners.
+constexpr double MinLimit = 16;
 
 void readRegions(MappingReader &reader, std::map<FailureDomainId, RegionId> &regions)
 {
@@ -39,6 +45,14 @@
     return milliseconds(std::llround(value * MillisecondsPerSecond));
 }
 
+/// Reads a limit of the machine; fractions are rounded down.
+void readLimit(MappingReader &reader, const std::string &key, double max, std::uint64_t &limit)
+{
+    double value = static_cast<double>(limit);
+    reader.optional(key, value, NumberFormat{ MinLimit, max });
+    limit = static_cast<std::uint64_t>(value);
+}
+
 void readBounds(MappingReader &reader, GatewayBounds &bounds)
 {
     const std::optional<YamlValue> value = reader.find("bounds");
@@ -87,6 +101,8 @@
     reader.optional("firstStart", settings.isFirstStart,
                     ChoiceFormat<bool>{ { { "true", true }, { "false", false } } });
     readBounds(reader, settings.bounds);
+    readLimit(reader, "memoryMegabytes", MaxMegabytes, settings.memoryMegabytes);
+    readLimit(reader, "maxDescriptors", MaxDescriptors, settings.maxDescriptors);
     readLog(reader, settings);
     reader.finish();
 }
--- a/Source/gateway/GatewaySettings.h
+++ b/Source/gateway/GatewaySettings.h
@@ -4,7 +4,9 @@
 #include "document/Finding.h"
 #include "document/Topology.h"
 #include "gateway/GatewayBounds.h"
+#include "net/MemoryBudget.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,6 +36,10 @@
     /// Whether all entries of the deployment start now for the first time.
     bool isFirstStart = false;
     GatewayBounds bounds;
+    /// Memory of the machine in megabytes; the requests of all clients may hold a part of it.
+    std::uint64_t memoryMegabytes = MemoryBudget::DefaultMemoryMegabytes;
+    /// Number of file descriptors that the process may open.
+    std::uint64_t maxDescriptors = MemoryBudget::DefaultMaxDescriptors;
     std::string logLevel = "INFO";
     /// Maximum number of log lines per second for successful requests.
     double loggedSuccessesPerSecond = 100;
--- /dev/null
+++ b/Source/net/ConnectionAccount.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "net/MemoryBudget.h"
+
+#include <sigc++/sigc++.h>
+
+#include <cstddef>
+#include <list>
+
+namespace Tarragon {
+
+/// What one connection of a client holds of a MemoryBudget.
+class ConnectionAccount
+{
+public:
+    /// Memory of a connection without any request: objects of evhttp and of this package.
+    static constexpr std::size_t ConnectionBytes = 8'192;
+
+    /// The slot closes the connection; it may do so later.
+    ConnectionAccount(MemoryBudget &budget, MonotonicTime now, sigc::slot<void()> evict);
+    ~ConnectionAccount();
+    ConnectionAccount(const ConnectionAccount &) = delete;
+    ConnectionAccount &operator=(const ConnectionAccount &) = delete;
+
+    /// Records bytes added to and removed from the connection's buffers.
+    void changeBuffered(std::size_t added, std::size_t removed);
+    /// Records that the client has sent part of a request's head or read part of a response.
+    void onProgress(MonotonicTime now) { m_lastProgress = now; }
+    /// Whether a body being received may grow to the given size.
+    bool admitsBody(std::size_t size, std::size_t growth, MonotonicTime now);
+    /// Whether a request may be accepted.
+    bool admitsHead(MonotonicTime now);
+    /// The body being received was passed on or dropped.
+    void clearBody() { m_bodyBytes = 0; }
+    /// Sets whether a request of the connection is in progress.
+    void setBusy(bool isBusy) { m_isBusy = isBusy; }
+
+    bool isBusy() const { return m_isBusy; }
+    bool isEvicted() const { return m_isEvicted; }
+    std::size_t heldBytes() const { return m_bufferedBytes + m_bodyBytes; }
+    MonotonicTime lastProgress() const { return m_lastProgress; }
+    /// Closes the connection.
+    void evict();
+    MemoryBudget &budget() const { return m_budget; }
+
+private:
+    MemoryBudget &m_budget;
+    sigc::slot<void()> m_evict;
+    std::size_t m_bufferedBytes = 0;
+    std::size_t m_bodyBytes = 0;
+    /// Input since the last progress.
+    std::size_t m_newBytes = 0;
+    MonotonicTime m_lastProgress;
+    bool m_isBusy = false;
+    bool m_isEvicted = false;
+};
+
+} // namespace Tarragon
--- a/Source/net/HttpClient.h
+++ b/Source/net/HttpClient.h
@@ -5,6 +5,7 @@
 #include "net/EventLoop.h"
 #include "net/HttpCall.h"
 #include "net/HttpHeaders.h"
+#include "net/RequestBody.h"
 
 #include <cstdint>
 #include <memory>
@@ -22,6 +23,8 @@
     std::string uri = "/";
     HttpHeaders headers;
     std::string body;
+    /// Sent without a copy instead of `body`, unless null.
+    std::shared_ptr<const RequestBody> sharedBody;
     /// Id by which the peer's response is recognised. The request is not sent on a connection from
     /// which its id is excluded.
     RequestId id;
--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -260,8 +260,13 @@
         evhttp_add_header(fields, "Host", host.c_str());
     }
     const bool hasBody = method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT
-                         || method == EVHTTP_REQ_PATCH || !request.body.empty();
-    if (hasBody) {
+                         || method == EVHTTP_REQ_PATCH || !request.body.empty()
+                         || request.sharedBody != nullptr;
+    if (hasBody && request.sharedBody != nullptr) {
+        evhttp_add_header(fields, "Content-Length",
+                          std::to_string(request.sharedBody->size()).c_str());
+        addBodyReference(evhttpRequest->output_buffer, request.sharedBody);
+    } else if (hasBody) {
         evhttp_add_header(fields, "Content-Length", std::to_string(request.body.size()).c_str());
         evbuffer_add(evhttpRequest->output_buffer, request.body.data(), request.body.size());
     }
--- a/Source/net/HttpExchange.cpp
+++ b/Source/net/HttpExchange.cpp
@@ -84,7 +84,6 @@
     }
     loadTarget();
     loadHeaders();
-    loadBody();
     peerAddress = request->remote_host;
     request = nullptr;
 }
@@ -128,15 +127,6 @@
     }
 }
 
-void HttpExchange::State::loadBody()
-{
-    if (!requestBody.has_value() && request != nullptr) {
-        std::string body(evbuffer_get_length(request->input_buffer), '\0');
-        evbuffer_remove(request->input_buffer, body.data(), body.size());
-        requestBody = std::move(body);
-    }
-}
-
 void HttpExchange::State::addHeaders(int status, const HttpHeaders &headers, bool withLength)
 {
     checkHeaders(headers);
@@ -209,10 +199,14 @@
     return *m_state->requestHeaders;
 }
 
-const std::string &HttpExchange::body() const
+std::string_view HttpExchange::body() const
+{
+    return m_state->requestBody == nullptr ? std::string_view() : m_state->requestBody->view();
+}
+
+std::shared_ptr<const RequestBody> HttpExchange::sharedBody() const
 {
-    m_state->loadBody();
-    return *m_state->requestBody;
+    return m_state->requestBody;
 }
 
 const std::string &HttpExchange::remoteAddress() const
--- a/Source/net/HttpExchange.h
+++ b/Source/net/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/HttpHeaders.h"
+#include "net/RequestBody.h"
 
 #include <sigc++/sigc++.h>
 
@@ -31,7 +32,9 @@
     /// these.
     const std::string &uri() const;
     const HttpHeaders &headers() const;
-    const std::string &body() const;
+    std::string_view body() const;
+    /// Returns the body for sending it without a copy; null if the request has none.
+    std::shared_ptr<const RequestBody> sharedBody() const;
     /// Returns the IP address of the peer.
     const std::string &remoteAddress() const;
     /// Whether the peer supports chunked bodies: it uses HTTP/1.1 or later.
--- a/Source/net/HttpExchangeState.h
+++ b/Source/net/HttpExchangeState.h
@@ -28,7 +28,6 @@
     void onPeerDisconnected();
     void loadTarget();
     void loadHeaders();
-    void loadBody();
     /// Adds the headers of a response. Leaves out Transfer-Encoding, and Content-Length unless
     /// withLength is set and the status permits it, because evhttp sets the framing.
     void addHeaders(int status, const HttpHeaders &headers, bool withLength);
@@ -45,7 +44,7 @@
     std::optional<std::string> target;
     std::string path;
     std::optional<HttpHeaders> requestHeaders;
-    std::optional<std::string> requestBody;
+    std::shared_ptr<const RequestBody> requestBody;
     std::optional<std::string> peerAddress;
     sigc::signal<void()> disconnectedSignal;
     sigc::signal<void()> drainedSignal;
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdio>
 
 #include <sys/socket.h>
 
@@ -24,6 +25,9 @@
 
 /// Maximum input that is buffered beyond the request in progress.
 constexpr std::size_t MaxReadAheadBytes = 65'536;
+/// Input up to this size is copied. A buffer that were moved instead would keep its unused part,
+/// so that a client that sends single bytes could make the process hold a thousand times as much.
+constexpr std::size_t MaxCopiedInputBytes = 4'096;
 /// Time for a peer to read an error response and close the connection. Closing a socket with unread
 /// input at once sends a reset, which could make the peer lose the error response.
 constexpr seconds RejectionLingerTime{ 2 };
@@ -50,6 +54,8 @@
         return "Request Header Fields Too Large";
     case 501:
         return "Not Implemented";
+    case HttpStatus::ServiceUnavailable:
+        return "Service Unavailable";
     case 505:
         return "HTTP Version Not Supported";
     default:
@@ -62,6 +68,7 @@
 HttpServerConnection::HttpServerConnection(HttpServer::State &server)
     : m_server(&server)
     , m_acceptedAt(server.loop.now())
+    , m_account(server.budget, m_acceptedAt, sigc::mem_fun(*this, &HttpServerConnection::onEvicted))
 {
     // Without BEV_OPT_CLOSE_ON_FREE, evhttp closes the socket before libevent has removed its
     // events, and the removal could affect a new connection with the same descriptor.
@@ -71,15 +78,22 @@
     }
     m_timer = evtimer_new(server.loop.base(), onTimer, this);
     m_unread = evbuffer_new();
+    evbuffer_add_cb(m_unread, onUnreadChanged, this);
     evbuffer_add_cb(bufferevent_get_input(m_bufferEvent), onInputChanged, this);
-    const std::size_t readAhead =
-            std::max<std::size_t>(MaxReadAheadBytes, server.limits.headerBytes.value * 2);
+    evbuffer_add_cb(bufferevent_get_output(m_bufferEvent), onOutputChanged, this);
+    // The input of all connections together must not exceed the budget.
+    const MemoryBudgetCounts &counts = server.budget.counts();
+    const std::size_t share =
+            counts.capacityBytes / std::max<std::size_t>(1, counts.maxConnections);
+    const std::size_t readAhead = std::max<std::size_t>(std::min(MaxReadAheadBytes, share),
+                                                        server.limits.headerBytes.value * 2);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, readAhead);
     enableIdleTimeout();
 }
 
 HttpServerConnection::~HttpServerConnection()
 {
+    evbuffer_remove_cb(m_unread, onUnreadChanged, this);
     evbuffer_free(m_unread);
     event_free(m_timer);
 }
@@ -111,8 +125,28 @@
 // before libevent calls them.
 void HttpServerConnection::onInputChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
 {
+    HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
+    self->m_account.changeBuffered(info->n_added, info->n_deleted);
     if (info->n_added > 0) {
-        static_cast<HttpServerConnection *>(arg)->wrapCallbacks();
+        self->wrapCallbacks();
+        if (self->m_phase == Phase::Head) {
+            self->m_account.onProgress(self->m_server->loop.now());
+        }
+    }
+}
+
+void HttpServerConnection::onUnreadChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
+{
+    static_cast<HttpServerConnection *>(arg)->m_account.changeBuffered(info->n_added,
+                                                                       info->n_deleted);
+}
+
+void HttpServerConnection::onOutputChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
+{
+    HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
+    self->m_account.changeBuffered(info->n_added, info->n_deleted);
+    if (info->n_deleted > 0) {
+        self->m_account.onProgress(self->m_server->loop.now());
     }
 }
 
@@ -159,7 +193,16 @@
 
 void HttpServerConnection::moveInputToUnread()
 {
-    evbuffer_add_buffer(m_unread, bufferevent_get_input(m_bufferEvent));
+    evbuffer *input = bufferevent_get_input(m_bufferEvent);
+    std::array<char, MaxCopiedInputBytes> copy;
+    if (evbuffer_get_length(input) > copy.size()) {
+        evbuffer_add_buffer(m_unread, input);
+        return;
+    }
+    const int n = evbuffer_remove(input, copy.data(), copy.size());
+    if (n > 0) {
+        evbuffer_add(m_unread, copy.data(), std::size_t(n));
+    }
 }
 
 void HttpServerConnection::readHead()
@@ -203,8 +246,14 @@
         reject(framing.rejectStatus, framing.reason);
         return;
     }
-    m_hasChunkedBody = framing.chunked;
-    m_chunkedBody.clear();
+    if (!m_account.admitsHead(m_server->loop.now())) {
+        rejectForMemory();
+        return;
+    }
+    m_body.reset();
+    if (framing.chunked || framing.contentLength > 0) {
+        m_body = std::make_shared<RequestBody>(m_server->budget);
+    }
     m_decoder = ChunkedDecoder();
     m_bodyLength = framing.contentLength;
     m_phase = framing.chunked ? Phase::ChunkedBody : Phase::Body;
@@ -218,10 +267,42 @@
 
 void HttpServerConnection::readBody()
 {
-    // evhttp processes a body only when all of it is in the input buffer.
-    if (evbuffer_get_length(m_unread) >= m_bodyLength) {
-        passToEvhttp(m_bodyLength);
+    while (m_body != nullptr && m_body->size() < m_bodyLength) {
+        const std::size_t n =
+                std::min(evbuffer_get_contiguous_space(m_unread), m_bodyLength - m_body->size());
+        if (n == 0) {
+            return;
+        }
+        const char *data = reinterpret_cast<const char *>(evbuffer_pullup(m_unread, ev_ssize_t(n)));
+        if (!storeBody(std::string_view(data, n))) {
+            return;
+        }
+        evbuffer_drain(m_unread, n);
+    }
+    if (m_body == nullptr) {
+        passToEvhttp(std::size_t(0));
+    } else {
+        passBodyToEvhttp();
+    }
+}
+
+bool HttpServerConnection::storeBody(std::string_view data)
+{
+    const bool isAdmitted =
+            m_account.admitsBody(m_body->size() + data.size(), data.size(), m_server->loop.now())
+            && guarded("HTTP server", [this, data] { m_body->append(data); });
+    if (!isAdmitted) {
+        rejectForMemory();
     }
+    return isAdmitted;
+}
+
+void HttpServerConnection::passBodyToEvhttp()
+{
+    evbuffer *piece = evbuffer_new();
+    addBodyReference(piece, m_body);
+    passToEvhttp(piece);
+    evbuffer_free(piece);
 }
 
 void HttpServerConnection::readChunkedBody()
@@ -229,12 +310,12 @@
     bool tooLong = false;
     const ChunkedDecoder::Result result =
             m_decoder.decode(m_unread, [this, &tooLong](std::string_view data) {
-                tooLong = m_chunkedBody.size() + data.size() > m_server->limits.bodyBytes.value;
-                if (!tooLong) {
-                    m_chunkedBody.append(data);
-                }
-                return !tooLong;
+                tooLong = m_body->size() + data.size() > m_server->limits.bodyBytes.value;
+                return !tooLong && storeBody(data);
             });
+    if (m_phase == Phase::Rejected) {
+        return;
+    }
     if (tooLong) {
         reject(HttpStatus::ContentTooLarge, "body above the limit");
     } else if (result == ChunkedDecoder::Result::Malformed) {
@@ -250,10 +331,15 @@
 {
     evbuffer *piece = evbuffer_new();
     evbuffer_remove_buffer(m_unread, piece, n);
+    passToEvhttp(piece);
+    evbuffer_free(piece);
+}
+
+void HttpServerConnection::passToEvhttp(evbuffer *piece)
+{
     // libevent freezes the end of the input buffer, so that data can only be prepended. The buffer
     // is empty here, so that the order of the bytes does not change.
     evbuffer_prepend_buffer(bufferevent_get_input(m_bufferEvent), piece);
-    evbuffer_free(piece);
     HttpServer::State *server = m_server;
     HttpServerConnection *previous = server->current;
     server->current = this;
@@ -265,6 +351,9 @@
 {
     m_phase = Phase::Exchange;
     m_isCounted = true;
+    m_account.setBusy(true);
+    m_account.clearBody();
+    m_account.onProgress(m_server->loop.now());
     ++m_server->exchangesInProgress;
     // evhttp treats requests with an absolute target as requests to a proxy.
     request->flags &= ~EVHTTP_PROXY_REQUEST;
@@ -277,10 +366,8 @@
     const std::shared_ptr<HttpServerConnection> self = shared_from_this();
     std::unique_ptr<HttpExchange::State> state =
             std::make_unique<HttpExchange::State>(self, request);
-    if (m_hasChunkedBody) {
-        state->requestBody = std::move(m_chunkedBody);
-        m_chunkedBody.clear();
-    }
+    state->requestBody = std::move(m_body);
+    m_body.reset();
     exchange = state.get();
     HttpExchangePtr pointer = std::make_shared<HttpExchange>(std::move(state));
     const bool done = guarded("HTTP server", [this, &pointer] { m_server->handler(pointer); });
@@ -351,6 +438,7 @@
         self->exchange = nullptr;
     }
     self->uncountExchange();
+    self->m_account.setBusy(false);
     self->m_hasResponded = true;
     self->m_phase = Phase::Head;
     self->m_scannedBytes = 0;
@@ -374,27 +462,52 @@
 {
     const std::shared_ptr<HttpServerConnection> self =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
-    if (self->m_phase == Phase::Rejected) {
+    if (self->m_account.isEvicted() && self->m_phase != Phase::Rejected) {
+        self->reset();
+    } else if (self->m_phase == Phase::Rejected) {
         self->closeNow();
     } else if (self->m_phase == Phase::Head) {
         self->readInput();
     }
 }
 
-void HttpServerConnection::reject(int status, std::string_view reason)
+void HttpServerConnection::onEvicted()
+{
+    if (m_phase == Phase::Body || m_phase == Phase::ChunkedBody) {
+        // No part of the request was passed on.
+        rejectForMemory();
+    } else {
+        event_active(m_timer, EV_TIMEOUT, 0);
+    }
+}
+
+void HttpServerConnection::rejectForMemory()
+{
+    const milliseconds retryAfter = m_server->budget.retryAfter(m_server->loop.now());
+    std::array<char, 64> field{};
+    const int length = std::snprintf(field.data(), field.size(), "Retry-After: %.1f\r\n",
+                                     inSeconds(retryAfter));
+    reject(HttpStatus::ServiceUnavailable, "no memory for the request at present",
+           std::string_view(field.data(), std::size_t(length)));
+}
+
+void HttpServerConnection::reject(int status, std::string_view reason, std::string_view fields)
 {
     m_phase = Phase::Rejected;
+    m_account.clearBody();
+    m_body.reset();
     const std::string body = std::string(reason) + "\n";
     evbuffer_add_printf(bufferevent_get_output(m_bufferEvent),
                         "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n"
-                        "Connection: close\r\n\r\n%s",
+                        "Connection: close\r\n%s\r\n%s",
                         status, std::string(reasonPhrase(status)).c_str(), body.size(),
-                        body.c_str());
+                        std::string(fields).c_str(), body.c_str());
     bufferevent_setcb(m_bufferEvent, onRejectedRead, onRejectedWrite, onRejectedEvent, this);
     const timeval linger = toTimeval(RejectionLingerTime);
     event_add(m_timer, &linger);
     evbuffer *input = bufferevent_get_input(m_bufferEvent);
     evbuffer_drain(input, evbuffer_get_length(input));
+    evbuffer_drain(m_unread, evbuffer_get_length(m_unread));
     bufferevent_enable(m_bufferEvent, EV_READ | EV_WRITE);
 }
 
@@ -441,6 +554,10 @@
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     self->m_phase = Phase::Closed;
     self->uncountExchange();
+    // evhttp still uses the buffers after this object may have been destroyed.
+    evbuffer_remove_cb(bufferevent_get_input(self->m_bufferEvent), onInputChanged, self.get());
+    evbuffer_remove_cb(bufferevent_get_output(self->m_bufferEvent), onOutputChanged, self.get());
+    self->m_account.setBusy(false);
     event_del(self->m_timer);
     HttpExchange::State *state = self->exchange;
     self->exchange = nullptr;
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -2,8 +2,10 @@
 
 #include "base/Units.h"
 #include "net/ChunkedDecoder.h"
+#include "net/ConnectionAccount.h"
 #include "net/HttpExchange.h"
 #include "net/HttpServer.h"
+#include "net/RequestBody.h"
 
 #include <event2/bufferevent.h>
 #include <event2/util.h>
@@ -70,6 +72,8 @@
     };
 
     static void onInputChanged(evbuffer *input, const evbuffer_cb_info *info, void *arg);
+    static void onUnreadChanged(evbuffer *unread, const evbuffer_cb_info *info, void *arg);
+    static void onOutputChanged(evbuffer *output, const evbuffer_cb_info *info, void *arg);
     static void onRead(bufferevent *bev, void *arg);
     static void onWrite(bufferevent *bev, void *arg);
     static void onEvent(bufferevent *bev, short what, void *arg);
@@ -89,8 +93,19 @@
     void readChunkedBody();
     /// Makes evhttp read the first n bytes of m_unread, and no others.
     void passToEvhttp(std::size_t n);
+    /// Makes evhttp read the buffer's contents.
+    void passToEvhttp(evbuffer *piece);
+    /// Makes evhttp read the complete body, without a copy.
+    void passBodyToEvhttp();
+    /// Appends to the body being received. Rejects the request if there is no room, and returns
+    /// whether there was.
+    bool storeBody(std::string_view data);
+    /// Closes the connection because the memory or the descriptor is needed for others.
+    void onEvicted();
+    /// Rejects a request because there is no memory for it.
+    void rejectForMemory();
     /// Sends an error response, then discards input and closes the connection.
-    void reject(int status, std::string_view reason);
+    void reject(int status, std::string_view reason, std::string_view fields = {});
     void closeNow();
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
     void uncountExchange();
@@ -121,8 +136,9 @@
     /// Content-Length of the request whose head was read last; 0 if the head has none.
     std::size_t m_bodyLength = 0;
     ChunkedDecoder m_decoder;
-    std::string m_chunkedBody;
-    bool m_hasChunkedBody = false;
+    /// The body being received; null if the request has none.
+    std::shared_ptr<RequestBody> m_body;
+    ConnectionAccount m_account;
 };
 
 } // namespace Tarragon
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -2,6 +2,7 @@
 
 #include "net/HttpServer.h"
 #include "net/HttpServerConnection.h"
+#include "net/MemoryBudget.h"
 
 #include <unordered_map>
 #include <vector>
@@ -36,6 +37,7 @@
 
     EventLoop &loop;
     HttpServerLimits limits;
+    MemoryBudget &budget = MemoryBudget::ofProcess();
     Handler handler;
     /// The idle timeout as a "common timeout" of libevent, which is cheaper to set for many
     /// connections than separate ones.
--- a/Tests/ctl/AdminStandIn.cpp
+++ b/Tests/ctl/AdminStandIn.cpp
@@ -39,7 +39,7 @@
     } else if (path == "/admin/v1/history") {
         reply(exchange, 200, historyBody(document.head));
     } else if (path == "/admin/v1/apply") {
-        applyEdit(exchange, parseApplyBody(exchange->body()));
+        applyEdit(exchange, parseApplyBody(std::string(exchange->body())));
     } else if (path.starts_with("/admin/v1/stops")) {
         changeStops(exchange);
     } else if (path == "/admin/v1/status") {
@@ -83,7 +83,7 @@
     const std::string &text = document.texts.at(stops);
     std::optional<std::string> changed;
     if (exchange->method() == "POST") {
-        changed = withStop(text, parseStopBody(exchange->body()));
+        changed = withStop(text, parseStopBody(std::string(exchange->body())));
     } else {
         const std::string &path = exchange->path();
         const std::size_t id = path.rfind('/') + 1;
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -205,7 +205,8 @@
     const std::string text = ask(m_daemon->ports().metrics, "/metrics").body;
     for (const char *name :
          { "tarragon_gateway_requests_total{outcome=\"no-route\",route=\"none\"} 1",
-           "tarragon_gateway_store_age_seconds", "tarragon_gateway_loop_lag_seconds_count",
+           "tarragon_gateway_store_age_seconds", "tarragon_gateway_request_memory_bytes",
+           "tarragon_gateway_memory_refusals_total 0", "tarragon_gateway_loop_lag_seconds_count",
            "tarragon_gateway_log_lines_dropped 0", "tarragon_gateway_log_lines_skipped 0",
            "tarragon_gateway_sends_in_progress{service=\"one\"} 0" }) {
         EXPECT_NE(text.find(name), std::string::npos) << name << " is not in\n" << text;
--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -25,6 +25,8 @@
   stopGraceSeconds: 6
   lookupTtlSeconds: 2.5
   drainSeconds: 3
+memoryMegabytes: 256
+maxDescriptors: 8200
 log:
   level: WARN
 )";
@@ -43,6 +45,8 @@
     EXPECT_EQ(settings->bounds.stopGrace, seconds(6));
     EXPECT_EQ(settings->bounds.maxLookupTtl, milliseconds(2'500));
     EXPECT_EQ(settings->bounds.drainTime, milliseconds(3'000));
+    EXPECT_EQ(settings->memoryMegabytes, 256u);
+    EXPECT_EQ(settings->maxDescriptors, 8'200u);
     EXPECT_EQ(settings->logLevel, "WARN");
     EXPECT_TRUE(settings->isFirstStart);
 }
@@ -56,6 +60,7 @@
         { "region: \"gr-north\"", "regoin: \"gr-north\"" },
         { "extraRetries: 58", "extraRetries: many" },
         { "level: WARN", "level: LOUD" },
+        { "memoryMegabytes: 256", "memoryMegabytes: some" },
         { "firstStart: true", "firstStart: perhaps" },
         { "instance: \"edge-1\"", "" },
     };
--- a/Tests/net/HttpRoundTripTest.cpp
+++ b/Tests/net/HttpRoundTripTest.cpp
@@ -40,7 +40,8 @@
     HttpServer server(m_loop, "127.0.0.1", 0, {}, [](const HttpExchangePtr &exchange) {
         HttpHeaders headers;
         headers.add("Seen", exchange->method() + " " + exchange->path() + " "
-                                    + exchange->query("caller") + " " + exchange->body());
+                                    + exchange->query("caller") + " "
+                                    + std::string(exchange->body()));
         exchange->reply(201, headers, "made");
     });
     HttpRequest post = request(server);
--- a/Tests/net/HttpServerTest.cpp
+++ b/Tests/net/HttpServerTest.cpp
@@ -34,8 +34,8 @@
     static void reply(const HttpExchangePtr &exchange)
     {
         exchange->reply(200, {},
-                        "[" + exchange->method() + " " + exchange->uri() + " " + exchange->body()
-                                + "]");
+                        "[" + exchange->method() + " " + exchange->uri() + " "
+                                + std::string(exchange->body()) + "]");
     }
 
     static HttpServer::Handler echo() { return sigc::ptr_fun(&HttpServerTest::reply); }
--- a/Tests/net/PipeliningTest.cpp
+++ b/Tests/net/PipeliningTest.cpp
@@ -37,7 +37,8 @@
 
     static std::string describe(const HttpExchangePtr &exchange)
     {
-        return "[" + exchange->method() + " " + exchange->uri() + " " + exchange->body() + "]";
+        return "[" + exchange->method() + " " + exchange->uri() + " "
+               + std::string(exchange->body()) + "]";
     }
 
     void respond()
