Net: Check status lines before evhttp parses them

evhttp accepts a status line with a sign, a leading zero, a number that overflows or another version, so that it reached callers as a 200. A scanner now sees the bytes of each response first; a malformed line is a failure at the stage AwaitHeaders. Statuses from 101 to 199 are interim like 100.

--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -13,6 +13,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <optional>
 #include <string_view>
@@ -202,6 +203,7 @@
     evhttp_connection_set_retries(m_connection, 0);
     evhttp_connection_set_max_headers_size(m_connection, MaxHeadBytes);
     evhttp_connection_set_closecb(m_connection, onClosed, this);
+    evbuffer_add_cb(bufferevent_get_input(m_bufferEvent), onInputChanged, this);
     evbuffer_add_cb(bufferevent_get_output(m_bufferEvent), onOutputChanged, this);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, MaxReadAheadBytes);
 }
@@ -228,6 +230,7 @@
     m_closedWhileSending = false;
     m_headSeen = false;
     m_interimHeads = 0;
+    m_scanner.reset();
     m_reusable = false;
     m_chunked = false;
     m_acceptUnframed = request.acceptUnframed;
@@ -401,6 +404,26 @@
     call->fail(failure);
 }
 
+void HttpClientConnection::onInputChanged(evbuffer *input, const evbuffer_cb_info *info, void *arg)
+{
+    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
+    if (info->n_added == 0 || self->m_closing || self->m_call == nullptr || self->m_headSeen) {
+        return;
+    }
+    std::array<char, 1'024> block;
+    evbuffer_ptr from{};
+    evbuffer_ptr_set(input, &from, evbuffer_get_length(input) - info->n_added, EVBUFFER_PTR_SET);
+    for (std::size_t left = info->n_added; left > 0 && !self->m_scanner.isDone();) {
+        const std::size_t n = std::min(left, block.size());
+        evbuffer_copyout_from(input, &from, block.data(), n);
+        self->m_scanner.read(std::string_view(block.data(), n));
+        left -= n;
+        if (left > 0) {
+            evbuffer_ptr_set(input, &from, n, EVBUFFER_PTR_ADD);
+        }
+    }
+}
+
 void HttpClientConnection::onOutputChanged(evbuffer *output, const evbuffer_cb_info *info,
                                            void *arg)
 {
@@ -482,8 +505,13 @@
     if (m_call == nullptr) {
         return false;
     }
+    if (m_scanner.isMalformed()) {
+        return rejectHead(HttpStage::AwaitHeaders, "malformed status line");
+    }
     const int status = request->response_code;
-    if (status == Continue) {
+    if (status >= Continue && status < MinFinalStatus) {
+        // evhttp knows no other interim status.
+        request->response_code = Continue;
         // evhttp would add the fields to those of the final response.
         evhttp_clear_headers(request->input_headers);
         return ++m_interimHeads <= MaxInterimHeads
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -5,6 +5,7 @@
 #include "net/ChunkedDecoder.h"
 #include "net/HttpCall.h"
 #include "net/HttpClient.h"
+#include "net/ResponseHeadScanner.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -61,6 +62,7 @@
 private:
     class CallbackScope;
 
+    static void onInputChanged(evbuffer *input, const evbuffer_cb_info *info, void *arg);
     static void onOutputChanged(evbuffer *output, const evbuffer_cb_info *info, void *arg);
     static int onHead(evhttp_request *request, void *arg);
     static void onBodyData(evhttp_request *request, void *arg);
@@ -119,6 +121,8 @@
     bool m_headSeen = false;
     /// Number of interim responses (status 100) to the request in progress.
     int m_interimHeads = 0;
+    /// Sees the bytes of a response before evhttp does.
+    ResponseHeadScanner m_scanner;
     bool m_reusable = false;
     bool m_chunked = false;
     bool m_acceptUnframed = false;
