Net: Close a connection above the maximum after evhttp has set it up

A connection that exceeds the maximum while all others are busy was to be closed before its timer existed, which would have ended the process. It is now closed when it is attached. Test: net.MemoryRefusalTest.

--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -102,6 +102,9 @@
 {
     wrapCallbacks();
     evhttp_connection_set_closecb(m_connection, onClosed, this);
+    if (m_account.isEvicted()) {
+        onEvicted();
+    }
 }
 
 void HttpServerConnection::wrapCallbacks()
@@ -476,9 +479,10 @@
     if (m_phase == Phase::Body || m_phase == Phase::ChunkedBody) {
         // No part of the request was passed on.
         rejectForMemory();
-    } else {
+    } else if (m_connection != nullptr) {
         event_active(m_timer, EV_TIMEOUT, 0);
     }
+    // A connection that evhttp has not set up yet is closed by attach().
 }
 
 void HttpServerConnection::rejectForMemory()
--- a/Tests/net/MemoryBudgetTest.cpp
+++ b/Tests/net/MemoryBudgetTest.cpp
@@ -146,5 +146,34 @@
     budget.configure(MemoryBudget::DefaultMemoryMegabytes, MemoryBudget::DefaultMaxDescriptors);
 }
 
+// Guards against a crash or an accepted connection when all others are busy.
+TEST(MemoryRefusalTest, AConnectionAboveTheMaximumIsClosed)
+{
+    EventLoop loop;
+    MemoryBudget &budget = MemoryBudget::ofProcess();
+    budget.setLimits(10'000'000, budget.counts().connections + 1);
+    HttpExchangePtr busy;
+    {
+        const HttpServer server(loop, "127.0.0.1", 0, HttpServerLimits{},
+                                [&busy](const HttpExchangePtr &exchange) { busy = exchange; });
+        RawSocket first(loop, server.port());
+        first.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        while (busy == nullptr) {
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+        const RawSocket second(loop, server.port());
+        while (!second.isPeerClosed()) {
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+        busy->reply(200, {}, "done");
+        while (!first.received().ends_with("done")) {
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+        EXPECT_EQ(server.connectionCount(), 1u);
+        busy.reset();
+    }
+    budget.configure(MemoryBudget::DefaultMemoryMegabytes, MemoryBudget::DefaultMaxDescriptors);
+}
+
 } // namespace
 } // namespace Tarragon
