--- a/Source/net/HttpExchange.cpp
+++ b/Source/net/HttpExchange.cpp
@@ -98,7 +98,6 @@
     , chunkedSupported(true)
     , method(std::move(pipelined.method))
     , requestHeaders(std::move(pipelined.headers))
-    , requestBody(std::string())
     , peerAddress(std::move(address))
 {
     setTarget(std::move(pipelined.target));
@@ -123,7 +122,6 @@
     }
     loadTarget();
     loadHeaders();
-    loadBody();
     peerAddress = request->remote_host;
     request = nullptr;
 }
@@ -201,15 +199,6 @@
     }
 }
 
-void HttpExchange::State::loadBody()
-{
-    if (!requestBody.has_value() && request != nullptr) {
-        std::string body(evbuffer_get_length(request->input_buffer), '\0');
-        evbuffer_remove(request->input_buffer, body.data(), body.size());
-        requestBody = std::move(body);
-    }
-}
-
 void HttpExchange::State::addHeaders(int status, const HttpHeaders &headers, bool withLength)
 {
     checkHeaders(headers);
@@ -287,10 +276,14 @@
     return *m_state->requestHeaders;
 }
 
-const std::string &HttpExchange::body() const
+std::string_view HttpExchange::body() const
+{
+    return m_state->requestBody == nullptr ? std::string_view() : m_state->requestBody->view();
+}
+
+std::shared_ptr<const RequestBody> HttpExchange::sharedBody() const
 {
-    m_state->loadBody();
-    return *m_state->requestBody;
+    return m_state->requestBody;
 }
 
 const std::string &HttpExchange::remoteAddress() const
@@ -317,6 +310,7 @@
     if (m_state->held != nullptr) {
         m_state->holdHead(status, headers);
         m_state->held->body = body;
+        m_state->connection->onHeldBytesChanged();
         m_state->started = true;
         m_state->ended = true;
         return;
@@ -392,6 +386,7 @@
     }
     if (m_state->held != nullptr) {
         m_state->held->body.append(data);
+        m_state->connection->onHeldBytesChanged();
         return;
     }
     sendChunk(*m_state, data);
--- a/Source/net/HttpExchangeState.h
+++ b/Source/net/HttpExchangeState.h
@@ -39,7 +39,6 @@
     /// Sets target and path from a target in origin or absolute form.
     void setTarget(std::string requestTarget);
     void loadHeaders();
-    void loadBody();
     /// Records status and headers of a response that is held. Throws Error like addHeaders().
     void holdHead(int status, const HttpHeaders &headers);
     /// Adds the headers of a response. Leaves out Transfer-Encoding, and Content-Length unless
@@ -61,7 +60,7 @@
     std::optional<std::string> target;
     std::string path;
     std::optional<HttpHeaders> requestHeaders;
-    std::optional<std::string> requestBody;
+    std::shared_ptr<const RequestBody> requestBody;
     std::optional<std::string> peerAddress;
     sigc::signal<void()> disconnectedSignal;
     sigc::signal<void()> drainedSignal;
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -2,8 +2,10 @@
 
 #include "base/Units.h"
 #include "net/ChunkedDecoder.h"
+#include "net/ConnectionAccount.h"
 #include "net/HttpExchange.h"
 #include "net/HttpServer.h"
+#include "net/RequestBody.h"
 #include "net/RequestsAhead.h"
 
 #include <event2/bufferevent.h>
@@ -51,6 +53,8 @@
     void closeAfterRequestsAhead() { m_isClosing = true; }
     /// Returns the number of bytes of responses that wait for the responses before them.
     std::size_t heldBytes() const { return m_requestsAhead.heldBytes(); }
+    /// Counts the held responses towards the memory budget.
+    void onHeldBytesChanged();
     /// Whether a request without a complete response has begun to arrive, or may still be in
     /// transit because the connection is new.
     bool hasPendingRequest(MonotonicTime now) const;
@@ -79,6 +83,8 @@
     };
 
     static void onInputChanged(evbuffer *input, const evbuffer_cb_info *info, void *arg);
+    static void onUnreadChanged(evbuffer *unread, const evbuffer_cb_info *info, void *arg);
+    static void onOutputChanged(evbuffer *output, const evbuffer_cb_info *info, void *arg);
     static void onRead(bufferevent *bev, void *arg);
     static void onWrite(bufferevent *bev, void *arg);
     static void onEvent(bufferevent *bev, short what, void *arg);
@@ -116,8 +122,19 @@
     void readChunkedBody();
     /// Makes evhttp read the first n bytes of m_unread, and no others.
     void passToEvhttp(std::size_t n);
+    /// Makes evhttp read the buffer's contents.
+    void passToEvhttp(evbuffer *piece);
+    /// Makes evhttp read the complete body, without a copy.
+    void passBodyToEvhttp();
+    /// Appends to the body being received. Rejects the request if there is no room, and returns
+    /// whether there was.
+    bool storeBody(std::string_view data);
+    /// Closes the connection because the memory or the descriptor is needed for others.
+    void onEvicted();
+    /// Rejects a request because there is no memory for it.
+    void rejectForMemory();
     /// Sends an error response, then discards input and closes the connection.
-    void reject(int status, std::string_view reason);
+    void reject(int status, std::string_view reason, std::string_view fields = {});
     void closeNow();
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
     void uncountExchange();
@@ -139,6 +156,8 @@
     MonotonicTime m_acceptedAt;
     bool m_hasResponded = false;
     RequestsAhead m_requestsAhead;
+    /// Size of the held responses that was last counted towards the memory budget.
+    std::size_t m_countedHeldBytes = 0;
     /// The held response for which evhttp is given a substitute request; null outside of that.
     std::shared_ptr<HeldResponse> m_nextResponse;
     /// Whether requests behind the one in progress may be processed before it is answered.
@@ -157,8 +176,9 @@
     /// Content-Length of the request whose head was read last; 0 if the head has none.
     std::size_t m_bodyLength = 0;
     ChunkedDecoder m_decoder;
-    std::string m_chunkedBody;
-    bool m_hasChunkedBody = false;
+    /// The body being received; null if the request has none.
+    std::shared_ptr<RequestBody> m_body;
+    ConnectionAccount m_account;
 };
 
 } // namespace Tarragon
