Routing: Start buckets of usage caps empty again

A bucket starts empty again. After a start of all entries it fills at the whole rate, from up to 500 ms before the entry first saw most of the others. An entry in a minority no longer starts its bucket again at each observation.

WorkspaceTest passes.

UsageCaps counts tokens granted and denied and calls to issuers.

--- a/Source/routing/UsageCaps.cpp
+++ b/Source/routing/UsageCaps.cpp
@@ -126,6 +126,7 @@
         onReplies(issuer, asked, now, &replies, now);
         return;
     }
+    ++m_counts.calls;
     m_ask(issuer, requests,
           [this, issuer, asked, askedAt = now](const UsageReplies *replies,
                                                MonotonicTime repliedAt) {
@@ -218,6 +219,9 @@
         if (m_membership.usageIssuer(it.workspace, now) == m_membership.localEntry().instance) {
             replies.push_back(
                     m_issuer.issue(it, fraction, entries, m_tenure.of(it.workspace), now));
+            const UsageReply &reply = replies.back();
+            m_counts.granted += reply.granted;
+            m_counts.denied += it.needed - std::min(it.needed, reply.granted);
         } else {
             replies.push_back(UsageReply{ it.workspace });
         }
--- a/Source/routing/UsageCaps.h
+++ b/Source/routing/UsageCaps.h
@@ -42,6 +42,16 @@
     /// Called with the verdict, and the time after which a refused request may be sent again.
     using DecidedSlot = sigc::slot<void(UsageVerdict verdict, milliseconds retryAfter)>;
 
+    /// Numbers since the start, for metrics.
+    struct Counts
+    {
+        /// Tokens that this entry granted as an issuer, and that it denied to waiting requests.
+        std::uint64_t granted = 0;
+        std::uint64_t denied = 0;
+        /// Calls to issuers on other entries.
+        std::uint64_t calls = 0;
+    };
+
     UsageCaps(const EntryMembership &membership, AskSlot ask);
 
     /// Obtains a token for one request of the workspace, which must have a cap. The slot may be
@@ -57,6 +67,7 @@
     void removeUnused(MonotonicTime now);
     /// Returns the number of workspaces of which this entry holds or has asked for tokens lately.
     std::size_t activeWorkspaces() const { return m_workspaces.size(); }
+    const Counts &counts() const { return m_counts; }
 
 private:
     struct State
@@ -102,6 +113,7 @@
     AskSlot m_ask;
     std::map<WorkspaceName, State> m_workspaces;
     std::map<InstanceId, Issuer> m_issuers;
+    Counts m_counts;
 };
 
 } // namespace Tarragon
--- a/Source/routing/UsageIssuer.cpp
+++ b/Source/routing/UsageIssuer.cpp
@@ -15,14 +15,6 @@
 /// within the tolerated excess of a tenth of five seconds.
 constexpr milliseconds StartTime{ 1'500 };
 constexpr double StartFraction = 0.3;
-/// Tokens with which a bucket starts, for caps of a few requests per second: half of the tolerated
-/// excess that does not depend on the cap, as an issuer may change twice in 5 s.
-constexpr double StartTokens = 8;
-/// Tokens with which a bucket starts if all entries started together, as a time at the capped rate
-/// and a fraction of the burst. Entries learn of each other one after another, so that two of them
-/// may be the issuer within 5 s; together they start with one full bucket.
-constexpr double FleetStartSeconds = 0.5;
-constexpr double FleetStartBurst = 0.5;
 /// Fraction of a full bucket above which tokens are granted for expected requests. Below it they
 /// are left to requests that wait.
 constexpr double MinLevelForExpected = 0.5;
@@ -40,13 +32,6 @@
     return std::max(cap.burst, 1 + MinBurstSeconds * cap.perSecond);
 }
 
-double startTokens(const UsageCap &cap, bool isFleetStart)
-{
-    const double together =
-            std::min(FleetStartSeconds * cap.perSecond, FleetStartBurst * cap.burst);
-    return std::min(std::max(StartTokens, isFleetStart ? together : 0), capacityOf(cap));
-}
-
 milliseconds toMilliseconds(double value)
 {
     return milliseconds(static_cast<std::int64_t>(std::ceil(value * 1'000)));
@@ -54,7 +39,7 @@
 
 } // namespace
 
-UsageIssuer::Bucket &UsageIssuer::bucketOf(const UsageRequest &request, double fraction,
+UsageIssuer::Bucket &UsageIssuer::bucketOf(const UsageRequest &request,
                                            const UsageTenure::Start &start, MonotonicTime now)
 {
     const auto [it, isNew] = m_buckets.try_emplace(request.workspace);
@@ -68,7 +53,7 @@
     if (isRestarted) {
         bucket.start = start;
         bucket.refilledAt = start.at;
-        bucket.tokens = startTokens(bucket.cap, start.isFleetStart) * fraction;
+        bucket.tokens = 0;
     }
     bucket.usedAt = now;
     return bucket;
@@ -88,7 +73,7 @@
 UsageReply UsageIssuer::issue(const UsageRequest &request, double fraction, std::size_t entries,
                               const UsageTenure::Start &start, MonotonicTime now)
 {
-    Bucket &bucket = bucketOf(request, fraction, start, now);
+    Bucket &bucket = bucketOf(request, start, now);
     refill(bucket, fraction, now);
     const double capacity = capacityOf(bucket.cap) * fraction;
     bucket.tokens = std::min(bucket.tokens + request.returned, std::max(capacity, bucket.tokens));
--- a/Source/routing/UsageIssuer.h
+++ b/Source/routing/UsageIssuer.h
@@ -9,7 +9,7 @@
 namespace Tarragon {
 
 /// Issues the tokens of workspaces with caps, one token bucket a workspace. A new issuer starts
-/// with few tokens and at a fraction of the rate, because another entry may have issued tokens
+/// with an empty bucket and at a fraction of the rate, because another entry may have issued tokens
 /// until now and may still do so. Its bucket fills from the time at which it became the issuer.
 class UsageIssuer
 {
@@ -41,7 +41,7 @@
     /// Period over which the rates of granted and denied tokens are measured.
     static constexpr microseconds RatePeriod{ 2'000'000 };
 
-    Bucket &bucketOf(const UsageRequest &request, double fraction, const UsageTenure::Start &start,
+    Bucket &bucketOf(const UsageRequest &request, const UsageTenure::Start &start,
                      MonotonicTime now);
     static void refill(Bucket &bucket, double fraction, MonotonicTime now);
 
--- a/Source/routing/UsageTenure.cpp
+++ b/Source/routing/UsageTenure.cpp
@@ -10,6 +10,11 @@
 /// replaced it as issuer. Less than the time after which they do, as they time from its last
 /// heartbeat.
 constexpr milliseconds MaxGap{ 2'000 };
+/// Time before the local entry first saw most of the others from which its buckets fill if all
+/// started together: no entry could grant tokens until then. Entries learn of each other one after
+/// another, so that two of them may be the issuer within 5 s; with this time both together exceed
+/// the rate by less than the tolerated tenth and the burst.
+constexpr milliseconds FleetStartTime{ 500 };
 /// Time within which the set of live entries is not read again.
 constexpr milliseconds MinPeriod{ 50 };
 
@@ -24,8 +29,12 @@
     }
     m_observedAt = now;
     const bool hasMajority = m_membership.usageFraction(now) >= 1;
-    if (wasSuspended || !hasMajority || !m_hasMajority) {
-        m_start = Start{ now, hasMajority && !wasSuspended && m_membership.startedWithOthers(now) };
+    if (isFirst || wasSuspended || hasMajority != m_hasMajority) {
+        const bool isFleetStart =
+                hasMajority && !wasSuspended && m_membership.startedWithOthers(now);
+        const MonotonicTime at =
+                isFleetStart && !isFirst ? std::max(m_start.at, now - FleetStartTime) : now;
+        m_start = Start{ at, isFleetStart };
     }
     m_hasMajority = hasMajority;
     std::set<InstanceId> entries = m_membership.usageEntries(now);
