Gateway: Report tokens and calls of usage caps as metrics

Three gauges without labels state the tokens that an entry granted and denied as an issuer, and its calls to other issuers.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -524,6 +524,7 @@
     const MonotonicTime now = m_loop.now();
     m_metrics.setLimitedTargetCount(m_state.limits().limitedCount());
     m_metrics.setSuspectCount(m_state.suspects().count());
+    m_metrics.setUsage(m_usageCaps.counts());
     m_metrics.setLiveEntryCount(m_membership.liveCount(now));
     m_metrics.setRequestsInProgress(m_front->exchangesInProgress());
     m_metrics.setStoreAge(m_health.lastSuccessAt().has_value() ? now - *m_health.lastSuccessAt()
--- a/Source/gateway/GatewayMetrics.cpp
+++ b/Source/gateway/GatewayMetrics.cpp
@@ -66,6 +66,13 @@
                              "Targets that state a limit for the requests of all entries"))
     , m_suspects(gauge(m_registry, "tarragon_gateway_suspect_requests",
                        "Requests under suspicion of ending targets."))
+    , m_usageGranted(gauge(m_registry, "tarragon_gateway_usage_tokens_granted",
+                           "Tokens of workspaces with caps granted since the start"))
+    , m_usageDenied(gauge(m_registry, "tarragon_gateway_usage_tokens_denied",
+                          "Tokens of workspaces with caps denied to waiting requests since the "
+                          "start"))
+    , m_usageCalls(gauge(m_registry, "tarragon_gateway_usage_calls",
+                         "Calls to issuers of tokens on other entries since the start"))
     , m_storeUnavailable(
               gauge(m_registry, "tarragon_gateway_store_lost", "1 while calls to the store fail"))
     , m_inProgress(gauge(m_registry, "tarragon_gateway_requests_in_progress",
@@ -193,6 +200,13 @@
     m_suspects.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::setUsage(const UsageCaps::Counts &counts)
+{
+    m_usageGranted.Set(static_cast<double>(counts.granted));
+    m_usageDenied.Set(static_cast<double>(counts.denied));
+    m_usageCalls.Set(static_cast<double>(counts.calls));
+}
+
 void GatewayMetrics::setLimitedTargetCount(std::size_t count)
 {
     m_limitedTargets.Set(static_cast<double>(count));
--- a/Source/gateway/GatewayMetrics.h
+++ b/Source/gateway/GatewayMetrics.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "routing/RouteTable.h"
+#include "routing/UsageCaps.h"
 #include "routing/Workspace.h"
 
 #include <prometheus/counter.h>
@@ -53,6 +54,9 @@
     /// Sets the number of targets that state a limit.
     void setLimitedTargetCount(std::size_t count);
     void setSuspectCount(std::size_t count);
+    /// Sets what this entry granted and denied as an issuer of tokens of workspaces with caps, and
+    /// its calls to issuers.
+    void setUsage(const UsageCaps::Counts &counts);
     void setSendsInProgress(const ServiceId &service, std::size_t count);
 
     std::string text() const;
@@ -89,6 +93,9 @@
     prometheus::Gauge &m_liveEntries;
     prometheus::Gauge &m_limitedTargets;
     prometheus::Gauge &m_suspects;
+    prometheus::Gauge &m_usageGranted;
+    prometheus::Gauge &m_usageDenied;
+    prometheus::Gauge &m_usageCalls;
     prometheus::Gauge &m_storeUnavailable;
     prometheus::Gauge &m_inProgress;
     prometheus::Family<prometheus::Counter> &m_refusals;
--- a/Tests/gateway/UsageCapTest.cpp
+++ b/Tests/gateway/UsageCapTest.cpp
@@ -228,5 +228,28 @@
     EXPECT_LE(worstExcess(simulation.workspaces()[3], UsageCap{ 30, 30 }, 11s), 0);
 }
 
+// Guards against more calls to issuers than requests at the largest size, and against refusals
+// there.
+TEST(UsageLoadTest, CallsDoNotOutnumberRequestsOfManyWorkspaces)
+{
+    std::vector<SimulatedWorkspace> workspaces;
+    for (int i = 0; i < 4'000; ++i) {
+        workspaces.push_back(workspaceOf("w" + std::to_string(i), 8, UsualDemand * 8));
+    }
+    UsageSimulation simulation(295, std::move(workspaces), 9);
+    simulation.runUntil(4s);
+    const std::uint64_t calls = simulation.calls();
+    const std::uint64_t requests = simulation.requestsInCalls();
+    simulation.runUntil(6s);
+    EXPECT_LT(refusedPart(simulation, 4s, 6s), 0.01);
+    int arrivals = 0;
+    for (const SimulatedWorkspace &it : simulation.workspaces()) {
+        arrivals += countBetween(it.arrivals, 4s, 6s);
+    }
+    EXPECT_LE(simulation.calls() - calls, static_cast<std::uint64_t>(arrivals));
+    std::cout << simulation.calls() - calls << " calls with "
+              << simulation.requestsInCalls() - requests << " workspaces in 2 s\n";
+}
+
 } // namespace
 } // namespace Tarragon
