Routing: Derive an object's region from its best target

The region of a request came from cumulative fractions, so that a change of one region's share moved objects between other regions, and within the regions other objects moved to the changed target.

TargetRanking, split out of ServiceDispatcher, takes the region of the object's best target with the slots scaled to the regions' shares.

--- a/Source/routing/RegionShares.cpp
+++ b/Source/routing/RegionShares.cpp
@@ -1,7 +1,5 @@
 #include "routing/RegionShares.h"
 
-#include "base/Digest.h"
-
 #include <algorithm>
 
 namespace Tarragon {
@@ -53,16 +51,4 @@
     return shares;
 }
 
-const RegionId &regionForHash(const RegionShares &shares, std::uint64_t hash)
-{
-    double point = unitInterval(hash);
-    for (const auto &[region, share] : shares) {
-        if (point < share) {
-            return region;
-        }
-        point -= share;
-    }
-    return shares.back().first;
-}
-
 } // namespace Tarragon
--- a/Source/routing/RegionShares.h
+++ b/Source/routing/RegionShares.h
@@ -2,7 +2,6 @@
 
 #include "base/Ids.h"
 
-#include <cstdint>
 #include <map>
 #include <utility>
 #include <vector>
@@ -12,8 +11,8 @@
 /// Number of slots of a service's available targets in each region.
 using RegionSlots = std::map<RegionId, double>;
 
-/// Fractions of one region's requests that go to each region, in the order in which hashes are
-/// mapped to regions. The fractions sum to 1; the list is empty if no region has slots.
+/// Fractions of one region's requests that go to each region. The fractions sum to 1; the list is
+/// empty if no region has slots.
 using RegionShares = std::vector<std::pair<RegionId, double>>;
 
 /// Splits the requests of the region `from` over all regions so that the load per slot is equal
@@ -24,8 +23,4 @@
 RegionShares regionShares(const RegionSlots &slots, const std::vector<RegionId> &callerRegions,
                           const RegionId &from);
 
-/// Returns the region to which a hash is mapped. The region of a hash does not change while the
-/// fractions are unchanged.
-const RegionId &regionForHash(const RegionShares &shares, std::uint64_t hash);
-
 } // namespace Tarragon
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -1,10 +1,8 @@
 #include "routing/ServiceDispatcher.h"
 
 #include "base/Digest.h"
-#include "steering/Rendezvous.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Tarragon {
 
@@ -69,18 +67,15 @@
     , m_service(service)
     , m_options(options)
     , m_limits(std::move(limits))
-{
-    std::set<RegionId> regions;
-    for (const auto &[domain, region] : m_locality.regionOfDomain) {
-        regions.insert(region);
-    }
-    m_callerRegions.assign(regions.begin(), regions.end());
-}
+    , m_ranking(m_locality)
+{}
 
 void ServiceDispatcher::setTargets(const TargetRegistry::Targets &targets)
 {
     States states;
-    m_regionSlots.clear();
+    std::vector<RankingTarget> ranked;
+    m_rankedTargets.clear();
+    m_ejectedTargets.clear();
     for (const auto &[id, known] : targets) {
         if (known.registration.service != m_service.id) {
             continue;
@@ -91,15 +86,20 @@
             state = std::move(before->second);
         }
         state.known = known;
-        state.hash = stableHash(id.value());
         const auto region = m_locality.regionOfDomain.find(known.registration.domain);
         state.region = region == m_locality.regionOfDomain.end() ? RegionId() : region->second;
+        TargetState &added = states.emplace(id, std::move(state)).first->second;
         if (known.availability == TargetAvailability::Ready) {
-            m_regionSlots[state.region] += known.registration.slots.value;
+            ranked.push_back({ stableHash(id.value()), known.registration.slots,
+                               known.registration.domain, added.region });
+            m_rankedTargets.push_back(&added);
+        }
+        if (added.ejection.wasEjected()) {
+            m_ejectedTargets.push_back(&added);
         }
-        states.emplace(id, std::move(state));
     }
     m_targets = std::move(states);
+    m_ranking.setTargets(ranked);
 }
 
 Placement ServiceDispatcher::place(const PlacementQuery &query, MonotonicTime now)
@@ -145,33 +145,34 @@
 std::vector<ServiceDispatcher::Candidate>
 ServiceDispatcher::candidatesFor(const PlacementQuery &query, MonotonicTime now)
 {
-    const RegionId preferred = preferredRegionFor(query);
-    const bool isLargeResponse = hasLargeResponses(query.route->name);
+    const bool skipsEjected = appliesEjections(now);
+    const auto isAllowed = [&query](const RegionId &it) { return query.allows(it); };
+    const auto mayGet = [&](std::size_t position) {
+        const TargetState &state = *m_rankedTargets[position];
+        return isUsable(state, query) && !(skipsEjected && state.ejection.isEjected(now))
+               && isPermitPossible(state, query, now);
+    };
+    // An object keeps its affinity targets during a backoff; requests without an object go to
+    // other targets.
+    const auto mayGetNow = [&](std::size_t position) {
+        return (query.objectHash.has_value()
+                || remainingBackoff(*m_rankedTargets[position], now) == microseconds(0))
+               && mayGet(position);
+    };
+    RankingQuery ranking{ query.objectHash.value_or(query.requestHash),
+                          m_options.affinityTargetsPerObject,
+                          hasLargeResponses(query.route->name) };
     std::vector<Candidate> candidates;
-    std::vector<Candidate> backingOff;
-    bool hasPreferred = false;
-    for (TargetState *it : rankTargets(query, preferred, isLargeResponse, now)) {
-        // The nearest targets may be too few for large responses, so one candidate of the preferred
-        // region is added.
-        const bool isFallbackRegion = isLargeResponse && !hasPreferred && it->region == preferred;
-        if ((candidates.size() >= m_options.affinityTargetsPerObject && !isFallbackRegion)
-            || !isPermitPossible(*it, query, now)) {
-            continue;
-        }
-        // An object keeps its affinity targets during a backoff; requests without an object go to
-        // other targets.
-        if (!query.objectHash.has_value() && remainingBackoff(*it, now) > microseconds(0)) {
-            backingOff.push_back(makeCandidate(*it, *query.route, now));
-            continue;
-        }
-        hasPreferred = hasPreferred || it->region == preferred;
-        candidates.push_back(makeCandidate(*it, *query.route, now));
-        if (candidates.size() >= m_options.affinityTargetsPerObject
-            && (!isLargeResponse || hasPreferred)) {
-            break;
+    for (const std::size_t it : m_ranking.select(ranking, isAllowed, mayGetNow)) {
+        candidates.push_back(makeCandidate(*m_rankedTargets[it], *query.route, now));
+    }
+    if (candidates.empty() && !query.objectHash.has_value()) {
+        ranking.count = m_rankedTargets.size();
+        for (const std::size_t it : m_ranking.select(ranking, isAllowed, mayGet)) {
+            candidates.push_back(makeCandidate(*m_rankedTargets[it], *query.route, now));
         }
     }
-    return candidates.empty() ? backingOff : candidates;
+    return candidates;
 }
 
 Placement ServiceDispatcher::refuseWithoutCandidates(const PlacementQuery &query,
@@ -196,55 +197,6 @@
     return placement;
 }
 
-std::vector<ServiceDispatcher::TargetState *>
-ServiceDispatcher::rankTargets(const PlacementQuery &query, const RegionId &preferred,
-                               bool isLargeResponse, MonotonicTime now)
-{
-    struct Ranked
-    {
-        TargetState *state = nullptr;
-        int tier = 0;
-        double score = 0;
-    };
-    const bool skipsEjected = appliesEjections(now);
-    const std::uint64_t key = query.objectHash.value_or(query.requestHash);
-    std::vector<Ranked> ranked;
-    ranked.reserve(m_targets.size());
-    for (auto &[id, state] : m_targets) {
-        if (!isUsable(state, query)) {
-            continue;
-        }
-        Ranked item{ &state, 0, 0 };
-        if (skipsEjected && state.ejection.isEjected(now)) {
-            continue;
-        }
-        item.tier = localityTierOf(state, preferred, isLargeResponse);
-        item.score = rendezvousScore(key, state.hash,
-                                     static_cast<double>(state.known.registration.slots.value));
-        ranked.push_back(item);
-    }
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
-        return a.tier != b.tier ? a.tier < b.tier : a.score < b.score;
-    });
-    std::vector<TargetState *> states;
-    states.reserve(ranked.size());
-    for (const Ranked &it : ranked) {
-        states.push_back(it.state);
-    }
-    return states;
-}
-
-int ServiceDispatcher::localityTierOf(const TargetState &state, const RegionId &preferred,
-                                      bool isLargeResponse) const
-{
-    const bool isNearest = isLargeResponse ? state.known.registration.domain == m_locality.domain
-                                           : state.region == preferred;
-    if (isNearest) {
-        return 0;
-    }
-    return state.region == m_locality.region ? 1 : 2;
-}
-
 bool ServiceDispatcher::hasLargeResponses(const RouteName &route) const
 {
     const auto it = m_responseSizes.find(route);
@@ -256,22 +208,6 @@
     smooth(m_responseSizes, route, static_cast<double>(bytes.value));
 }
 
-RegionId ServiceDispatcher::preferredRegionFor(const PlacementQuery &query) const
-{
-    RegionSlots slots;
-    for (const auto &[region, count] : m_regionSlots) {
-        if (query.allows(region)) {
-            slots[region] = count;
-        }
-    }
-    const RegionShares shares = regionShares(slots, m_callerRegions, m_locality.region);
-    if (shares.empty()) {
-        return m_locality.region;
-    }
-    const std::uint64_t key = query.objectHash.value_or(query.requestHash);
-    return regionForHash(shares, rendezvousHash(key, stableHash(m_service.id.value())));
-}
-
 bool ServiceDispatcher::isUsable(const TargetState &state, const PlacementQuery &query) const
 {
     return state.known.availability == TargetAvailability::Ready && query.allows(state.region)
@@ -303,15 +239,15 @@
 
 bool ServiceDispatcher::appliesEjections(MonotonicTime now) const
 {
-    std::size_t ready = 0;
-    std::size_t ejected = 0;
-    for (const auto &[id, state] : m_targets) {
-        if (state.known.availability != TargetAvailability::Ready) {
-            continue;
-        }
-        ++ready;
-        ejected += state.ejection.isEjected(now) ? 1 : 0;
+    const auto ejected =
+            std::count_if(m_ejectedTargets.begin(), m_ejectedTargets.end(), [now](const auto *it) {
+                return it->known.availability == TargetAvailability::Ready
+                       && it->ejection.isEjected(now);
+            });
+    if (ejected == 0) {
+        return true;
     }
+    const std::size_t ready = readyTargets();
     return static_cast<double>(ejected) <= MaxEjectedFraction * static_cast<double>(ready);
 }
 
@@ -427,6 +363,11 @@
         const bool requestsBackoff =
                 outcome == SendOutcome::Declined && remainingBackoff(state, now) > microseconds(0);
         state.ejection.onOutcome(requestsBackoff ? SendOutcome::Aborted : outcome, now);
+        if (state.ejection.wasEjected()
+            && std::find(m_ejectedTargets.begin(), m_ejectedTargets.end(), &state)
+                       == m_ejectedTargets.end()) {
+            m_ejectedTargets.push_back(&state);
+        }
         if (state.ejection.isEjected(now) != wasEjected) {
             m_changes.push_back(
                     TargetChange{ target, m_service.id, wasEjected ? "trusted" : "suspended" });
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "routing/RegionShares.h"
+#include "routing/EntryLocality.h"
 #include "routing/RouteTable.h"
 #include "routing/TargetEjection.h"
 #include "routing/TargetLimits.h"
 #include "routing/TargetLoad.h"
+#include "routing/TargetRanking.h"
 #include "routing/TargetRegistry.h"
 
 #include <map>
@@ -17,14 +18,6 @@
 
 namespace Tarragon {
 
-/// Failure domain and region of an entry, and the region of every failure domain that has entries.
-struct EntryLocality
-{
-    FailureDomainId domain;
-    RegionId region;
-    std::map<FailureDomainId, RegionId> regionOfDomain;
-};
-
 /// Describes a request for which a target is to be chosen.
 struct PlacementQuery
 {
@@ -124,6 +117,12 @@
     ServiceDispatcher(EntryLocality locality, const HostedService &service,
                       const DispatchOptions &options = {},
                       std::shared_ptr<TargetLimits> limits = std::make_shared<TargetLimits>());
+    // A copy's pointers would refer to the targets of the original; a move keeps their addresses.
+    ServiceDispatcher(const ServiceDispatcher &) = delete;
+    ServiceDispatcher &operator=(const ServiceDispatcher &) = delete;
+    ServiceDispatcher(ServiceDispatcher &&) = default;
+    ServiceDispatcher &operator=(ServiceDispatcher &&) = default;
+    ~ServiceDispatcher() = default;
 
     /// Applies the service's parameters from a new route table.
     void setService(const HostedService &service) { m_service = service; }
@@ -182,8 +181,6 @@
     {
         KnownTarget known;
         RegionId region;
-        /// Hash of the target's id, equal in all entries, for ranking.
-        std::uint64_t hash = 0;
         TargetLoad load;
         TargetEjection ejection;
         /// End of the backoff that the target has requested.
@@ -202,20 +199,12 @@
         microseconds backoff{ 0 };
     };
 
-    /// Returns the targets that the request may be sent to, in order of preference.
+    /// Returns the targets that the request may be sent to, in order of preference; the first ones
+    /// are the object's affinity targets.
     std::vector<Candidate> candidatesFor(const PlacementQuery &query, MonotonicTime now);
     /// Refuses a request for which candidatesFor() has found no target.
     Placement refuseWithoutCandidates(const PlacementQuery &query, MonotonicTime now) const;
-    /// Returns all available targets in order of preference; the first ones are the object's
-    /// affinity targets.
-    std::vector<TargetState *> rankTargets(const PlacementQuery &query, const RegionId &preferred,
-                                           bool isLargeResponse, MonotonicTime now);
-    /// Returns how near the target is for the request; 0 is nearest.
-    int localityTierOf(const TargetState &state, const RegionId &preferred,
-                       bool isLargeResponse) const;
     bool hasLargeResponses(const RouteName &route) const;
-    /// Returns the region to which regionShares() assigns the request.
-    RegionId preferredRegionFor(const PlacementQuery &query) const;
     bool isUsable(const TargetState &state, const PlacementQuery &query) const;
     bool isCold(const TargetState &state, MonotonicTime now) const;
     static microseconds remainingBackoff(const TargetState &state, MonotonicTime now);
@@ -240,9 +229,12 @@
     DispatchOptions m_options;
     std::shared_ptr<TargetLimits> m_limits;
     std::size_t m_entryCount = 0;
-    std::vector<RegionId> m_callerRegions;
     States m_targets;
-    RegionSlots m_regionSlots;
+    TargetRanking m_ranking;
+    /// The targets in m_ranking, by their position there.
+    std::vector<TargetState *> m_rankedTargets;
+    /// Targets that have been ejected and may still be.
+    std::vector<TargetState *> m_ejectedTargets;
     std::vector<TargetChange> m_changes;
     std::vector<LeavingTarget> m_leaving;
     /// Mean processing time of each route's requests, in microseconds.
--- a/Source/routing/TargetEjection.h
+++ b/Source/routing/TargetEjection.h
@@ -33,6 +33,8 @@
     void reset() { *this = TargetEjection(); }
     /// Whether the target is ejected, so that requests should go to other targets.
     bool isEjected(MonotonicTime now) const;
+    /// Whether the target has been ejected and not been readmitted since.
+    bool wasEjected() const { return m_wasEjected; }
     /// Whether the ejection time has passed and one probe request may test whether the target has
     /// recovered.
     bool isHalfOpen(MonotonicTime now) const;
