--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -42,15 +42,6 @@
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 
-/// Whether requests behind this one may be processed before it is answered.
-bool isPipelinable(const evhttp_request &request)
-{
-    const char *connection = evhttp_find_header(request.input_headers, "Connection");
-    return (request.type == EVHTTP_REQ_GET || request.type == EVHTTP_REQ_HEAD)
-           && (request.major > 1 || request.minor >= 1)
-           && (connection == nullptr || !hasListToken(connection, "close"));
-}
-
 std::string_view reasonPhrase(int status)
 {
     switch (status) {
--- a/Source/net/PipelinedRequest.cpp
+++ b/Source/net/PipelinedRequest.cpp
@@ -3,6 +3,7 @@
 #include "net/HttpSyntax.h"
 
 #include <event2/http.h>
+#include <event2/http_struct.h>
 
 #include <memory>
 
@@ -56,4 +57,12 @@
     return request;
 }
 
+bool isPipelinable(const evhttp_request &request)
+{
+    const char *connection = evhttp_find_header(request.input_headers, "Connection");
+    return (request.type == EVHTTP_REQ_GET || request.type == EVHTTP_REQ_HEAD)
+           && (request.major > 1 || request.minor >= 1)
+           && (connection == nullptr || !hasListToken(connection, "close"));
+}
+
 } // namespace Tarragon
