Overload: Refuse less urgent requests before more urgent ones

The longest wait was 0.4 of the route's latency goal, so that a less urgent route with a longer goal kept queues at which a more urgent one was refused. WaitLimits now refuses each class of urgency (priority of the workspace, then of the route) that has come in the last 2 s at a queue of at most 0.7 of that of the next more urgent class. RefusalPolicy, split out of ServiceDispatcher, reserves the time of a retry in order of urgency. A service with one class behaves as before. Load files may state the priority of a route.

--- a/Source/model/LoadPlan.cpp
+++ b/Source/model/LoadPlan.cpp
@@ -15,6 +15,7 @@
 constexpr int MaxEntries = 1'000;
 constexpr int MaxTargets = 10'000;
 constexpr int MaxAttempts = 10;
+constexpr int MaxPriority = 100;
 constexpr double MaxFactor = 1'000;
 
 const DurationFormat AnyDuration{ milliseconds(0), MaxTime };
@@ -124,6 +125,7 @@
         item.optional("returns", route.returns, IntegerFormat{ 0, MaxAttempts });
         item.optional("repeatable", route.isRepeatable, BoolFormat{});
         item.optional("maxAttempts", route.maxAttempts, IntegerFormat{ 1, MaxAttempts });
+        item.optional("priority", route.priority, IntegerFormat{ 0, MaxPriority });
         plan.routes.push_back(route);
     });
 }
--- a/Source/model/LoadPlan.h
+++ b/Source/model/LoadPlan.h
@@ -71,6 +71,8 @@
     bool isRepeatable = true;
     /// Maximum number of targets that an entry sends one attempt of a caller to.
     int maxAttempts = 2;
+    /// Priority among the routes; 0 is the most urgent.
+    int priority = 0;
 };
 
 /// Kinds of faults that are injected into a modelled deployment.
--- a/Source/model/ModelRun.cpp
+++ b/Source/model/ModelRun.cpp
@@ -46,6 +46,7 @@
         route.latencyGoal = it.goal;
         route.maxAttempts = it.maxAttempts;
         route.hasObjectAffinity = it.objects > 0;
+        route.priority = it.priority;
         route.weightedServices = { WeightedService{ it.service, 1 } };
         m_routes[it.name] = route;
     }
--- a/Source/routing/ServiceDispatcher.cpp
+++ b/Source/routing/ServiceDispatcher.cpp
@@ -26,13 +26,8 @@
 /// Fraction of a service's targets up to which ejections are applied. If more targets are ejected,
 /// ejections are ignored because the cause is more likely common to all targets.
 constexpr double MaxEjectedFraction = 0.34;
-/// Bounds of the time after which a refused caller is asked to retry.
-constexpr milliseconds MinRetryAfter{ 40 };
-constexpr milliseconds MaxRetryAfter{ 1'000 };
 /// Maximum backoff granted to a target; a target that needs longer can ask again.
 constexpr milliseconds MaxBackoff{ 30'000 };
-/// Maximum jitter as a fraction of the retry time, so that callers do not all retry at once.
-constexpr double RetryAfterJitter = 0.2;
 
 /// Updates a route's exponential moving average; the first measurement initializes it.
 void smooth(std::map<RouteName, double> &means, const RouteName &route, double value)
@@ -115,8 +110,8 @@
             best = &it;
         }
     }
-    const microseconds limit = scaled(query.route->latencyGoal, m_options.maxWaitToGoalRatio);
-    if (best == nullptr || best->wait > limit) {
+    const WaitLimit limit = waitLimitFor(query, now);
+    if (best == nullptr || best->wait > limit.limit) {
         return refuse(RefusalReason::Busy, candidates, query, limit, now);
     }
     // Without a measured processing time, the request is not refused as too late.
@@ -135,6 +130,16 @@
     return placement;
 }
 
+WaitLimit ServiceDispatcher::waitLimitFor(const PlacementQuery &query, MonotonicTime now)
+{
+    const Route &route = *query.route;
+    return m_waitLimits.limitFor(
+            WaitLimitQuery{ urgencyOf(route, query.workspace),
+                            scaled(route.latencyGoal, m_options.maxWaitToGoalRatio),
+                            expectedProcessingTime(route) },
+            now);
+}
+
 bool ServiceDispatcher::isMuchSooner(const Candidate &candidate, const Candidate &earlier)
 {
     return candidate.wait + candidate.processingTime
@@ -177,9 +182,9 @@
 Placement ServiceDispatcher::refuseWithoutCandidates(const PlacementQuery &query,
                                                      MonotonicTime now) const
 {
-    const double jitter = RetryAfterJitter * unitInterval(query.requestHash);
+    const double jitter = RefusalPolicy::jitterOf(query.requestHash);
     Placement placement;
-    placement.retryAfter = scaled(MaxRetryAfter, 0.5 + jitter);
+    placement.retryAfter = scaled(RefusalPolicy::MaxRetryAfter, 0.5 + jitter);
     for (const auto &[id, state] : m_targets) {
         if (!isUsable(state, query)) {
             continue;
@@ -188,8 +193,8 @@
             placement.reason = RefusalReason::Cold;
         } else if (m_limits->isLimited(id) && placement.reason != RefusalReason::Cold) {
             placement.reason = RefusalReason::Limited;
-            const microseconds untilPermit =
-                    std::max<microseconds>(m_limits->exhaustedUntil(id) - now, MinRetryAfter);
+            const microseconds untilPermit = std::max<microseconds>(
+                    m_limits->exhaustedUntil(id) - now, RefusalPolicy::MinRetryAfter);
             placement.retryAfter = std::min(placement.retryAfter, scaled(untilPermit, 1 + jitter));
         }
     }
@@ -325,37 +330,27 @@
 }
 
 Placement ServiceDispatcher::refuse(RefusalReason reason, const std::vector<Candidate> &candidates,
-                                    const PlacementQuery &query, microseconds limit,
+                                    const PlacementQuery &query, const WaitLimit &limit,
                                     MonotonicTime now) const
 {
-    // Finds the earliest time at which a candidate has capacity that is not reserved for another
-    // caller.
-    const Candidate *earliest = nullptr;
-    MonotonicTime retryAt;
+    std::vector<BusyTarget> targets;
+    targets.reserve(candidates.size());
     for (const Candidate &it : candidates) {
-        const MonotonicTime availableAt =
-                std::max(now + std::max(it.wait - limit, it.backoff), it.state->reservedUntil);
-        if (earliest == nullptr || availableAt < retryAt) {
-            earliest = &it;
-            retryAt = availableAt;
-        }
+        targets.push_back(BusyTarget{ &it.state->reservations,
+                                      std::max(it.wait - limit.limit, it.backoff), it.backoff,
+                                      it.processingTime, it.state->known.registration.slots });
     }
-    // Other entries reserve capacity of the same target too, so the time reserved for one request
-    // is multiplied by the number of entries.
-    const double entries = static_cast<double>(std::max<std::size_t>(m_entryCount, 1));
-    const microseconds reservation = scaled(
-            earliest->processingTime, entries / earliest->state->known.registration.slots.value);
-    const microseconds maxRetryAfter = std::max<microseconds>(MaxRetryAfter, earliest->backoff);
-    const microseconds base = std::clamp<microseconds>(retryAt - now, MinRetryAfter, maxRetryAfter);
-    earliest->state->reservedUntil =
-            now + std::min<microseconds>(base + reservation, maxRetryAfter);
+    const RefusedRequest refused{ urgencyOf(*query.route, query.workspace), limit.rank,
+                                  query.requestHash };
+    const RetrySlot slot = RefusalPolicy::reserveRetry(targets, refused, m_entryCount, now);
+    const Candidate &earliest = candidates[slot.target];
     Placement placement;
     placement.reason = reason;
-    placement.busyTarget = earliest->state->known.registration.id;
-    placement.expectedWait = std::max(earliest->wait, earliest->backoff);
-    placement.expectedProcessingTime = earliest->processingTime;
-    placement.maxWait = limit;
-    placement.retryAfter = scaled(base, 1 + RetryAfterJitter * unitInterval(query.requestHash));
+    placement.busyTarget = earliest.state->known.registration.id;
+    placement.expectedWait = std::max(earliest.wait, earliest.backoff);
+    placement.expectedProcessingTime = earliest.processingTime;
+    placement.maxWait = limit.limit;
+    placement.retryAfter = slot.retryAfter;
     return placement;
 }
 
--- a/Source/routing/ServiceDispatcher.h
+++ b/Source/routing/ServiceDispatcher.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "routing/RefusalPolicy.h"
 #include "routing/RegionShares.h"
 #include "routing/RouteTable.h"
 #include "routing/TargetEjection.h"
 #include "routing/TargetLimits.h"
 #include "routing/TargetLoad.h"
 #include "routing/TargetRegistry.h"
+#include "routing/WaitLimits.h"
 
 #include <map>
 #include <memory>
@@ -104,8 +106,8 @@
     /// slow or gone; with more, each target would have to handle more objects than fit into its
     /// cache.
     std::size_t affinityTargetsPerObject = 2;
-    /// Maximum wait at an affinity target as a fraction of the latency goal. Processing takes most
-    /// of the rest.
+    /// Maximum wait at an affinity target as a fraction of the latency goal, unless more urgent
+    /// requests compete for the service. Processing takes most of the rest.
     double maxWaitToGoalRatio = 0.4;
 };
 
@@ -188,9 +190,7 @@
         TargetEjection ejection;
         /// End of the backoff that the target has requested.
         MonotonicTime backoffUntil;
-        /// Time until which the target's capacity is reserved for refused callers that were asked
-        /// to retry.
-        MonotonicTime reservedUntil;
+        RetryReservations reservations;
     };
     using States = std::map<TargetId, TargetState>;
     struct Candidate
@@ -230,15 +230,16 @@
     /// Whether a candidate is expected to respond so much sooner than one earlier in the ranking
     /// that it is preferred although the object is less likely to be in its cache.
     static bool isMuchSooner(const Candidate &candidate, const Candidate &earlier);
-    /// Returns a refusal with the earliest retry time, and reserves the capacity that will be
-    /// available then for the refused caller.
+    WaitLimit waitLimitFor(const PlacementQuery &query, MonotonicTime now);
+    /// Returns a refusal with the retry time that RefusalPolicy assigns.
     Placement refuse(RefusalReason reason, const std::vector<Candidate> &candidates,
-                     const PlacementQuery &query, microseconds limit, MonotonicTime now) const;
+                     const PlacementQuery &query, const WaitLimit &limit, MonotonicTime now) const;
 
     EntryLocality m_locality;
     HostedService m_service;
     DispatchOptions m_options;
     std::shared_ptr<TargetLimits> m_limits;
+    WaitLimits m_waitLimits;
     std::size_t m_entryCount = 0;
     std::vector<RegionId> m_callerRegions;
     States m_targets;
