--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -27,6 +27,8 @@
   drainSeconds: 3
 memoryMegabytes: 256
 maxDescriptors: 8200
+capacityCores: "0.5"
+linkMegabits: "10"
 log:
   level: WARN
 )";
@@ -49,6 +51,23 @@
     EXPECT_EQ(settings->maxDescriptors, 8'200u);
     EXPECT_EQ(settings->logLevel, "WARN");
     EXPECT_TRUE(settings->isFirstStart);
+    EXPECT_EQ(settings->capacity(), Cores{ 0.025 });
+}
+
+// Guards against an entry that does not start, or states a capacity of 0, where the platform sets
+// no limits.
+TEST(GatewaySettingsTest, CapacityIsUnknownWithoutLimits)
+{
+    for (const char *stated : { "capacityCores: \"\"", "capacityCores: \"0\"", "" }) {
+        std::string text = Valid;
+        const std::string line = "capacityCores: \"0.5\"";
+        text.replace(text.find(line), line.size(), stated);
+        Findings findings;
+        const std::optional<GatewaySettings> settings =
+                parseGatewaySettings(text, "gateway.yaml", findings);
+        ASSERT_TRUE(settings.has_value()) << stated;
+        EXPECT_FALSE(settings->capacity().has_value()) << stated;
+    }
 }
 
 // Guards against invalid settings that are accepted, or whose fault is reported without its
@@ -62,6 +81,7 @@
         { "level: WARN", "level: LOUD" },
         { "memoryMegabytes: 256", "memoryMegabytes: some" },
         { "firstStart: true", "firstStart: perhaps" },
+        { "capacityCores: \"0.5\"", "capacityCores: half" },
         { "instance: \"edge-1\"", "" },
     };
     for (const auto &[from, to] : faults) {
