--- a/Tests/flood/GatewayProcess.h
+++ b/Tests/flood/GatewayProcess.h
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <csignal>
 #include <cstdint>
 #include <cstdlib>
 #include <filesystem>
@@ -12,7 +13,6 @@
 #include <string>
 
 #include <fcntl.h>
-#include <signal.h>
 #include <spawn.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
