Membership: Compute the hash rank of entries in one place

The issuers of permits, trials and usage tokens and the comparison of two entries computed the same rank. A comment of UsageCaps named declined calls, to which its back-off does not apply.

--- a/Source/routing/EntryMembership.cpp
+++ b/Source/routing/EntryMembership.cpp
@@ -8,6 +8,16 @@
 
 namespace Tarragon {
 
+namespace {
+
+/// Returns the rank of an entry for a key, equal at all entries; the lowest one is chosen.
+std::uint64_t hashRank(std::uint64_t key, const InstanceId &instance)
+{
+    return rendezvousHash(key, stableHash(instance.value()));
+}
+
+} // namespace
+
 EntryMembership::EntryMembership(EntryRecord localEntry, std::uint64_t seed,
                                  const EntryMembershipOptions &options)
     : m_localEntry(std::move(localEntry))
@@ -193,8 +203,7 @@
                 if (!(kind == PermitKind::ColdRate ? it.issuesColdPermits : it.issuesPermits)) {
                     return std::nullopt;
                 }
-                return EntryRank(it.domain != domain,
-                                 rendezvousHash(key, stableHash(it.instance.value())));
+                return EntryRank(it.domain != domain, hashRank(key, it.instance));
             },
             now);
 }
@@ -208,7 +217,7 @@
                 if (!it.issuesTrials) {
                     return std::nullopt;
                 }
-                return EntryRank(false, rendezvousHash(key, stableHash(it.instance.value())));
+                return EntryRank(false, hashRank(key, it.instance));
             },
             now);
 }
@@ -229,8 +238,7 @@
                                const WorkspaceName &workspace)
 {
     const std::uint64_t key = stableHash(workspace.value());
-    return rendezvousHash(key, stableHash(first.value()))
-           < rendezvousHash(key, stableHash(second.value()));
+    return hashRank(key, first) < hashRank(key, second);
 }
 
 std::set<InstanceId> EntryMembership::usageEntries(MonotonicTime now) const
@@ -262,7 +270,7 @@
                 if (!it.issuesUsage) {
                     return std::nullopt;
                 }
-                return EntryRank(false, rendezvousHash(key, stableHash(it.instance.value())));
+                return EntryRank(false, hashRank(key, it.instance));
             },
             now, includesUnknown);
 }
--- a/Source/routing/UsageCaps.cpp
+++ b/Source/routing/UsageCaps.cpp
@@ -9,7 +9,7 @@
 
 /// Time for which the issuer of a workspace is not looked up again.
 constexpr milliseconds IssuerLookupPeriod{ 200 };
-/// Time for which an issuer that did not reply, or that declined, is not asked.
+/// Time for which an issuer that did not reply is not asked.
 constexpr milliseconds SilenceBackoff{ 250 };
 /// Retry-After of requests that are refused because the issuer does not reply.
 constexpr milliseconds RetryAfterSilence{ 200 };
