--- a/review/stage-2/AdditionalBytes.cpp
+++ b/review/stage-2/AdditionalBytes.cpp
@@ -10,9 +10,10 @@
 /// `garble` with `extra` on the sites: up to 0.6 of the upstreams, up to 0.03 of their answers.
 constexpr int FaultyUpstreams = 7;
 constexpr int ExtraPerThousand = 30;
-/// Additional bytes after a complete response; they belong to no request.
-constexpr std::string_view AdditionalBytes = "HTTP/1.1 400 Bad Request\r\n"
-                                             "Content-Length: 0\r\n\r\n";
+/// Additional bytes after a complete response, in turn with a copy of that response that lacks the
+/// line with the id. They belong to no request.
+constexpr std::string_view BareError = "HTTP/1.1 400 Bad Request\r\n"
+                                       "Content-Length: 0\r\n\r\n";
 
 constexpr int Clients = 10;
 constexpr int RequestsOfClient = 300;
@@ -27,19 +28,26 @@
     std::atomic<int> answers{ 0 };
     std::atomic<int> extras{ 0 };
     const auto serve = [&](Socket &socket, bool isFaulty) {
-        bool hasExtra = false;
+        std::string extra;
         while (const std::optional<Message> request = socket.readMessage(60'000, false)) {
-            if (hasExtra) {
+            if (!extra.empty()) {
                 // What is left over of the answer before arrives where this answer is due.
                 ++extras;
                 record.line("upstream sends additional bytes of the answer before, then answers "
                             + request->value("Attempt-Id"));
-                socket.send(AdditionalBytes);
+                socket.send(extra);
+                extra.clear();
             }
             sleepMs(WorkMs);
-            socket.send(response(200, answerHeaders(*request),
-                                 "answer to " + request->value("Attempt-Id")));
-            hasExtra = isFaulty && input.hasTrouble && ++answers % (1'000 / ExtraPerThousand) == 0;
+            const std::string id = request->value("Attempt-Id");
+            const std::string body = "answer to " + id;
+            socket.send(response(200, answerHeaders(*request), body));
+            const int number = isFaulty && input.hasTrouble ? ++answers : 0;
+            if (number > 0 && number % (1'000 / ExtraPerThousand) == 0) {
+                const bool isCopy = number / (1'000 / ExtraPerThousand) % 2 == 0;
+                extra = isCopy ? response(200, { { "Response-Seal", "seal-" + id } }, body)
+                               : std::string(BareError);
+            }
         }
     };
     std::vector<std::unique_ptr<Listener>> listeners;
@@ -61,7 +69,8 @@
     }
 
     std::atomic<int> right{ 0 };
-    std::atomic<int> foreign{ 0 };
+    std::atomic<int> bareErrors{ 0 };
+    std::atomic<int> copies{ 0 };
     std::atomic<int> failed{ 0 };
     std::vector<std::thread> clients;
     for (int i = 0; i < Clients; ++i) {
@@ -81,10 +90,14 @@
                     ++right;
                 } else if (answer->status() == 400) {
                     // No upstream gave this status to the request, nor does the gateway object.
-                    ++foreign;
+                    ++bareErrors;
                     record.line("client " + id + " got " + answer->startLine + ", "
                                 + std::to_string(answer->headers.size()) + " headers, "
                                 + std::to_string(answer->body.size()) + " bytes");
+                } else if (answer->status() == 200) {
+                    ++copies;
+                    record.line("client " + id + " got 200 with \"" + answer->body
+                                + "\" and the seal " + answer->value("Response-Seal"));
                 } else {
                     ++failed;
                     record.line("client " + id + " got " + answer->startLine);
@@ -98,9 +111,10 @@
     const std::string summary = "requests " + std::to_string(Clients * RequestsOfClient)
                                 + ", right answers " + std::to_string(right)
                                 + ", additional bytes sent " + std::to_string(extras)
-                                + ", clients that got them as their answer "
-                                + std::to_string(foreign) + ", failed " + std::to_string(failed);
-    finish(input, gateway, summary, foreign > 0 ? Outcome::Broken : Outcome::Held);
+                                + ", clients that got as their answer the bare error "
+                                + std::to_string(bareErrors) + ", the copy of another answer "
+                                + std::to_string(copies) + ", failed " + std::to_string(failed);
+    finish(input, gateway, summary, bareErrors + copies > 0 ? Outcome::Broken : Outcome::Held);
 }
 
 } // namespace Stage
