Net: Log closes of connections with unacknowledged bytes

Nothing told whether a response that a client did not get whole was cut by this process, in which way, or on the client's side. Each close of a client's connection is now counted, closes with unacknowledged bytes also apart, and logged with their cause and sizes, at most one line a second.

--- a/Source/entry/Daemon.cpp
+++ b/Source/entry/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "document/DocumentParser.h"
 #include "entry/Failure.h"
 #include "entry/StatusReport.h"
+#include "net/ConnectionCloses.h"
 #include "net/MemoryMetrics.h"
 
 #include <log4cplus/logger.h>
@@ -172,7 +173,8 @@
         replyWithText(
                 *exchange, 200, "text/plain; version=0.0.4",
                 m_metrics.text()
-                        + memoryMetricsText("tarragonstage", MemoryBudget::ofProcess().counts()));
+                        + memoryMetricsText("tarragonstage", MemoryBudget::ofProcess().counts())
+                        + ConnectionCloses::ofProcess().metricsText("tarragonstage_client"));
         return;
     }
     if (path == "/healthz") {
--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -10,6 +10,7 @@
 #include "gateway/TargetFeed.h"
 #include "gateway/TrialRpc.h"
 #include "gateway/UsageRpc.h"
+#include "net/ConnectionCloses.h"
 #include "net/HttpStatus.h"
 #include "net/LogLine.h"
 #include "net/MemoryMetrics.h"
@@ -542,7 +543,8 @@
         m_metrics.setSendsInProgress(service, dispatcher->sendsInProgress());
     }
     return m_metrics.text()
-           + memoryMetricsText("tarragon_gateway", MemoryBudget::ofProcess().counts());
+           + memoryMetricsText("tarragon_gateway", MemoryBudget::ofProcess().counts())
+           + ConnectionCloses::ofProcess().metricsText("tarragon_gateway_client");
 }
 
 void GatewayDaemon::checkShutdown()
--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -89,6 +89,7 @@
 HttpServer::State::~State()
 {
     attachNewConnections();
+    isEnding = true;
     evhttp_free(http);
     event_free(attachEvent);
 }
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -7,6 +7,7 @@
 #include "net/HttpStatus.h"
 #include "net/HttpSyntax.h"
 #include "net/PipelinedRequest.h"
+#include "net/SocketQueues.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -68,6 +69,17 @@
     }
 }
 
+/// Whether evhttp closes the connection after the response to the request.
+bool closesConnection(const evhttp_request &request)
+{
+    const auto hasClose = [](const evkeyvalq *headers) {
+        const char *value = evhttp_find_header(headers, "Connection");
+        return value != nullptr && hasListToken(value, "close");
+    };
+    return request.minor == 0 || hasClose(request.input_headers)
+           || hasClose(request.output_headers);
+}
+
 } // namespace
 
 HttpServerConnection::HttpServerConnection(HttpServer::State &server)
@@ -557,9 +569,10 @@
            || recv(bufferevent_getfd(m_bufferEvent), &ch, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void HttpServerConnection::onResponseWritten(evhttp_request *, void *arg)
+void HttpServerConnection::onResponseWritten(evhttp_request *request, void *arg)
 {
     HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
+    self->m_isLastResponse = closesConnection(*request);
     if (self->exchange != nullptr) {
         self->exchange->detach();
         self->exchange = nullptr;
@@ -593,7 +606,7 @@
     const std::shared_ptr<HttpServerConnection> self =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     if (self->m_account.isEvicted() && self->m_phase != Phase::Rejected) {
-        self->reset();
+        self->reset(CloseCause::Eviction);
     } else if (self->m_phase == Phase::Rejected) {
         self->closeNow();
     } else if (self->m_phase == Phase::Head || self->m_phase == Phase::Exchange) {
@@ -676,11 +689,12 @@
     static_cast<HttpServerConnection *>(arg)->closeNow();
 }
 
-void HttpServerConnection::reset()
+void HttpServerConnection::reset(CloseCause cause)
 {
     if (m_phase == Phase::Closed) {
         return;
     }
+    recordClose(cause);
     // Connecting a socket to AF_UNSPEC dissolves its association and sends a reset at once. A
     // regular close would look like the end of a body that is delimited by the end of the
     // connection.
@@ -697,10 +711,39 @@
     }
 }
 
+CloseCause HttpServerConnection::closeCause() const
+{
+    if (m_server->isEnding) {
+        return CloseCause::ServerEnd;
+    }
+    switch (m_phase) {
+    case Phase::Head:
+        return m_isLastResponse ? CloseCause::Response : CloseCause::Idle;
+    case Phase::Body:
+    case Phase::ChunkedBody:
+    case Phase::Rejected:
+        return CloseCause::Rejection;
+    case Phase::Exchange:
+    case Phase::Closed:
+        break;
+    }
+    return CloseCause::BreakOff;
+}
+
+void HttpServerConnection::recordClose(CloseCause cause)
+{
+    const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
+    if (!std::exchange(m_isCloseRecorded, true) && !hasPeerClosed(fd)) {
+        ConnectionCloses::ofProcess().record(cause, unacknowledgedBytes(fd), unreadBytes(fd),
+                                             m_server->loop.now());
+    }
+}
+
 void HttpServerConnection::onClosed(evhttp_connection *, void *arg)
 {
     const std::shared_ptr<HttpServerConnection> self =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
+    self->recordClose(self->closeCause());
     self->m_phase = Phase::Closed;
     self->uncountExchange();
     self->m_server->exchangesInProgress -= self->m_requestsAhead.size();
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -3,6 +3,7 @@
 #include "base/Units.h"
 #include "net/ChunkedDecoder.h"
 #include "net/ConnectionAccount.h"
+#include "net/ConnectionCloses.h"
 #include "net/HttpExchange.h"
 #include "net/HttpServer.h"
 #include "net/RequestBody.h"
@@ -45,7 +46,7 @@
     /// handler. If the request stands for one of the requests ahead, delivers its response.
     void onRequest(evhttp_request *request);
     /// Closes the connection with a TCP reset.
-    void reset();
+    void reset(CloseCause cause);
     /// Whether the connection must be closed after the response that is about to start.
     bool mustCloseAfterResponse() const;
     /// Passes no further request to the handler, and closes the connection after the responses to
@@ -136,6 +137,10 @@
     /// Sends an error response, then discards input and closes the connection.
     void reject(int status, std::string_view reason, std::string_view fields = {});
     void closeNow();
+    /// Returns why the connection is being closed, if the peer has not closed it.
+    CloseCause closeCause() const;
+    /// Records that the connection is closed, unless the peer did it.
+    void recordClose(CloseCause cause);
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
     void uncountExchange();
     bool hasUnreadInput() const;
@@ -155,6 +160,9 @@
     Phase m_phase = Phase::Head;
     MonotonicTime m_acceptedAt;
     bool m_hasResponded = false;
+    /// Whether the response that was written last announced the end of the connection.
+    bool m_isLastResponse = false;
+    bool m_isCloseRecorded = false;
     RequestsAhead m_requestsAhead;
     /// Size of the held responses that was last counted towards the memory budget.
     std::size_t m_countedHeldBytes = 0;
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -49,6 +49,8 @@
     MonotonicTime closeListenerDeadline;
     Timer closeTimer;
     bool closesAfterResponses = false;
+    /// Whether the server is being destroyed.
+    bool isEnding = false;
     std::size_t exchangesInProgress = 0;
     std::unordered_map<HttpServerConnection *, std::shared_ptr<HttpServerConnection>> connections;
     /// Connections whose callbacks evhttp has not set yet; attached in the next iteration of the
