Net: Keep connections until the last response is acknowledged

Cause: evhttp closes the socket as soon as the last response has been written to it. What arrives then, or was not read, makes the kernel send a reset, and a reset discards what the peer has not acknowledged. Only responses to malformed requests were followed by a shutdown and 2 s of discarding input.

Evidence: each of these closes was logged with cause=response and 49 kB unacknowledged. The same happened at the idle timeout and behind errors that evhttp itself responds with.

Change: whatever makes evhttp close a connection, its socket is taken over by LingeringConnections unless the peer has finished. LingeringClose ends the stream, discards input, and closes the socket when the peer has closed, 2 s after the last acknowledgement, 4 s without one, or after 60 s; it discards 64 MiB at most. A peer that reads gets all bytes, because nothing can draw a reset until they are acknowledged. Sockets that linger keep their account in the MemoryBudget, which may close them for others. Error responses to malformed requests use the same class, so that a slow reader is no longer cut off after 2 s.

Tests: with the take-over disabled, 12 of 12 LastResponseTest, IdleTimeoutDoesNotCutAResponse and RefusalByEvhttpDoesNotCutTheResponseBefore fail, and pass with it.

--- a/Source/gateway/StoreAccess.h
+++ b/Source/gateway/StoreAccess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "net/TimerLoop.h"
 #include "platform/ObjectStore.h"
 
 #include <sigc++/sigc++.h>
@@ -11,23 +12,6 @@
 
 namespace Tarragon {
 
-/// A clock with timers: the event loop of a process, or virtual time.
-template<typename T>
-concept TimerLoop = requires(T &loop, microseconds delay, sigc::slot<void()> callback)
-{
-    {
-        loop.now()
-        } -> std::same_as<MonotonicTime>;
-    loop.schedule(delay, callback).reset();
-    {
-        loop.scheduleEvery(delay, callback).isActive()
-        } -> std::same_as<bool>;
-};
-
-/// Timers of a loop.
-template<TimerLoop Loop>
-using TimerOf = decltype(std::declval<Loop &>().schedule(microseconds(0), sigc::slot<void()>()));
-
 /// The calls by which the store is read, as Platform::ObjectStore has them.
 template<typename T>
 concept StoreReader = requires(T &store, const std::string &text, const StoreRevision &revision,
--- a/Source/net/ConnectionAccount.cpp
+++ b/Source/net/ConnectionAccount.cpp
@@ -26,6 +26,11 @@
     m_bufferedBytes -= removed;
 }
 
+void ConnectionAccount::clearBuffered()
+{
+    changeBuffered(0, m_bufferedBytes);
+}
+
 bool ConnectionAccount::admitsBody(std::size_t size, std::size_t growth, MonotonicTime now)
 {
     m_newBytes += growth;
--- a/Source/net/ConnectionAccount.h
+++ b/Source/net/ConnectionAccount.h
@@ -5,7 +5,7 @@
 #include <sigc++/sigc++.h>
 
 #include <cstddef>
-#include <list>
+#include <utility>
 
 namespace Tarragon {
 
@@ -32,6 +32,10 @@
     bool admitsHead(MonotonicTime now);
     /// The body being received was passed on or dropped.
     void clearBody() { m_bodyBytes = 0; }
+    /// The connection's buffers were released.
+    void clearBuffered();
+    /// Replaces the slot that closes the connection.
+    void setEvict(sigc::slot<void()> evict) { m_evict = std::move(evict); }
     /// Sets whether a request of the connection is in progress.
     void setBusy(bool isBusy) { m_isBusy = isBusy; }
 
--- a/Source/net/ConnectionCloses.cpp
+++ b/Source/net/ConnectionCloses.cpp
@@ -2,6 +2,7 @@
 
 #include "net/LogLine.h"
 #include "net/MetricText.h"
+#include "net/SocketQueues.h"
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -45,6 +46,13 @@
     return instance;
 }
 
+void ConnectionCloses::recordSocket(evutil_socket_t fd, CloseCause cause, MonotonicTime now)
+{
+    if (!hasPeerFinished(fd)) {
+        record(cause, unacknowledgedBytes(fd), unreadBytes(fd), now);
+    }
+}
+
 void ConnectionCloses::record(CloseCause cause, std::optional<std::size_t> unacknowledgedBytes,
                               std::optional<std::size_t> unreadBytes, MonotonicTime now)
 {
--- a/Source/net/ConnectionCloses.h
+++ b/Source/net/ConnectionCloses.h
@@ -2,6 +2,8 @@
 
 #include "base/Units.h"
 
+#include <event2/util.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -43,7 +45,9 @@
     /// Returns the counts that the HttpServers of this process share.
     static ConnectionCloses &ofProcess();
 
-    /// Records a close that the peer did not begin. Sizes are empty if the system does not tell.
+    /// Records that a socket is about to be closed, unless its peer has finished.
+    void recordSocket(evutil_socket_t fd, CloseCause cause, MonotonicTime now);
+    /// Records a close. Sizes are empty if the system does not tell.
     void record(CloseCause cause, std::optional<std::size_t> unacknowledgedBytes,
                 std::optional<std::size_t> unreadBytes, MonotonicTime now);
     const Counts &counts() const { return m_counts; }
--- a/Source/net/HttpExchange.cpp
+++ b/Source/net/HttpExchange.cpp
@@ -432,7 +432,7 @@
         return;
     }
     const std::shared_ptr<HttpServerConnection> connection = m_state->connection;
-    connection->reset(CloseCause::BreakOff);
+    connection->breakOff();
 }
 
 bool HttpExchange::isEnded() const
--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -73,6 +73,7 @@
     : loop(eventLoop)
     , limits(serverLimits)
     , handler(std::move(requestHandler))
+    , lingering(eventLoop)
 {
     http = evhttp_new(loop.base());
     attachEvent = evtimer_new(loop.base(), onAttach, this);
@@ -220,6 +221,11 @@
     return m_state->connections.size();
 }
 
+std::size_t HttpServer::lingeringCount() const
+{
+    return m_state->lingering.size();
+}
+
 std::size_t HttpServer::exchangesInProgress() const
 {
     return m_state->exchangesInProgress;
--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -44,6 +44,9 @@
     bool isQuiet() const;
     /// Returns the number of open connections.
     std::size_t connectionCount() const;
+    /// Returns the number of connections that were closed and whose peers may not have read all
+    /// responses.
+    std::size_t lingeringCount() const;
     /// Returns the number of exchanges whose response has not been written completely.
     std::size_t exchangesInProgress() const;
 
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -32,10 +32,6 @@
 /// Input up to this size is copied. A buffer that were moved instead would keep its unused part,
 /// so that a client that sends single bytes could make the process hold a thousand times as much.
 constexpr std::size_t MaxCopiedInputBytes = 4'096;
-/// Time for a peer to read an error response and close the connection. Closing a socket with unread
-/// input at once sends a reset, which could make the peer lose the error response.
-constexpr seconds RejectionLingerTime{ 2 };
-
 /// Time after the acceptance of a connection within which its first bytes are expected. A round
 /// trip between regions takes 50 ms at most; a lost segment is retransmitted after 200 ms, then
 /// after 400 ms.
@@ -85,7 +81,8 @@
 HttpServerConnection::HttpServerConnection(HttpServer::State &server)
     : m_server(&server)
     , m_acceptedAt(server.loop.now())
-    , m_account(server.budget, m_acceptedAt, sigc::mem_fun(*this, &HttpServerConnection::onEvicted))
+    , m_account(std::make_unique<ConnectionAccount>(
+              server.budget, m_acceptedAt, sigc::mem_fun(*this, &HttpServerConnection::onEvicted)))
 {
     // Without BEV_OPT_CLOSE_ON_FREE, evhttp closes the socket before libevent has removed its
     // events, and the removal could affect a new connection with the same descriptor.
@@ -119,7 +116,7 @@
 {
     wrapCallbacks();
     evhttp_connection_set_closecb(m_connection, onClosed, this);
-    if (m_account.isEvicted()) {
+    if (m_account->isEvicted()) {
         onEvicted();
     }
 }
@@ -131,7 +128,7 @@
     bufferevent_event_cb eventCallback = nullptr;
     void *arg = nullptr;
     bufferevent_getcb(m_bufferEvent, &readCallback, &writeCallback, &eventCallback, &arg);
-    if (readCallback == nullptr || readCallback == onRead || readCallback == onRejectedRead) {
+    if (readCallback == nullptr || readCallback == onRead) {
         return;
     }
     m_evhttpRead = readCallback;
@@ -146,11 +143,11 @@
 void HttpServerConnection::onInputChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
 {
     HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
-    self->m_account.changeBuffered(info->n_added, info->n_deleted);
+    self->m_account->changeBuffered(info->n_added, info->n_deleted);
     if (info->n_added > 0) {
         self->wrapCallbacks();
         if (self->m_phase == Phase::Head) {
-            self->m_account.onProgress(self->m_server->loop.now());
+            self->m_account->onProgress(self->m_server->loop.now());
         }
         // evhttp removes the read callback while it writes a response.
         if (self->mayReadAhead()) {
@@ -161,16 +158,16 @@
 
 void HttpServerConnection::onUnreadChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
 {
-    static_cast<HttpServerConnection *>(arg)->m_account.changeBuffered(info->n_added,
-                                                                       info->n_deleted);
+    static_cast<HttpServerConnection *>(arg)->m_account->changeBuffered(info->n_added,
+                                                                        info->n_deleted);
 }
 
 void HttpServerConnection::onOutputChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
 {
     HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
-    self->m_account.changeBuffered(info->n_added, info->n_deleted);
+    self->m_account->changeBuffered(info->n_added, info->n_deleted);
     if (info->n_deleted > 0) {
-        self->m_account.onProgress(self->m_server->loop.now());
+        self->m_account->onProgress(self->m_server->loop.now());
     }
 }
 
@@ -216,6 +213,7 @@
         readAhead();
         break;
     case Phase::Rejected:
+    case Phase::BrokenOff:
     case Phase::Closed:
         break;
     }
@@ -318,7 +316,7 @@
     --m_server->exchangesInProgress;
     if (m_nextResponse->isAborted) {
         m_nextResponse = nullptr;
-        closeWithoutResponse();
+        closeNow();
         return;
     }
     // evhttp writes a response only to a request that it has read. The exchange has its own copy of
@@ -364,7 +362,7 @@
         reject(framing.rejectStatus, framing.reason);
         return;
     }
-    if (!m_account.admitsHead(m_server->loop.now())) {
+    if (!m_account->admitsHead(m_server->loop.now())) {
         rejectForMemory();
         return;
     }
@@ -407,7 +405,7 @@
 bool HttpServerConnection::storeBody(std::string_view data)
 {
     const bool isAdmitted =
-            m_account.admitsBody(m_body->size() + data.size(), data.size(), m_server->loop.now())
+            m_account->admitsBody(m_body->size() + data.size(), data.size(), m_server->loop.now())
             && guarded("HTTP server", [this, data] { m_body->append(data); });
     if (!isAdmitted) {
         rejectForMemory();
@@ -470,9 +468,9 @@
 {
     m_phase = Phase::Exchange;
     m_isCounted = true;
-    m_account.setBusy(true);
-    m_account.clearBody();
-    m_account.onProgress(m_server->loop.now());
+    m_account->setBusy(true);
+    m_account->clearBody();
+    m_account->onProgress(m_server->loop.now());
     ++m_server->exchangesInProgress;
     // evhttp treats requests with an absolute target as requests to a proxy.
     request->flags &= ~EVHTTP_PROXY_REQUEST;
@@ -500,7 +498,7 @@
 void HttpServerConnection::onHeldBytesChanged()
 {
     const std::size_t held = m_requestsAhead.heldBytes();
-    m_account.changeBuffered(held, std::exchange(m_countedHeldBytes, held));
+    m_account->changeBuffered(held, std::exchange(m_countedHeldBytes, held));
 }
 
 void HttpServerConnection::handle(evhttp_request *request)
@@ -548,6 +546,7 @@
     case Phase::ChunkedBody:
     case Phase::Exchange:
     case Phase::Rejected:
+    case Phase::BrokenOff:
         return true;
     case Phase::Closed:
         return false;
@@ -578,7 +577,7 @@
         self->exchange = nullptr;
     }
     self->uncountExchange();
-    self->m_account.setBusy(!self->m_requestsAhead.isEmpty());
+    self->m_account->setBusy(!self->m_requestsAhead.isEmpty());
     self->m_hasResponded = true;
     self->m_phase = Phase::Head;
     self->m_scannedBytes = 0;
@@ -605,10 +604,8 @@
 {
     const std::shared_ptr<HttpServerConnection> self =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
-    if (self->m_account.isEvicted() && self->m_phase != Phase::Rejected) {
-        self->reset(CloseCause::Eviction);
-    } else if (self->m_phase == Phase::Rejected) {
-        self->closeNow();
+    if (self->m_account->isEvicted()) {
+        self->reset();
     } else if (self->m_phase == Phase::Head || self->m_phase == Phase::Exchange) {
         self->readInput();
     }
@@ -638,69 +635,72 @@
 void HttpServerConnection::reject(int status, std::string_view reason, std::string_view fields)
 {
     m_phase = Phase::Rejected;
-    m_account.clearBody();
+    m_account->clearBody();
     m_body.reset();
     const std::string body = std::string(reason) + "\n";
-    evbuffer_add_printf(bufferevent_get_output(m_bufferEvent),
-                        "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n"
-                        "Connection: close\r\n%s\r\n%s",
-                        status, std::string(reasonPhrase(status)).c_str(), body.size(),
-                        std::string(fields).c_str(), body.c_str());
-    discardInput();
+    std::string text = takeOutput();
+    text.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+    text.append(reasonPhrase(status)).append("\r\nContent-Type: text/plain\r\nContent-Length: ");
+    text.append(std::to_string(body.size())).append("\r\nConnection: close\r\n");
+    text.append(fields).append("\r\n").append(body);
+    lingerAndClose(std::move(text), StreamEnd::Shutdown);
 }
 
-void HttpServerConnection::closeWithoutResponse()
+void HttpServerConnection::breakOff()
 {
-    // A reset could make the peer lose the responses before this one.
-    m_phase = Phase::Rejected;
-    shutdown(bufferevent_getfd(m_bufferEvent), SHUT_WR);
-    discardInput();
-    m_server->exchangesInProgress -= m_requestsAhead.size();
-    m_requestsAhead.endAll();
-    onHeldBytesChanged();
+    if (m_phase == Phase::Closed || m_ending != nullptr) {
+        return;
+    }
+    reset();
 }
 
-void HttpServerConnection::discardInput()
+std::string HttpServerConnection::takeOutput()
 {
-    bufferevent_setcb(m_bufferEvent, onRejectedRead, onRejectedWrite, onRejectedEvent, this);
-    const timeval linger = toTimeval(RejectionLingerTime);
-    // The timer may have been activated for input that is discarded now.
-    event_del(m_timer);
-    event_add(m_timer, &linger);
-    evbuffer *input = bufferevent_get_input(m_bufferEvent);
-    evbuffer_drain(input, evbuffer_get_length(input));
-    evbuffer_drain(m_unread, evbuffer_get_length(m_unread));
-    bufferevent_enable(m_bufferEvent, EV_READ | EV_WRITE);
+    evbuffer *output = bufferevent_get_output(m_bufferEvent);
+    std::string result(evbuffer_get_length(output), '\0');
+    // libevent permits changes of the start only while it writes.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_remove(output, result.data(), result.size());
+    return result;
 }
 
-void HttpServerConnection::onRejectedRead(bufferevent *bev, void *)
+void HttpServerConnection::lingerAndClose(std::string pending, StreamEnd streamEnd)
 {
-    evbuffer *input = bufferevent_get_input(bev);
+    // It may have been activated for input that is discarded now.
+    event_del(m_timer);
+    bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+    bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
+    evbuffer *input = bufferevent_get_input(m_bufferEvent);
     evbuffer_drain(input, evbuffer_get_length(input));
+    evbuffer_drain(m_unread, evbuffer_get_length(m_unread));
+    const auto end = [this, streamEnd](LingerResult) {
+        if (streamEnd == StreamEnd::Reset) {
+            reset();
+        } else {
+            closeNow();
+        }
+    };
+    m_ending = std::make_unique<LingeringClose>(
+            m_server->loop,
+            LingeringSocket(m_server->loop.base(), bufferevent_getfd(m_bufferEvent)),
+            std::move(pending), streamEnd, m_server->limits.linger, end);
+    m_ending->progressed().connect([this] { m_account->onProgress(m_server->loop.now()); });
 }
 
-void HttpServerConnection::onRejectedWrite(bufferevent *bev, void *)
-{
-    shutdown(bufferevent_getfd(bev), SHUT_WR);
-}
-
-void HttpServerConnection::onRejectedEvent(bufferevent *, short, void *arg)
-{
-    static_cast<HttpServerConnection *>(arg)->closeNow();
-}
-
-void HttpServerConnection::reset(CloseCause cause)
+void HttpServerConnection::reset()
 {
     if (m_phase == Phase::Closed) {
         return;
     }
-    recordClose(cause);
+    const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
+    ConnectionCloses::ofProcess().recordSocket(fd, closeCause(), m_server->loop.now());
+    m_isReset = true;
     // Connecting a socket to AF_UNSPEC dissolves its association and sends a reset at once. A
     // regular close would look like the end of a body that is delimited by the end of the
     // connection.
     sockaddr unspecified{};
     unspecified.sa_family = AF_UNSPEC;
-    (void)connect(bufferevent_getfd(m_bufferEvent), &unspecified, sizeof unspecified);
+    (void)connect(fd, &unspecified, sizeof unspecified);
     closeNow();
 }
 
@@ -716,6 +716,9 @@
     if (m_server->isEnding) {
         return CloseCause::ServerEnd;
     }
+    if (m_account->isEvicted()) {
+        return CloseCause::Eviction;
+    }
     switch (m_phase) {
     case Phase::Head:
         return m_isLastResponse ? CloseCause::Response : CloseCause::Idle;
@@ -724,41 +727,54 @@
     case Phase::Rejected:
         return CloseCause::Rejection;
     case Phase::Exchange:
+    case Phase::BrokenOff:
     case Phase::Closed:
         break;
     }
     return CloseCause::BreakOff;
 }
 
-void HttpServerConnection::recordClose(CloseCause cause)
+void HttpServerConnection::handOverSocket()
 {
     const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
-    if (!std::exchange(m_isCloseRecorded, true) && !hasPeerClosed(fd)) {
-        ConnectionCloses::ofProcess().record(cause, unacknowledgedBytes(fd), unreadBytes(fd),
-                                             m_server->loop.now());
+    const bool hasLingered = m_ending != nullptr;
+    m_ending.reset();
+    if (m_isReset || hasPeerFinished(fd)) {
+        return;
+    }
+    if (hasLingered || m_server->isEnding) {
+        ConnectionCloses::ofProcess().recordSocket(fd, closeCause(), m_server->loop.now());
+        return;
+    }
+    const CloseCause cause = closeCause();
+    // evhttp ends its stream, and the bufferevent closes the descriptor only if it has one.
+    bufferevent_setfd(m_bufferEvent, -1);
+    m_server->lingering.add(fd, cause, std::move(m_account), m_server->limits.linger);
+}
+
+void HttpServerConnection::endExchanges()
+{
+    uncountExchange();
+    m_server->exchangesInProgress -= m_requestsAhead.size();
+    HttpExchange::State *state = std::exchange(exchange, nullptr);
+    if (state != nullptr) {
+        state->onPeerDisconnected();
     }
+    m_requestsAhead.endAll();
 }
 
 void HttpServerConnection::onClosed(evhttp_connection *, void *arg)
 {
     const std::shared_ptr<HttpServerConnection> self =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
-    self->recordClose(self->closeCause());
-    self->m_phase = Phase::Closed;
-    self->uncountExchange();
-    self->m_server->exchangesInProgress -= self->m_requestsAhead.size();
     // evhttp still uses the buffers after this object may have been destroyed.
     evbuffer_remove_cb(bufferevent_get_input(self->m_bufferEvent), onInputChanged, self.get());
     evbuffer_remove_cb(bufferevent_get_output(self->m_bufferEvent), onOutputChanged, self.get());
-    self->m_account.setBusy(false);
     event_del(self->m_timer);
-    HttpExchange::State *state = self->exchange;
-    self->exchange = nullptr;
+    self->handOverSocket();
+    self->m_phase = Phase::Closed;
     self->m_server->remove(self.get());
-    if (state != nullptr) {
-        state->onPeerDisconnected();
-    }
-    self->m_requestsAhead.endAll();
+    self->endExchanges();
 }
 
 } // namespace Tarragon
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -6,6 +6,7 @@
 #include "net/ConnectionCloses.h"
 #include "net/HttpExchange.h"
 #include "net/HttpServer.h"
+#include "net/LingeringClose.h"
 #include "net/RequestBody.h"
 #include "net/RequestsAhead.h"
 
@@ -45,8 +46,8 @@
     /// Creates an exchange for a request that evhttp has read and passes it to the server's
     /// handler. If the request stands for one of the requests ahead, delivers its response.
     void onRequest(evhttp_request *request);
-    /// Closes the connection with a TCP reset.
-    void reset(CloseCause cause);
+    /// Closes the connection with a TCP reset because the response in progress cannot be completed.
+    void breakOff();
     /// Whether the connection must be closed after the response that is about to start.
     bool mustCloseAfterResponse() const;
     /// Passes no further request to the handler, and closes the connection after the responses to
@@ -77,8 +78,10 @@
         ChunkedBody,
         /// A request was passed to the handler; its response has not been written yet.
         Exchange,
-        /// An error response was sent; input is discarded until the peer closes the connection.
+        /// An error response is being sent; m_ending closes the connection.
         Rejected,
+        /// The response in progress could not be completed; m_ending closes the connection.
+        BrokenOff,
         /// evhttp has freed its connection.
         Closed,
     };
@@ -89,9 +92,6 @@
     static void onRead(bufferevent *bev, void *arg);
     static void onWrite(bufferevent *bev, void *arg);
     static void onEvent(bufferevent *bev, short what, void *arg);
-    static void onRejectedRead(bufferevent *bev, void *arg);
-    static void onRejectedWrite(bufferevent *bev, void *arg);
-    static void onRejectedEvent(bufferevent *bev, short what, void *arg);
     static void onTimer(evutil_socket_t fd, short what, void *arg);
     static void onClosed(evhttp_connection *connection, void *arg);
     static void onResponseWritten(evhttp_request *request, void *arg);
@@ -110,10 +110,10 @@
     void passAhead(PipelinedRequest request);
     /// Makes evhttp write the response to the first of the requests ahead.
     void startNextResponse();
-    /// Closes the connection without a response to the request whose turn it is.
-    void closeWithoutResponse();
-    /// Sets the callbacks that discard input until the peer closes the connection.
-    void discardInput();
+    /// Sends the pending bytes, and keeps the connection until the peer has what was written.
+    void lingerAndClose(std::string pending, StreamEnd streamEnd);
+    /// Moves what has not been written to the socket to the result.
+    std::string takeOutput();
     /// Removes empty lines before a request head from m_unread.
     void skipEmptyLines();
     /// Appends the contents of the input buffer to m_unread.
@@ -136,11 +136,17 @@
     void rejectForMemory();
     /// Sends an error response, then discards input and closes the connection.
     void reject(int status, std::string_view reason, std::string_view fields = {});
+    /// Closes the connection with a TCP reset at once.
+    void reset();
+    /// Makes evhttp close the connection. Unless it was reset, its socket lingers.
     void closeNow();
     /// Returns why the connection is being closed, if the peer has not closed it.
     CloseCause closeCause() const;
-    /// Records that the connection is closed, unless the peer did it.
-    void recordClose(CloseCause cause);
+    /// Leaves the socket to the server if the peer may not have read all responses; else it is
+    /// closed with the bufferevent.
+    void handOverSocket();
+    /// Ends the exchange in progress and the requests ahead because the connection is closed.
+    void endExchanges();
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
     void uncountExchange();
     bool hasUnreadInput() const;
@@ -151,7 +157,7 @@
     bufferevent_data_cb m_evhttpRead = nullptr;
     bufferevent_data_cb m_evhttpWrite = nullptr;
     bufferevent_event_cb m_evhttpEvent = nullptr;
-    /// Resumes reading of m_unread, or closes a rejected connection.
+    /// Resumes reading of m_unread, or closes an evicted connection.
     event *m_timer = nullptr;
     /// Bytes that were removed from the input buffer and have not been parsed, in the order of
     /// their arrival. Bytes still in the input buffer arrived after them. evhttp finds in the input
@@ -162,7 +168,7 @@
     bool m_hasResponded = false;
     /// Whether the response that was written last announced the end of the connection.
     bool m_isLastResponse = false;
-    bool m_isCloseRecorded = false;
+    bool m_isReset = false;
     RequestsAhead m_requestsAhead;
     /// Size of the held responses that was last counted towards the memory budget.
     std::size_t m_countedHeldBytes = 0;
@@ -186,7 +192,10 @@
     ChunkedDecoder m_decoder;
     /// The body being received; null if the request has none.
     std::shared_ptr<RequestBody> m_body;
-    ConnectionAccount m_account;
+    /// Null once the socket was left to the server.
+    std::unique_ptr<ConnectionAccount> m_account;
+    /// Set while the connection is Rejected or BrokenOff.
+    std::unique_ptr<LingeringClose> m_ending;
 };
 
 } // namespace Tarragon
--- a/Source/net/HttpServerLimits.h
+++ b/Source/net/HttpServerLimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "net/LingerLimits.h"
 
 namespace Tarragon {
 
@@ -16,6 +17,8 @@
     milliseconds headerTimeout{ 60'000 };
     /// Time without a request after which a connection is closed.
     milliseconds idleTimeout{ 60'000 };
+    /// How long a connection is kept for its peer to read what was written.
+    LingerLimits linger;
 };
 
 } // namespace Tarragon
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -2,6 +2,7 @@
 
 #include "net/HttpServer.h"
 #include "net/HttpServerConnection.h"
+#include "net/LingeringConnections.h"
 #include "net/MemoryBudget.h"
 
 #include <unordered_map>
@@ -53,6 +54,7 @@
     bool isEnding = false;
     std::size_t exchangesInProgress = 0;
     std::unordered_map<HttpServerConnection *, std::shared_ptr<HttpServerConnection>> connections;
+    LingeringConnections lingering;
     /// Connections whose callbacks evhttp has not set yet; attached in the next iteration of the
     /// loop.
     std::vector<HttpServerConnection *> newConnections;
--- /dev/null
+++ b/Source/net/LingeringClose.cpp
@@ -0,0 +1,7 @@
+#include "net/LingeringCloseTemplate.h"
+
+namespace Tarragon {
+
+template class BasicLingeringClose<EventLoop, LingeringSocket>;
+
+} // namespace Tarragon
--- a/Source/net/SocketQueues.cpp
+++ b/Source/net/SocketQueues.cpp
@@ -1,7 +1,5 @@
 #include "net/SocketQueues.h"
 
-#include <cerrno>
-
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -31,11 +29,21 @@
     return queueLength(fd, SIOCINQ);
 }
 
-bool hasPeerClosed(evutil_socket_t fd)
+bool isDisconnected(evutil_socket_t fd)
 {
+    sockaddr_storage address{};
+    socklen_t length = sizeof address;
+    return getpeername(fd, reinterpret_cast<sockaddr *>(&address), &length) != 0;
+}
+
+bool hasPeerFinished(evutil_socket_t fd)
+{
+    if (isDisconnected(fd)) {
+        return true;
+    }
     char ch = 0;
-    const ssize_t n = recv(fd, &ch, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    return unacknowledgedBytes(fd).value_or(0) == 0
+           && recv(fd, &ch, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
 } // namespace Tarragon
--- a/Source/net/SocketQueues.h
+++ b/Source/net/SocketQueues.h
@@ -16,7 +16,11 @@
 /// nothing if the system does not tell.
 std::optional<std::size_t> unreadBytes(evutil_socket_t fd);
 
-/// Whether the peer has closed or reset the connection and all of its bytes have been read.
-bool hasPeerClosed(evutil_socket_t fd);
+/// Whether a TCP connection has ended in both directions, for example by a reset.
+bool isDisconnected(evutil_socket_t fd);
+
+/// Whether nothing that was written to a TCP socket can be lost by closing it: the connection is
+/// broken, or the peer has ended its stream and has acknowledged all bytes.
+bool hasPeerFinished(evutil_socket_t fd);
 
 } // namespace Tarragon
--- a/Tests/Support/PromptCaller.h
+++ b/Tests/Support/PromptCaller.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <string>
@@ -22,9 +23,14 @@
 class PromptCaller
 {
 public:
-    explicit PromptCaller(std::uint16_t port)
+    /// Connects to a port of the loopback address. The receive buffer is in bytes; 0 keeps the
+    /// default of the system.
+    explicit PromptCaller(std::uint16_t port, int receiveBuffer = 0)
         : m_fd(socket(AF_INET, SOCK_STREAM, 0))
     {
+        if (receiveBuffer > 0) {
+            setsockopt(m_fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        }
         const SocketAddress address = loopbackAddress(port);
         // A segment would otherwise wait for the acknowledgement of the previous one.
         const int on = 1;
@@ -39,12 +45,19 @@
     {
         EXPECT_EQ(::send(m_fd, data.data(), data.size(), MSG_NOSIGNAL), ssize_t(data.size()));
     }
-    /// Appends the bytes that have arrived to received(). Returns false once the server has closed
-    /// or reset the connection.
-    bool receive()
+    /// Sends as much as fits. For connections that the server may have reset.
+    void sendIfPossible(std::string_view data)
+    {
+        (void)::send(m_fd, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    /// Shuts down the sending direction.
+    void endStream() { shutdown(m_fd, SHUT_WR); }
+    /// Appends bytes that have arrived to received(), at most the given number. Returns false once
+    /// the server has closed or reset the connection.
+    bool receive(std::size_t limit = MaxReceivedBytes)
     {
-        char buf[16'384];
-        const ssize_t n = recv(m_fd, buf, sizeof buf, MSG_DONTWAIT);
+        char buf[MaxReceivedBytes];
+        const ssize_t n = recv(m_fd, buf, std::min(limit, sizeof buf), MSG_DONTWAIT);
         if (n > 0) {
             m_received.append(buf, std::size_t(n));
         }
@@ -56,6 +69,8 @@
     bool isReset() const { return m_isReset; }
 
 private:
+    static constexpr std::size_t MaxReceivedBytes = 16'384;
+
     int m_fd;
     std::string m_received;
     bool m_isReset = false;
