Net: Wait for unread responses before a planned stop ends

A caller that was still reading when the process ended got part of its response and a reset, if it sent a further request: the end of a process closes all sockets without lingering.

Cause: a stop was complete when no exchange was in progress, and an exchange ends when evhttp has written the response to the socket, not when the caller has it. The outside measurement shows it too: the process ended 3.0 to 3.1 s after SIGTERM, with 6 s of grace, while callers were reading.

Change: a server is quiet only when no closed connection lingers and no open connection has unacknowledged bytes. Both roles use it.

Tests: without the two conditions, the three UnreadResponseTest and GatewayDaemonTest.StoppingEntryEndsWhenItsResponsesHaveBeenRead fail (87 of 300 responses received) and pass with them; StoppingEntryEndsWithinTheGraceTime passes before and after.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -562,6 +562,7 @@
     if (isQuiet || age >= grace - StopMargin) {
         LOG4CPLUS_INFO(logger(), LogLine("gateway", "stopped")
                                          .add("inProgress", m_front->exchangesInProgress())
+                                         .add("lingering", m_front->lingeringCount())
                                          .add("quiet", isQuiet)
                                          .text());
         m_rpc.stop();
--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -177,9 +177,9 @@
 bool HttpServer::State::isQuiet() const
 {
     const MonotonicTime now = loop.now();
-    return listener == nullptr
+    return listener == nullptr && lingering.isEmpty()
            && std::none_of(connections.begin(), connections.end(),
-                           [now](const auto &it) { return it.first->hasPendingRequest(now); });
+                           [now](const auto &it) { return it.first->mustStayOpen(now); });
 }
 
 HttpServer::HttpServer(EventLoop &loop, const std::string &address, std::uint16_t port,
--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -38,9 +38,10 @@
     /// Stops accepting connections after those in the listen backlog have been accepted. Exchanges
     /// in progress continue, and their responses carry "Connection: close".
     void stopListening();
-    /// Whether the server can be destroyed without interrupting a request: the listener is closed,
-    /// no exchange is in progress, no request has begun to arrive, and no connection is so new that
-    /// its first request may still be in transit.
+    /// Whether the server can be destroyed without interrupting a request or cutting a response:
+    /// the listener is closed, no exchange is in progress, no request has begun to arrive, no
+    /// connection is so new that its first request may still be in transit, all responses have been
+    /// acknowledged, and no closed connection lingers.
     bool isQuiet() const;
     /// Returns the number of open connections.
     std::size_t connectionCount() const;
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -537,7 +537,7 @@
            && (m_isClosing || !m_server->listening || m_server->closesAfterResponses);
 }
 
-bool HttpServerConnection::hasPendingRequest(MonotonicTime now) const
+bool HttpServerConnection::mustStayOpen(MonotonicTime now) const
 {
     switch (m_phase) {
     case Phase::Head:
@@ -558,7 +558,8 @@
         return now - m_headStartedAt <= m_server->limits.headerTimeout;
     }
     const bool isNew = !m_hasResponded && now - m_acceptedAt < FirstRequestTimeout;
-    return isNew || evbuffer_get_length(m_unread) > 0 || hasUnreadInput();
+    return isNew || evbuffer_get_length(m_unread) > 0 || hasUnreadInput()
+           || unacknowledgedBytes(bufferevent_getfd(m_bufferEvent)).value_or(0) > 0;
 }
 
 bool HttpServerConnection::hasUnreadInput() const
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -57,9 +57,9 @@
     std::size_t heldBytes() const { return m_requestsAhead.heldBytes(); }
     /// Counts the held responses towards the memory budget.
     void onHeldBytesChanged();
-    /// Whether a request without a complete response has begun to arrive, or may still be in
-    /// transit because the connection is new.
-    bool hasPendingRequest(MonotonicTime now) const;
+    /// Whether a request without a complete response has begun to arrive or may still be in transit
+    /// because the connection is new, or the peer has not acknowledged all responses.
+    bool mustStayOpen(MonotonicTime now) const;
     /// Applies the idle timeout to writing instead of reading, until the response has been written:
     /// the connection is closed only if the peer does not read the response.
     void disableIdleTimeout();
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -85,6 +85,53 @@
         close(fd);
         return isAccepted;
     }
+    /// Sends requests one after the other whose responses together exceed what the caller can
+    /// receive without reading.
+    void sendUnreadRequests(PromptCaller &caller, std::size_t n)
+    {
+        for (std::size_t i = 0; i < n; ++i) {
+            caller.send(RequestWithoutRoute);
+            runFor(milliseconds(1));
+        }
+    }
+    /// Stops a daemon while a caller has unread responses, which it begins to read when the daemon
+    /// accepts no connections any more, and sends a further request to after the end. Returns the
+    /// number of whole responses received.
+    std::size_t responsesReadDuringStop(std::uint16_t GatewayDaemon::Ports::*listener,
+                                        std::size_t n)
+    {
+        m_settings.bounds.stopGrace = milliseconds(6'000);
+        m_daemon.reset();
+        m_daemon = std::make_unique<GatewayDaemon>(m_loop, m_settings, m_log);
+        const std::uint16_t front = m_daemon->ports().front;
+        PromptCaller caller(m_daemon->ports().*listener, UnreadReceiveBuffer);
+        sendUnreadRequests(caller, n);
+        m_daemon->beginShutdown();
+        bool isStopping = false;
+        const Timer reader = m_loop.scheduleEvery(milliseconds(2), [&] {
+            isStopping = isStopping || !acceptsConnections(front);
+            if (isStopping) {
+                caller.receive(256);
+            }
+        });
+        m_daemon->run();
+        m_daemon.reset();
+        // libevent closes the sockets in a later iteration.
+        runFor(milliseconds(10));
+        caller.sendIfPossible(RequestWithoutRoute);
+        while (caller.receive()) {
+        }
+        return responsesIn(caller.received());
+    }
+    static std::size_t responsesIn(const std::string &received)
+    {
+        std::size_t n = 0;
+        for (std::size_t at = received.find("HTTP/1.1 "); at != std::string::npos;
+             at = received.find("HTTP/1.1 ", at + 1)) {
+            ++n;
+        }
+        return n;
+    }
     int readiness()
     {
         return ask(m_daemon->ports().readiness, "/tarragonstage/readiness").head.status;
@@ -95,6 +142,10 @@
                    "/tarragonstage/resolve?name=a.example&region=r1&zone=d1");
     }
 
+    static constexpr std::string_view RequestWithoutRoute = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    static constexpr std::size_t UnreadRequests = 300;
+    static constexpr int UnreadReceiveBuffer = 4'096;
+
     StandInStore m_standIn{ m_loop, "127.0.0.1", 0, 0 };
     HttpClient m_client{ m_loop };
     GatewaySettings m_settings;
@@ -154,6 +205,28 @@
     EXPECT_NE(caller.received().find("\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a planned stop that ends the process while a caller reads its responses: a further
+// request that arrives after the end would cut them.
+TEST_F(GatewayDaemonTest, StoppingEntryEndsWhenItsResponsesHaveBeenRead)
+{
+    EXPECT_EQ(responsesReadDuringStop(&GatewayDaemon::Ports::front, UnreadRequests),
+              UnreadRequests);
+}
+
+// Guards against a planned stop that waits beyond the grace time for a caller that reads nothing,
+// and for one that keeps its connection open.
+TEST_F(GatewayDaemonTest, StoppingEntryEndsWithinTheGraceTime)
+{
+    PromptCaller silent(m_daemon->ports().front, UnreadReceiveBuffer);
+    sendUnreadRequests(silent, UnreadRequests);
+    PromptCaller open(m_daemon->ports().lookup);
+    open.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const MonotonicTime start = m_loop.now();
+    m_daemon->beginShutdown();
+    m_daemon->run();
+    EXPECT_LE(m_loop.now() - start, m_settings.bounds.stopGrace);
+}
+
 // Guards against a planned stop that takes requests which it then cuts off.
 TEST_F(GatewayDaemonTest, StoppingEntryRefusesRequestsWithMoreTimeThanIsLeft)
 {
--- a/Tests/net/StoppingTest.cpp
+++ b/Tests/net/StoppingTest.cpp
@@ -4,6 +4,8 @@
 
 #include <gmock/gmock.h>
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -87,5 +89,90 @@
     runUntil([this] { return m_server.isQuiet(); });
 }
 
+/// A server whose responses are larger than what its callers can receive without reading.
+class UnreadResponseTest : public LoopTest
+{
+protected:
+    static constexpr int ReceiveBuffer = 16'384;
+    static constexpr std::size_t BodySize = 60'000;
+
+    /// Sends a request and waits until the response was written to the server's socket.
+    void request(PromptCaller &caller)
+    {
+        caller.send(Request);
+        runUntil([this] { return m_responses == 1 && m_server->exchangesInProgress() == 0; });
+    }
+    static bool isWhole(const PromptCaller &caller)
+    {
+        return caller.received().size() > BodySize
+               && testing::Value(caller.received(), testing::EndsWith("end"));
+    }
+    void readSlowly(PromptCaller &caller)
+    {
+        const Timer reader =
+                m_loop.scheduleEvery(milliseconds(1), [&caller] { caller.receive(2'048); });
+        runUntil([&caller] { return isWhole(caller); });
+    }
+
+    HttpServerLimits m_limits;
+    int m_responses = 0;
+    std::unique_ptr<HttpServer> m_server;
+
+    void serve()
+    {
+        m_server = std::make_unique<HttpServer>(
+                m_loop, "127.0.0.1", 0, m_limits, [this](const HttpExchangePtr &exchange) {
+                    exchange->reply(200, {}, std::string(BodySize - 3, 'x') + "end");
+                    ++m_responses;
+                });
+    }
+};
+
+// Guards against a process that ends while a caller reads its last response: a further request that
+// arrives after the end would cut it.
+TEST_F(UnreadResponseTest, DelaysTheEndAfterTheLastResponse)
+{
+    serve();
+    std::optional<PromptCaller> caller(std::in_place, m_server->port(), ReceiveBuffer);
+    m_server->closeAfterResponses();
+    request(*caller);
+    m_server->stopListening();
+    runUntil([this] { return m_server->connectionCount() == 0; });
+    EXPECT_EQ(m_server->lingeringCount(), 1u);
+    EXPECT_FALSE(m_server->isQuiet());
+    readSlowly(*caller);
+    EXPECT_FALSE(m_server->isQuiet());
+    caller.reset();
+    runUntil([this] { return m_server->isQuiet(); });
+}
+
+// Guards against a process that ends while a caller reads a response on a connection that is kept.
+TEST_F(UnreadResponseTest, DelaysTheEndOnAKeptConnection)
+{
+    serve();
+    PromptCaller caller(m_server->port(), ReceiveBuffer);
+    request(caller);
+    m_server->stopListening();
+    // A connection is not new any more once it has carried a response.
+    EXPECT_FALSE(m_server->isQuiet());
+    readSlowly(caller);
+    const Timer wake = m_loop.scheduleEvery(milliseconds(1), [] {});
+    runUntil([this] { return m_server->isQuiet(); });
+    EXPECT_EQ(m_server->connectionCount(), 1u);
+}
+
+// Guards against a planned stop that waits without end for a caller that reads nothing.
+TEST_F(UnreadResponseTest, CallerThatReadsNothingIsGivenUp)
+{
+    m_limits.linger.stallTime = milliseconds(50);
+    serve();
+    PromptCaller caller(m_server->port(), ReceiveBuffer);
+    m_server->closeAfterResponses();
+    request(caller);
+    m_server->stopListening();
+    runUntil([this] { return m_server->isQuiet(); });
+    EXPECT_EQ(m_server->lingeringCount(), 0u);
+}
+
 } // namespace
 } // namespace Tarragon
