Gateway: Let lookups, checks and metrics be read before a planned stop ends

A response to a lookup, a readiness check or a request for the metrics was cut by a reset if its caller was still reading when the process ended and sent another request.

Cause: the stop waited for the listener of requests only.

Change: when that one is quiet, the other three close their connections after the next response and stop listening, and the process ends when they are quiet too, at the latest at the end of the grace time. Lookups are answered as long as requests are.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -547,6 +547,22 @@
            + ConnectionCloses::ofProcess().metricsText("tarragon_gateway_client");
 }
 
+bool GatewayDaemon::stopServers()
+{
+    m_front->stopListening();
+    if (!m_front->isQuiet()) {
+        return false;
+    }
+    // Lookups, readiness checks and metrics are answered for as long as requests are.
+    bool isQuiet = true;
+    for (HttpServer *it : { m_lookup.get(), m_readiness.get(), m_metricsServer.get() }) {
+        it->closeAfterResponses();
+        it->stopListening();
+        isQuiet = it->isQuiet() && isQuiet;
+    }
+    return isQuiet;
+}
+
 void GatewayDaemon::checkShutdown()
 {
     if (!m_shutdownStartedAt.has_value()) {
@@ -557,8 +573,7 @@
     if (age < scaled(grace, AcceptFractionOfGrace)) {
         return;
     }
-    m_front->stopListening();
-    const bool isQuiet = m_front->isQuiet();
+    const bool isQuiet = stopServers();
     if (isQuiet || age >= grace - StopMargin) {
         LOG4CPLUS_INFO(logger(), LogLine("gateway", "stopped")
                                          .add("inProgress", m_front->exchangesInProgress())
--- a/Source/gateway/GatewayDaemon.h
+++ b/Source/gateway/GatewayDaemon.h
@@ -77,6 +77,9 @@
     /// program.
     void reportStalledSubscriptions() const;
     std::string metricsText();
+    /// Stops all servers of HTTP as far as no response is cut by it. Returns whether the process
+    /// may end.
+    bool stopServers();
     void checkShutdown();
 
     EventLoop &m_loop;
--- a/Tests/gateway/GatewayDaemonTest.cpp
+++ b/Tests/gateway/GatewayDaemonTest.cpp
@@ -144,6 +144,8 @@
 
     static constexpr std::string_view RequestWithoutRoute = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     static constexpr std::size_t UnreadRequests = 300;
+    /// The metrics are much larger than other responses.
+    static constexpr std::size_t UnreadMetrics = 5;
     static constexpr int UnreadReceiveBuffer = 4'096;
 
     StandInStore m_standIn{ m_loop, "127.0.0.1", 0, 0 };
@@ -213,6 +215,17 @@
               UnreadRequests);
 }
 
+// Guards against a planned stop that cuts the responses of its other listeners.
+TEST_F(GatewayDaemonTest, StoppingEntryEndsWhenItsLookupsHaveBeenRead)
+{
+    EXPECT_EQ(responsesReadDuringStop(&GatewayDaemon::Ports::lookup, UnreadRequests),
+              UnreadRequests);
+    EXPECT_EQ(responsesReadDuringStop(&GatewayDaemon::Ports::readiness, UnreadRequests),
+              UnreadRequests);
+    EXPECT_EQ(responsesReadDuringStop(&GatewayDaemon::Ports::metrics, UnreadMetrics),
+              UnreadMetrics);
+}
+
 // Guards against a planned stop that waits beyond the grace time for a caller that reads nothing,
 // and for one that keeps its connection open.
 TEST_F(GatewayDaemonTest, StoppingEntryEndsWithinTheGraceTime)
