Net: Reset a broken-off response after what was written is acknowledged

Cause: a response that cannot be completed resets the connection at once, so that its truncation is visible whatever its framing. The reset discards what the caller has not acknowledged, the response before it included.

If nothing is unacknowledged, which is usual, the reset is sent at once. Evictions still reset at once, because the memory or the descriptor is needed.

--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -652,7 +652,15 @@
     if (m_phase == Phase::Closed || m_ending != nullptr) {
         return;
     }
-    reset();
+    if (unacknowledgedBytes(bufferevent_getfd(m_bufferEvent)).value_or(0) == 0) {
+        reset();
+        return;
+    }
+    m_phase = Phase::BrokenOff;
+    takeOutput();
+    m_account->setBusy(false);
+    lingerAndClose({}, StreamEnd::Reset);
+    endExchanges();
 }
 
 std::string HttpServerConnection::takeOutput()
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -46,7 +46,8 @@
     /// Creates an exchange for a request that evhttp has read and passes it to the server's
     /// handler. If the request stands for one of the requests ahead, delivers its response.
     void onRequest(evhttp_request *request);
-    /// Closes the connection with a TCP reset because the response in progress cannot be completed.
+    /// Closes the connection because the response in progress cannot be completed. The peer sees a
+    /// TCP reset once it has acknowledged what was written before.
     void breakOff();
     /// Whether the connection must be closed after the response that is about to start.
     bool mustCloseAfterResponse() const;
