Net: Move the end of a connection to a class of its own

Connections that linger are counted in a gauge, and a test shows that they count towards the maximum number of connections and that a new connection displaces them.

--- a/Source/net/ConnectionCloses.cpp
+++ b/Source/net/ConnectionCloses.cpp
@@ -80,7 +80,10 @@
                       "Connections of clients that this process closed", m_counts.closes)
            + metricText(prefix + "_unacknowledged_closes_total", "counter",
                         "Closes of connections whose client may not have received all responses",
-                        m_counts.unacknowledged);
+                        m_counts.unacknowledged)
+           + metricText(prefix + "_lingering", "gauge",
+                        "Connections of clients that ended and may not have been read",
+                        m_counts.lingering);
 }
 
 } // namespace Tarragon
--- a/Source/net/ConnectionCloses.h
+++ b/Source/net/ConnectionCloses.h
@@ -40,6 +40,8 @@
         std::uint64_t closes = 0;
         /// Closes with unacknowledged bytes.
         std::uint64_t unacknowledged = 0;
+        /// Connections that have ended and are kept until their peers have read all, at present.
+        std::uint64_t lingering = 0;
     };
 
     /// Returns the counts that the HttpServers of this process share.
@@ -50,6 +52,8 @@
     /// Records a close. Sizes are empty if the system does not tell.
     void record(CloseCause cause, std::optional<std::size_t> unacknowledgedBytes,
                 std::optional<std::size_t> unreadBytes, MonotonicTime now);
+    void addLingering() { ++m_counts.lingering; }
+    void removeLingering() { --m_counts.lingering; }
     const Counts &counts() const { return m_counts; }
     /// Returns the counts as metrics in the text format of Prometheus. The names start with the
     /// prefix.
--- /dev/null
+++ b/Source/net/ConnectionEnd.cpp
@@ -0,0 +1,94 @@
+#include "net/ConnectionEnd.h"
+
+#include "net/HttpServerState.h"
+#include "net/SocketQueues.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace Tarragon {
+
+ConnectionEnd::ConnectionEnd(HttpServer::State &server, bufferevent *bev,
+                             ConnectionAccount &account, CloseSlot close)
+    : m_server(server)
+    , m_bufferEvent(bev)
+    , m_account(account)
+    , m_close(std::move(close))
+{}
+
+void ConnectionEnd::sendAndClose(std::string_view text)
+{
+    linger(takeOutput().append(text), StreamEnd::Shutdown, m_close);
+}
+
+bool ConnectionEnd::resetWhenAcknowledged(CloseCause cause)
+{
+    if (unacknowledgedBytes(bufferevent_getfd(m_bufferEvent)).value_or(0) == 0) {
+        return false;
+    }
+    takeOutput();
+    linger({}, StreamEnd::Reset, [this, cause] { reset(cause); });
+    return true;
+}
+
+std::string ConnectionEnd::takeOutput()
+{
+    bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+    bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
+    evbuffer *output = bufferevent_get_output(m_bufferEvent);
+    std::string result(evbuffer_get_length(output), '\0');
+    // libevent permits changes of the start only while it writes.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_remove(output, result.data(), result.size());
+    return result;
+}
+
+void ConnectionEnd::linger(std::string pending, StreamEnd streamEnd, const CloseSlot &ended)
+{
+    m_lingering = std::make_unique<LingeringClose>(
+            m_server.loop, LingeringSocket(m_server.loop.base(), bufferevent_getfd(m_bufferEvent)),
+            std::move(pending), streamEnd, m_server.limits.linger,
+            [ended](LingerResult) { ended(); });
+    m_lingering->progressed().connect([this] { m_account.onProgress(m_server.loop.now()); });
+}
+
+void ConnectionEnd::reset(CloseCause cause)
+{
+    const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
+    ConnectionCloses::ofProcess().recordSocket(fd, cause, m_server.loop.now());
+    m_isReset = true;
+    // Connecting a socket to AF_UNSPEC dissolves its association and sends a reset at once. A
+    // regular close would look like the end of a body that is delimited by the end of the
+    // connection.
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    (void)connect(fd, &unspecified, sizeof unspecified);
+    // The call destroys this object.
+    const CloseSlot close = m_close;
+    close();
+}
+
+void ConnectionEnd::handOver(CloseCause cause, std::unique_ptr<ConnectionAccount> account)
+{
+    const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
+    const bool hasLingered = hasBegun();
+    // libevent must remove its events before evhttp closes the descriptor.
+    m_lingering.reset();
+    if (m_isReset || hasPeerFinished(fd)) {
+        return;
+    }
+    if (hasLingered || m_server.isEnding) {
+        ConnectionCloses::ofProcess().recordSocket(fd, cause, m_server.loop.now());
+        return;
+    }
+    // evhttp still shuts down the sending direction; the bufferevent closes no descriptor then.
+    bufferevent_setfd(m_bufferEvent, -1);
+    m_server.lingering.add(fd, cause, std::move(account), m_server.limits.linger);
+}
+
+} // namespace Tarragon
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpServerConnection.h"
 
 #include "base/Error.h"
+#include "net/ErrorResponse.h"
 #include "net/Guard.h"
 #include "net/HttpExchangeState.h"
 #include "net/HttpServerState.h"
@@ -43,26 +44,16 @@
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 
-std::string_view reasonPhrase(int status)
+/// Throws Error if libevent cannot make a bufferevent.
+bufferevent *makeBufferEvent(const EventLoop &loop)
 {
-    switch (status) {
-    case HttpStatus::RequestTimeout:
-        return "Request Timeout";
-    case HttpStatus::ContentTooLarge:
-        return "Content Too Large";
-    case 417:
-        return "Expectation Failed";
-    case HttpStatus::HeaderFieldsTooLarge:
-        return "Request Header Fields Too Large";
-    case 501:
-        return "Not Implemented";
-    case HttpStatus::ServiceUnavailable:
-        return "Service Unavailable";
-    case 505:
-        return "HTTP Version Not Supported";
-    default:
-        return "Bad Request";
+    // Without BEV_OPT_CLOSE_ON_FREE, evhttp closes the socket before libevent has removed its
+    // events, and the removal could affect a new connection with the same descriptor.
+    bufferevent *result = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (result == nullptr) {
+        throw Error("libevent could not make a bufferevent");
     }
+    return result;
 }
 
 /// Whether evhttp closes the connection after the response to the request.
@@ -80,16 +71,13 @@
 
 HttpServerConnection::HttpServerConnection(HttpServer::State &server)
     : m_server(&server)
+    , m_bufferEvent(makeBufferEvent(server.loop))
     , m_acceptedAt(server.loop.now())
     , m_account(std::make_unique<ConnectionAccount>(
               server.budget, m_acceptedAt, sigc::mem_fun(*this, &HttpServerConnection::onEvicted)))
+    , m_end(server, m_bufferEvent, *m_account,
+            sigc::mem_fun(*this, &HttpServerConnection::closeNow))
 {
-    // Without BEV_OPT_CLOSE_ON_FREE, evhttp closes the socket before libevent has removed its
-    // events, and the removal could affect a new connection with the same descriptor.
-    m_bufferEvent = bufferevent_socket_new(server.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    if (m_bufferEvent == nullptr) {
-        throw Error("libevent could not make a bufferevent");
-    }
     m_timer = evtimer_new(server.loop.base(), onTimer, this);
     m_unread = evbuffer_new();
     evbuffer_add_cb(m_unread, onUnreadChanged, this);
@@ -316,6 +304,7 @@
     --m_server->exchangesInProgress;
     if (m_nextResponse->isAborted) {
         m_nextResponse = nullptr;
+        m_phase = Phase::BrokenOff;
         closeNow();
         return;
     }
@@ -606,7 +595,7 @@
     const std::shared_ptr<HttpServerConnection> self =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     if (self->m_account->isEvicted()) {
-        self->reset();
+        self->m_end.reset(CloseCause::Eviction);
     } else if (self->m_phase == Phase::Head || self->m_phase == Phase::Exchange) {
         self->readInput();
     }
@@ -638,79 +627,32 @@
     m_phase = Phase::Rejected;
     m_account->clearBody();
     m_body.reset();
-    const std::string body = std::string(reason) + "\n";
-    std::string text = takeOutput();
-    text.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
-    text.append(reasonPhrase(status)).append("\r\nContent-Type: text/plain\r\nContent-Length: ");
-    text.append(std::to_string(body.size())).append("\r\nConnection: close\r\n");
-    text.append(fields).append("\r\n").append(body);
-    lingerAndClose(std::move(text), StreamEnd::Shutdown);
+    dropInput();
+    m_end.sendAndClose(errorResponse(status, reason, fields));
 }
 
 void HttpServerConnection::breakOff()
 {
-    if (m_phase == Phase::Closed || m_ending != nullptr) {
+    if (m_phase == Phase::Closed || m_end.hasBegun()) {
         return;
     }
-    if (unacknowledgedBytes(bufferevent_getfd(m_bufferEvent)).value_or(0) == 0) {
-        reset();
+    if (!m_end.resetWhenAcknowledged(CloseCause::BreakOff)) {
+        m_end.reset(CloseCause::BreakOff);
         return;
     }
     m_phase = Phase::BrokenOff;
-    takeOutput();
     m_account->setBusy(false);
-    lingerAndClose({}, StreamEnd::Reset);
+    dropInput();
     endExchanges();
 }
 
-std::string HttpServerConnection::takeOutput()
+void HttpServerConnection::dropInput()
 {
-    evbuffer *output = bufferevent_get_output(m_bufferEvent);
-    std::string result(evbuffer_get_length(output), '\0');
-    // libevent permits changes of the start only while it writes.
-    evbuffer_unfreeze(output, 1);
-    evbuffer_remove(output, result.data(), result.size());
-    return result;
-}
-
-void HttpServerConnection::lingerAndClose(std::string pending, StreamEnd streamEnd)
-{
-    // It may have been activated for input that is discarded now.
+    // It may have been activated for input that is dropped now.
     event_del(m_timer);
-    bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
-    bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
     evbuffer *input = bufferevent_get_input(m_bufferEvent);
     evbuffer_drain(input, evbuffer_get_length(input));
     evbuffer_drain(m_unread, evbuffer_get_length(m_unread));
-    const auto end = [this, streamEnd](LingerResult) {
-        if (streamEnd == StreamEnd::Reset) {
-            reset();
-        } else {
-            closeNow();
-        }
-    };
-    m_ending = std::make_unique<LingeringClose>(
-            m_server->loop,
-            LingeringSocket(m_server->loop.base(), bufferevent_getfd(m_bufferEvent)),
-            std::move(pending), streamEnd, m_server->limits.linger, end);
-    m_ending->progressed().connect([this] { m_account->onProgress(m_server->loop.now()); });
-}
-
-void HttpServerConnection::reset()
-{
-    if (m_phase == Phase::Closed) {
-        return;
-    }
-    const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
-    ConnectionCloses::ofProcess().recordSocket(fd, closeCause(), m_server->loop.now());
-    m_isReset = true;
-    // Connecting a socket to AF_UNSPEC dissolves its association and sends a reset at once. A
-    // regular close would look like the end of a body that is delimited by the end of the
-    // connection.
-    sockaddr unspecified{};
-    unspecified.sa_family = AF_UNSPEC;
-    (void)connect(fd, &unspecified, sizeof unspecified);
-    closeNow();
 }
 
 void HttpServerConnection::closeNow()
@@ -725,9 +667,6 @@
     if (m_server->isEnding) {
         return CloseCause::ServerEnd;
     }
-    if (m_account->isEvicted()) {
-        return CloseCause::Eviction;
-    }
     switch (m_phase) {
     case Phase::Head:
         return m_isLastResponse ? CloseCause::Response : CloseCause::Idle;
@@ -743,24 +682,6 @@
     return CloseCause::BreakOff;
 }
 
-void HttpServerConnection::handOverSocket()
-{
-    const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
-    const bool hasLingered = m_ending != nullptr;
-    m_ending.reset();
-    if (m_isReset || hasPeerFinished(fd)) {
-        return;
-    }
-    if (hasLingered || m_server->isEnding) {
-        ConnectionCloses::ofProcess().recordSocket(fd, closeCause(), m_server->loop.now());
-        return;
-    }
-    const CloseCause cause = closeCause();
-    // evhttp ends its stream, and the bufferevent closes the descriptor only if it has one.
-    bufferevent_setfd(m_bufferEvent, -1);
-    m_server->lingering.add(fd, cause, std::move(m_account), m_server->limits.linger);
-}
-
 void HttpServerConnection::endExchanges()
 {
     uncountExchange();
@@ -780,7 +701,7 @@
     evbuffer_remove_cb(bufferevent_get_input(self->m_bufferEvent), onInputChanged, self.get());
     evbuffer_remove_cb(bufferevent_get_output(self->m_bufferEvent), onOutputChanged, self.get());
     event_del(self->m_timer);
-    self->handOverSocket();
+    self->m_end.handOver(self->closeCause(), std::move(self->m_account));
     self->m_phase = Phase::Closed;
     self->m_server->remove(self.get());
     self->endExchanges();
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -4,9 +4,9 @@
 #include "net/ChunkedDecoder.h"
 #include "net/ConnectionAccount.h"
 #include "net/ConnectionCloses.h"
+#include "net/ConnectionEnd.h"
 #include "net/HttpExchange.h"
 #include "net/HttpServer.h"
-#include "net/LingeringClose.h"
 #include "net/RequestBody.h"
 #include "net/RequestsAhead.h"
 
@@ -79,9 +79,9 @@
         ChunkedBody,
         /// A request was passed to the handler; its response has not been written yet.
         Exchange,
-        /// An error response is being sent; m_ending closes the connection.
+        /// An error response is being sent; m_end closes the connection.
         Rejected,
-        /// The response in progress could not be completed; m_ending closes the connection.
+        /// The response in progress could not be completed; m_end closes the connection.
         BrokenOff,
         /// evhttp has freed its connection.
         Closed,
@@ -111,10 +111,8 @@
     void passAhead(PipelinedRequest request);
     /// Makes evhttp write the response to the first of the requests ahead.
     void startNextResponse();
-    /// Sends the pending bytes, and keeps the connection until the peer has what was written.
-    void lingerAndClose(std::string pending, StreamEnd streamEnd);
-    /// Moves what has not been written to the socket to the result.
-    std::string takeOutput();
+    /// Removes all input that has not been read by evhttp.
+    void dropInput();
     /// Removes empty lines before a request head from m_unread.
     void skipEmptyLines();
     /// Appends the contents of the input buffer to m_unread.
@@ -137,15 +135,10 @@
     void rejectForMemory();
     /// Sends an error response, then discards input and closes the connection.
     void reject(int status, std::string_view reason, std::string_view fields = {});
-    /// Closes the connection with a TCP reset at once.
-    void reset();
-    /// Makes evhttp close the connection. Unless it was reset, its socket lingers.
+    /// Makes evhttp close the connection.
     void closeNow();
     /// Returns why the connection is being closed, if the peer has not closed it.
     CloseCause closeCause() const;
-    /// Leaves the socket to the server if the peer may not have read all responses; else it is
-    /// closed with the bufferevent.
-    void handOverSocket();
     /// Ends the exchange in progress and the requests ahead because the connection is closed.
     void endExchanges();
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
@@ -169,7 +162,6 @@
     bool m_hasResponded = false;
     /// Whether the response that was written last announced the end of the connection.
     bool m_isLastResponse = false;
-    bool m_isReset = false;
     RequestsAhead m_requestsAhead;
     /// Size of the held responses that was last counted towards the memory budget.
     std::size_t m_countedHeldBytes = 0;
@@ -193,10 +185,9 @@
     ChunkedDecoder m_decoder;
     /// The body being received; null if the request has none.
     std::shared_ptr<RequestBody> m_body;
-    /// Null once the socket was left to the server.
+    /// Null once the connection has ended.
     std::unique_ptr<ConnectionAccount> m_account;
-    /// Set while the connection is Rejected or BrokenOff.
-    std::unique_ptr<LingeringClose> m_ending;
+    ConnectionEnd m_end;
 };
 
 } // namespace Tarragon
--- a/Source/net/LingeringConnections.cpp
+++ b/Source/net/LingeringConnections.cpp
@@ -27,6 +27,7 @@
             m_loop, LingeringSocket(m_loop.base(), fd), std::string(), StreamEnd::Shutdown, limits,
             [this, fd, cause](LingerResult) { close(fd, cause); });
     lingering->progressed().connect([this, &counted] { counted.onProgress(m_loop.now()); });
+    ConnectionCloses::ofProcess().addLingering();
     m_connections.emplace(fd, Connection{ cause, std::move(account), std::move(lingering) });
 }
 
@@ -37,6 +38,7 @@
     m_connections.erase(it);
     // libevent must remove its events before the descriptor can be used again.
     connection.close.reset();
+    ConnectionCloses::ofProcess().removeLingering();
     ConnectionCloses::ofProcess().recordSocket(fd, cause, m_loop.now());
     evutil_closesocket(fd);
 }
--- a/Tests/net/MemoryBudgetTest.cpp
+++ b/Tests/net/MemoryBudgetTest.cpp
@@ -175,5 +175,39 @@
     budget.configure(MemoryBudget::DefaultMemoryMegabytes, MemoryBudget::DefaultMaxDescriptors);
 }
 
+// Guards against descriptors that are kept for callers which do not read their last response: these
+// count as connections, and new connections displace them.
+TEST(MemoryRefusalTest, LingeringConnectionsGiveWayToNewOnes)
+{
+    EventLoop loop;
+    MemoryBudget &budget = MemoryBudget::ofProcess();
+    const std::size_t before = budget.counts().connections;
+    budget.setLimits(10'000'000, before + 1);
+    {
+        const HttpServer server(
+                loop, "127.0.0.1", 0, HttpServerLimits{}, [](const HttpExchangePtr &exchange) {
+                    exchange->reply(200, {},
+                                    exchange->path() == "/" ? std::string(60'000, 'x') : "done");
+                });
+        RawSocket silent(loop, server.port(), 4'096);
+        silent.stopReading();
+        silent.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        while (server.lingeringCount() == 0) {
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+        EXPECT_EQ(server.connectionCount(), 0u);
+        EXPECT_EQ(budget.counts().connections, before + 1);
+        RawSocket next(loop, server.port());
+        next.send("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+        while (!next.received().ends_with("done") && !next.isPeerClosed()) {
+            event_base_loop(loop.base(), EVLOOP_ONCE);
+        }
+        EXPECT_THAT(next.received(), HasSubstr("done"));
+        EXPECT_EQ(server.lingeringCount(), 0u);
+    }
+    EXPECT_EQ(budget.counts().connections, before);
+    budget.configure(MemoryBudget::DefaultMemoryMegabytes, MemoryBudget::DefaultMaxDescriptors);
+}
+
 } // namespace
 } // namespace Tarragon
