Tests: Share the caller that reads slowly

BreakOffTest and ConnectionEndTest had a copy each of the loop that reads 2 KiB a millisecond; SlowReadTest in Tests/Support serves both. No assertion changes.

--- a/Tests/net/BreakOffTest.cpp
+++ b/Tests/net/BreakOffTest.cpp
@@ -1,10 +1,8 @@
-#include "Support/LoopTest.h"
-#include "Support/PromptCaller.h"
+#include "Support/SlowReadTest.h"
 #include "net/HttpServer.h"
 
 #include <gmock/gmock.h>
 
-#include <functional>
 #include <ostream>
 #include <string>
 #include <string_view>
@@ -19,7 +17,6 @@
 constexpr std::string_view Get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 constexpr int ReceiveBuffer = 16'384;
 constexpr std::size_t BodySize = 60'001;
-constexpr std::size_t SlowRead = 2'048;
 
 struct BreakOffCase
 {
@@ -37,17 +34,9 @@
     return out << value.name;
 }
 
-class BreakOffTest : public LoopTest, public testing::WithParamInterface<BreakOffCase>
+class BreakOffTest : public SlowReadTest, public testing::WithParamInterface<BreakOffCase>
 {
 protected:
-    void readSlowlyUntil(PromptCaller &caller, const std::function<bool()> &condition)
-    {
-        bool isOpen = true;
-        const Timer reader = m_loop.scheduleEvery(
-                milliseconds(1), [&] { isOpen = isOpen && caller.receive(SlowRead); });
-        runUntil([&] { return !isOpen || condition(); });
-    }
-
     std::vector<HttpExchangePtr> m_exchanges;
     HttpServer m_server{ m_loop, "127.0.0.1", 0, HttpServerLimits{},
                          [this](const HttpExchangePtr &exchange) {
--- a/Tests/net/ConnectionEndTest.cpp
+++ b/Tests/net/ConnectionEndTest.cpp
@@ -1,5 +1,4 @@
-#include "Support/LoopTest.h"
-#include "Support/PromptCaller.h"
+#include "Support/SlowReadTest.h"
 #include "net/HttpServer.h"
 
 #include <gmock/gmock.h>
@@ -22,11 +21,9 @@
 /// Part of what the caller asks to be sent arrives only when it has read the bytes before.
 constexpr int ReceiveBuffer = 16'384;
 constexpr std::size_t BodySize = 60'000;
-/// Bytes that a slow caller reads in a millisecond.
-constexpr std::size_t SlowRead = 2'048;
 
 /// A server whose responses are sent by the test, and callers that read them slowly.
-class ConnectionEndTest : public LoopTest
+class ConnectionEndTest : public SlowReadTest
 {
 protected:
     void serve(const HttpServerLimits &limits = {})
@@ -44,16 +41,6 @@
         runUntil([this, n] { return m_exchanges.size() > n; });
     }
 
-    /// Reads slowly until the condition holds or the server ends the connection.
-    template<typename Condition>
-    void readSlowlyUntil(PromptCaller &caller, const Condition &condition)
-    {
-        bool isOpen = true;
-        const Timer reader = m_loop.scheduleEvery(
-                milliseconds(1), [&] { isOpen = isOpen && caller.receive(SlowRead); });
-        runUntil([&] { return !isOpen || condition(); });
-    }
-
     /// Reads until the server ends the connection.
     void readToTheEnd(PromptCaller &caller)
     {
