--- a/review/14/scenario.cpp
+++ b/review/14/scenario.cpp
@@ -1,114 +1,116 @@
-// Two clients upload long bodies while others wait for an answer to a request and for one behind it.
-// The machine closes the connections of those that wait.
+// An upstream fails a download with a long body, and the upstream that gets it next answers a few
+// milliseconds beyond the client's time budget. Bytes of the second answer reach the client inside the first.
 #include "standins-3.h"
 
 using namespace Review;
 
 namespace {
 
-constexpr int Rounds = 2;
-constexpr int WaitingClients = 8;
-/// The rule tolerates three.
-constexpr int ToleratedLosses = 3;
-constexpr int Uploads = 2;
-constexpr std::size_t BodyLimit = 67'108'864;
-constexpr std::size_t UploadBytes = 50'000'000;
-/// 88 Mbit/s; the two uploads stay below the link of the better machines, 200 Mbit/s.
-constexpr std::size_t UploadBytesPerMs = 11'000;
-/// The smallest machine of the large deployment.
-constexpr int MemoryMegabytes = 160;
-/// A status request of the large deployment takes 4.8 s on average, and may take 6 s.
-constexpr milliseconds StatusWork{ 5'000 };
-/// Time after the waiting clients' requests at which the uploads begin.
-constexpr milliseconds UploadDelay{ 1'150 };
-/// Largest lookup on the sheet.
-constexpr std::size_t LookupBytes = 30'000;
+constexpr int Clients = 12;
+/// Longest time for which the sheet of the stands has grey upstreams.
+constexpr milliseconds TroubleTime{ 6'500 };
+constexpr int BudgetMs = 1'000;
+constexpr int Upstreams = 12;
+/// Largest download on the sheet of the stands.
+constexpr std::size_t FailureBytes = 540'000;
+constexpr std::size_t DownloadBytes = 60'000;
+/// Link of the smaller machines, 10 Mbit/s.
+constexpr std::size_t LinkBytesPerMs = 1'250;
+constexpr milliseconds RegionDelay{ 20 };
+/// Time after which the grey upstream, which is also four times as slow, fails a download.
+constexpr milliseconds GreyWork{ 742 };
 
-/// A kept connection with a status request in progress and a lookup behind it.
-struct Waiting
+/// Work of a sound upstream for a download, 180 ms on average.
+milliseconds soundWork(const std::string &path)
 {
-    std::string id;
-    std::unique_ptr<Connection> connection;
-};
+    static constexpr int Spread[] = { 180, 150, 210 };
+    return milliseconds(Spread[std::atoi(path.c_str() + path.rfind('/') + 1) % 3]);
+}
 
-std::optional<Waiting> beginWaiting(Record &record, Machine &machine, const std::string &id)
+/// Sends the body in chunks at the rate of the link.
+bool sendPaced(Connection &connection, const std::string &body)
 {
-    Waiting waiting{ id, Connection::open(machine.front()) };
-    if (waiting.connection == nullptr) {
-        return std::nullopt;
-    }
-    waiting.connection->setTimeout(milliseconds(15'000));
-    // One request before, so that the connection is a kept one.
-    waiting.connection->send(requestStart("GET", "/lookup/0", id + "-first", 6'000) + "\r\n");
-    if (waiting.connection->readAnswer().status() != 200) {
-        return std::nullopt;
+    const Clock::time_point start = Clock::now();
+    const std::size_t step = LinkBytesPerMs * 5;
+    for (std::size_t at = 0; at < body.size(); at += step) {
+        char size[32];
+        const std::string piece = body.substr(at, step);
+        std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+        if (!connection.send(size + piece + "\r\n")) {
+            return false;
+        }
+        std::this_thread::sleep_until(start + milliseconds((at + step) / LinkBytesPerMs));
     }
-    waiting.connection->send(requestStart("GET", "/status/" + id, id + "-status", 25'000) + "\r\n"
-                             + requestStart("GET", "/lookup/" + id, id + "-lookup", 6'000)
-                             + "\r\n");
-    record.line(id + "-status and " + id + "-lookup sent");
-    return waiting;
+    return connection.send("0\r\n\r\n");
 }
 
-void upload(Record &record, Machine &machine, const std::string &id)
+std::string bodyOf(char letter, const std::string &id, std::size_t size)
 {
-    const std::unique_ptr<Connection> connection = Connection::open(machine.front());
-    if (connection == nullptr) {
-        return;
+    std::string body;
+    while (body.size() < size) {
+        body += std::string(1, letter) + " " + id + "\n";
     }
-    connection->setTimeout(milliseconds(10'000));
-    const std::string piece(UploadBytesPerMs * 10, 'x');
-    record.line(id + " begins, " + std::to_string(UploadBytes) + " bytes");
-    bool isSent = connection->send(requestStart("POST", "/upload/1", id, 8'000)
-                                   + "Content-Length: " + std::to_string(UploadBytes)
-                                   + "\r\n\r\n");
-    const Clock::time_point start = Clock::now();
-    for (std::size_t at = 0; at < UploadBytes && isSent; at += piece.size()) {
-        isSent = connection->send(
-                std::string_view(piece).substr(0, std::min(piece.size(), UploadBytes - at)));
-        std::this_thread::sleep_until(
-                start + milliseconds((at + piece.size()) / UploadBytesPerMs));
-    }
-    record.line(id + " answered " + std::to_string(connection->readAnswer().status()));
+    body.resize(size);
+    return body;
 }
 
-/// Returns the number of connections that were closed without an answer; nothing if the round could
-/// not be played.
-std::optional<int> playRound(Record &record, Machine &machine, int round)
+/// Serves a download. In trouble the grey upstream fails four of ten.
+bool serve(Record &record, Connection &connection, const Head &head, bool isGrey)
 {
-    std::vector<Waiting> clients;
-    for (int i = 0; i < WaitingClients; ++i) {
-        std::optional<Waiting> waiting = beginWaiting(
-                record, machine, "client" + std::to_string(round) + "-" + std::to_string(i));
-        if (!waiting.has_value()) {
-            return std::nullopt;
-        }
-        clients.push_back(std::move(*waiting));
-    }
-    pauseFor(UploadDelay);
-    std::vector<std::thread> uploads;
-    for (int i = 0; i < Uploads && hasTrouble(); ++i) {
-        uploads.emplace_back([&record, &machine, round, i] {
-            upload(record, machine, "upload" + std::to_string(round) + "-" + std::to_string(i));
-        });
-    }
-    int lost = 0;
-    for (const Waiting &it : clients) {
-        const Answer status = it.connection->readAnswer();
-        const Answer lookup = it.connection->readAnswer();
-        record.line(it.id + "-status answered " + std::to_string(status.status()) + ", " + it.id
-                    + "-lookup answered " + std::to_string(lookup.status()) + ", connection "
-                    + toString(lookup.end));
-        const bool isLost = status.status() == 0
-                            && (status.end == End::Closed || status.end == End::Reset);
-        lost += isLost ? 1 : 0;
-    }
-    for (std::thread &it : uploads) {
-        it.join();
+    static std::atomic<int> greyCount{ 0 };
+    const std::string id = head.field("attempt-id");
+    const bool fails = isGrey && hasTrouble() && greyCount++ % 5 < 2;
+    const std::string upstream = isGrey ? "the grey upstream" : "a sound upstream";
+    const int small = 16'384;
+    setsockopt(connection.descriptor(), SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+    record.line("run " + id + " at " + upstream + ", Request-Deadline "
+                + head.field("request-deadline") + (fails ? ", fails" : ""));
+    pauseFor(fails ? GreyWork : RegionDelay + soundWork(head.target()) + RegionDelay);
+    const std::string body = fails ? bodyOf('f', id, FailureBytes) : bodyOf('s', id, DownloadBytes);
+    const bool isSent = connection.send(responseStart(head, fails ? 500 : 200,
+                                                      (fails ? "failed-" : "done-") + id)
+                                        + "Transfer-Encoding: chunked\r\n\r\n")
+                        && sendPaced(connection, body);
+    record.line(id + ": " + upstream + (isSent ? " sent all" : " was cut off"));
+    return isSent;
+}
+
+struct Counts
+{
+    std::atomic<int> answered{ 0 };
+    std::atomic<int> mixed{ 0 };
+    std::atomic<int> next{ 0 };
+};
+
+void download(Record &record, Machine &machine, Counts &counts)
+{
+    const int number = counts.next++;
+    const std::string id = "manual" + std::to_string(number);
+    const std::unique_ptr<Connection> connection = Connection::open(machine.front());
+    if (connection == nullptr) {
+        return;
     }
-    record.line("round " + std::to_string(round) + ": " + std::to_string(lost)
-                + " connections closed without an answer");
-    return lost;
+    // The client waits for the end of an answer that has begun.
+    connection->setTimeout(milliseconds(3'000));
+    record.line(id + " sent");
+    connection->send(requestStart("GET", "/manual/" + std::to_string(number), id, BudgetMs)
+                     + "\r\n");
+    const Answer answer = connection->readAnswer();
+    const std::string seal = answer.head.field("response-seal");
+    const bool isFailure = seal.starts_with("failed-");
+    const std::string whole = isFailure ? bodyOf('f', id, FailureBytes)
+                                        : bodyOf('s', id, DownloadBytes);
+    const bool hasForeignBytes = isFailure && answer.body.find("s " + id) != std::string::npos;
+    // A part of the body that its client can see to be incomplete is no break of the rule.
+    const bool isMixed = !seal.empty() && answer.isWhole && answer.body != whole;
+    record.line(id + " answered " + std::to_string(answer.status()) + ", "
+                + (seal.empty() ? "no seal" : "seal " + seal) + ", "
+                + (answer.isWhole ? "complete" : "incomplete") + " with "
+                + std::to_string(answer.body.size())
+                + (seal.empty() ? "" : " of " + std::to_string(whole.size())) + " bytes"
+                + (hasForeignBytes ? ", with bytes of the sound upstream's answer" : ""));
+    counts.answered += answer.status() != 0 ? 1 : 0;
+    counts.mixed += isMixed ? 1 : 0;
 }
 
 int play(Record &record)
@@ -116,53 +118,38 @@
     const TemporaryFolder folder;
     Store &store = *new Store;
     store.put("config", "main",
-              desiredState(1,
-                           { { "status", "/status/", "safe", 6, "media", 2 },
-                             { "lookup", "/lookup/", "safe", 2.5, "catalog", 2 },
-                             { "upload", "/upload/", "unsafe", 3, "checkout", 2 } },
-                           { "media", "catalog", "checkout" }, BodyLimit));
-    const Upstream::Handler handler = [&record](Connection &connection, const Head &head) {
-        const std::string target = head.target();
-        const std::string id = head.field("attempt-id");
-        for (std::size_t left = head.length(); left > connection.buffered();) {
-            left -= connection.buffered();
-            connection.discardBuffered();
-            if (!connection.receive()) {
-                return false;
-            }
-        }
-        connection.discardBuffered();
-        record.line("run " + id);
-        const bool isStatus = target.starts_with("/status/");
-        pauseFor(isStatus ? StatusWork : milliseconds(20));
-        const std::string body(target.starts_with("/lookup/") ? LookupBytes : 400, 'x');
-        const bool isSent = connection.send(responseStart(head, 200, "s") + lengthOf(body) + body);
-        record.line(id + ": upstream " + (isSent ? "answered" : "was cut off"));
-        return isSent;
-    };
-    for (const char *service : { "media", "catalog", "checkout" }) {
-        for (int i = 0; i < 6; ++i) {
-            new Upstream(store, std::string(service) + "-" + std::to_string(i), service, 6,
-                         handler);
-        }
+              desiredState(1, { { "manual", "/manual/", "download", 3, "media", 3 } }, { "media" },
+                           1'048'576));
+    for (int i = 0; i < Upstreams; ++i) {
+        const bool isGrey = i == 0;
+        new Upstream(store, "media-" + std::to_string(i), "media", 5,
+                     [&record, isGrey](Connection &connection, const Head &head) {
+                         return serve(record, connection, head, isGrey);
+                     });
     }
-    Machine machine(folder.path(), "edge-1", store.port(), MemoryMegabytes);
+    Machine machine(folder.path(), "edge-1", store.port(), 260);
     machine.start();
     if (!machine.waitUntilReady()) {
         return CouldNotRun;
     }
-    pauseFor(milliseconds(4'500));
-    int lost = 0;
-    for (int round = 1; round <= Rounds; ++round) {
-        const std::optional<int> lostInRound = playRound(record, machine, round);
-        if (!lostInRound.has_value()) {
-            return CouldNotRun;
-        }
-        lost += *lostInRound;
+    pauseFor(milliseconds(4'000));
+    Counts counts;
+    const Clock::time_point end = Clock::now() + TroubleTime;
+    std::vector<std::thread> clients;
+    for (int i = 0; i < Clients; ++i) {
+        clients.emplace_back([&record, &machine, &counts, end] {
+            while (Clock::now() < end) {
+                download(record, machine, counts);
+            }
+        });
+    }
+    for (std::thread &it : clients) {
+        it.join();
     }
-    record.line(std::to_string(lost) + " connections closed without an answer, the process "
-                + (machine.isRunning() ? "runs" : "has ended"));
-    return lost > ToleratedLosses ? RuleBroken : RuleHeld;
+    record.line(std::to_string(counts.answered) + " answers, "
+                + std::to_string(counts.mixed)
+                + " of them complete with other bytes than the upstream's");
+    return counts.answered == 0 ? CouldNotRun : counts.mixed > 0 ? RuleBroken : RuleHeld;
 }
 
 } // namespace
--- a/review/standins-3.h
+++ b/review/standins-3.h
@@ -1,4 +1,4 @@
-// Stand-ins for the platform's store, upstreams and clients, shared by the cases 11 to 14.
+// Stand-ins for the platform's store, upstreams and clients, shared by the cases 11 to 15.
 #pragma once
 
 #include <atomic>
