Gateway: Log responses that arrive after another's delivery has begun

The log had an error of a callback without a request or a target. It did not tell whether a second attempt of the request writes to the caller, whether a connection to a target delivers bytes of another exchange, or whether the connection to the caller mixes two responses.

Change: an attempt that is decided while the response of another one is being delivered is logged as surplus-response, with both targets, the connection, the exchange on it, and the id in the response.

--- a/Source/gateway/AttemptLog.cpp
+++ b/Source/gateway/AttemptLog.cpp
@@ -61,4 +61,20 @@
                            .text());
 }
 
+void logSurplusResponse(const RequestId &request, const TargetId &delivered,
+                        const TargetAttempt &attempt)
+{
+    LOG4CPLUS_WARN(logger(), LogLine("gateway", "surplus-response")
+                                     .add("request", request)
+                                     .add("delivered", delivered)
+                                     .add("target", attempt.target())
+                                     .add("connection", attempt.connectionUse().connection)
+                                     .add("exchange", attempt.connectionUse().exchange)
+                                     .add("outcome", describe(attempt.outcome()))
+                                     .add("status", attempt.status())
+                                     .add("responseId", attempt.response().id)
+                                     .add("afterMs", attempt.duration())
+                                     .text());
+}
+
 } // namespace Tarragon
--- a/Source/gateway/AttemptLog.h
+++ b/Source/gateway/AttemptLog.h
@@ -15,4 +15,8 @@
 void logFailedAttempt(const RequestId &request, RequestFingerprint fingerprint,
                       const TargetAttempt &attempt);
 
+/// Logs a response that arrives after the delivery of another target's response has begun.
+void logSurplusResponse(const RequestId &request, const TargetId &delivered,
+                        const TargetAttempt &attempt);
+
 } // namespace Tarragon
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -286,6 +286,9 @@
 {
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
     m_context.metrics.recordSend(m_service, describe(attempt.outcome()));
+    if (m_isDelivering) {
+        logSurplusResponse(m_request.id, m_attempt->target(), attempt);
+    }
     if (attempt.outcome() == SendOutcome::Unreachable) {
         --m_sendCount;
     }
@@ -395,6 +398,7 @@
 void RoutedRequest::deliver(TargetAttempt &attempt)
 {
     m_deadlineTimer.reset();
+    m_isDelivering = true;
     const int status = attempt.status();
     attempt.deliver(m_exchange, [this, status] { end("answered", status, ""); });
 }
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -96,6 +96,8 @@
     bool m_hasTrial = false;
     Verdict m_verdict = Verdict::NotRun;
     std::unique_ptr<TargetAttempt> m_attempt;
+    /// Whether the response of m_attempt is being delivered.
+    bool m_isDelivering = false;
     /// An attempt with a failure response of its target, kept in case no other target succeeds.
     std::unique_ptr<TargetAttempt> m_fallback;
     /// The last placement if it had no target.
