Gateway: Give the response to a caller one owner

Cause: an attempt that was given up at the deadline was moved aside and not cancelled. The failure of an earlier target was delivered, and the request goes on until its last byte. All callbacks asked whether the request had ended, not whether its response had begun. So the second attempt was delivered too: it had stored the exchange before startReply() refused it, and the next drained() resumed it. Late permits, checks of a target and retries had the same opening.

Evidence: surplus-response for each mixed response, with another target on another connection, the id of the request, right after the deadline.

Change: CallerResponse owns the only pointer through which the caller can be written to, and all attempts. Beginning a response moves the pointer out, cancels all other attempts and ends the timers of the request, before the first byte. No attempt can be added and no second response can begin after that, because the pointer is gone. Permits and checks find the request only until then; a trial that is granted later is returned.

--- a/Source/gateway/AttemptLog.cpp
+++ b/Source/gateway/AttemptLog.cpp
@@ -61,18 +61,16 @@
                            .text());
 }
 
-void logSurplusResponse(const RequestId &request, const TargetId &delivered,
-                        const TargetAttempt &attempt)
+void logCancelledAttempt(const RequestId &request, const TargetAttempt &attempt, CancelCause cause)
 {
-    LOG4CPLUS_WARN(logger(), LogLine("gateway", "surplus-response")
+    LOG4CPLUS_INFO(logger(), LogLine("gateway", "send-cancelled")
                                      .add("request", request)
-                                     .add("delivered", delivered)
                                      .add("target", attempt.target())
                                      .add("connection", attempt.connectionUse().connection)
                                      .add("exchange", attempt.connectionUse().exchange)
+                                     .add("cause", toString(cause))
                                      .add("outcome", describe(attempt.outcome()))
                                      .add("status", attempt.status())
-                                     .add("responseId", attempt.response().id)
                                      .add("afterMs", attempt.duration())
                                      .text());
 }
--- a/Source/gateway/AttemptLog.h
+++ b/Source/gateway/AttemptLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "gateway/CallerResponse.h"
 #include "gateway/TargetAttempt.h"
 #include "routing/RequestFingerprint.h"
 
@@ -15,8 +16,7 @@
 void logFailedAttempt(const RequestId &request, RequestFingerprint fingerprint,
                       const TargetAttempt &attempt);
 
-/// Logs a response that arrives after the delivery of another target's response has begun.
-void logSurplusResponse(const RequestId &request, const TargetId &delivered,
-                        const TargetAttempt &attempt);
+/// Logs an attempt whose call to the target is reset before it has ended.
+void logCancelledAttempt(const RequestId &request, const TargetAttempt &attempt, CancelCause cause);
 
 } // namespace Tarragon
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -46,20 +46,33 @@
     const std::shared_ptr<RoutedRequest> request =
             std::make_shared<RoutedRequest>(context, exchange);
     request->m_selfReference = request;
+    request->m_disconnectedConnection = exchange->disconnected().connect(
+            sigc::mem_fun(*request, &RoutedRequest::onCallerDisconnected));
     request->start();
 }
 
-RoutedRequest::RoutedRequest(GatewayContext &context, HttpExchangePtr exchange)
+RoutedRequest::RoutedRequest(GatewayContext &context, const HttpExchangePtr &exchange)
     : m_context(context)
-    , m_exchange(std::move(exchange))
+    , m_exchange(exchange)
     , m_request(Platform::decodeRequest(*m_exchange))
     , m_fingerprint(fingerprintOf({ m_exchange->method(), m_request.host, m_exchange->uri(),
                                     m_request.callerIdentity, m_request.affinityKey,
                                     m_exchange->body() }))
     , m_arrivedAt(context.loop.now())
     , m_table(context.state.table())
+    , m_response(
+              context.loop, exchange, [this] { onResponseBegun(); },
+              [this](const TargetAttempt &attempt, CancelCause cause) {
+                  onAttemptCancelled(attempt, cause);
+              })
 {}
 
+std::shared_ptr<RoutedRequest> RoutedRequest::lockOpen(const std::weak_ptr<RoutedRequest> &request)
+{
+    std::shared_ptr<RoutedRequest> result = request.lock();
+    return result != nullptr && result->m_response.isOpen() ? result : nullptr;
+}
+
 void RoutedRequest::start()
 {
     if (m_table == nullptr) {
@@ -91,8 +104,6 @@
         refuse("unknown-service", RetryAfterWithoutTable);
         return;
     }
-    m_disconnectedConnection = m_exchange->disconnected().connect(
-            sigc::mem_fun(*this, &RoutedRequest::onCallerDisconnected));
     m_deadlineTimer = m_context.loop.schedule(limit, [this] { onDeadline(); });
     dispatch();
 }
@@ -179,8 +190,7 @@
             *m_workspace, m_accessTable->version, m_context.loop.now(),
             [&caps = m_context.usageCaps, &loop = m_context.loop, name = m_workspace->name,
              weak = weak_from_this()](UsageVerdict verdict, milliseconds retryAfter) {
-                const std::shared_ptr<RoutedRequest> self = weak.lock();
-                if (self != nullptr && !self->hasEnded()) {
+                if (const std::shared_ptr<RoutedRequest> self = lockOpen(weak)) {
                     self->onUsageDecided(verdict, retryAfter);
                 } else if (verdict == UsageVerdict::Granted) {
                     caps.giveBack(name, loop.now());
@@ -206,10 +216,13 @@
 {
     m_context.trials.obtain(m_service, m_fingerprint,
                             std::chrono::ceil<milliseconds>(remainingTime()), m_context.loop.now(),
-                            [weak = weak_from_this()](bool isGranted, milliseconds retryAfter) {
-                                const std::shared_ptr<RoutedRequest> self = weak.lock();
-                                if (self != nullptr && !self->hasEnded()) {
+                            [&trials = m_context.trials, &loop = m_context.loop,
+                             service = m_service, fingerprint = m_fingerprint,
+                             weak = weak_from_this()](bool isGranted, milliseconds retryAfter) {
+                                if (const std::shared_ptr<RoutedRequest> self = lockOpen(weak)) {
                                     self->onTrialDecided(isGranted, retryAfter);
+                                } else if (isGranted) {
+                                    trials.end(service, fingerprint, loop.now());
                                 }
                             });
 }
@@ -247,8 +260,7 @@
     const KnownTarget *target = m_dispatcher->findTarget(*placement.target);
     m_context.permits.obtain(target->registration, placement.coldRate, m_context.loop.now(),
                              [weak = weak_from_this(), placement](bool isGranted) {
-                                 const std::shared_ptr<RoutedRequest> self = weak.lock();
-                                 if (self != nullptr && !self->hasEnded()) {
+                                 if (const std::shared_ptr<RoutedRequest> self = lockOpen(weak)) {
                                      self->onPermitDecided(placement, isGranted);
                                  }
                              });
@@ -276,19 +288,18 @@
     request.timeout = time + milliseconds(1'000);
     m_triedTargets.insert(*placement.target);
     ++m_sendCount;
-    m_attempt = std::make_unique<TargetAttempt>(
-            m_context.loop, *m_dispatcher, m_route->name, m_route->isIdempotent, m_request.id,
-            placement, [this](TargetAttempt &attempt) { onDecided(attempt); });
-    m_attempt->send(m_context.client, request);
+    m_response
+            .add(std::make_unique<TargetAttempt>(
+                    m_context.loop, *m_dispatcher, m_route->name, m_route->isIdempotent,
+                    m_request.id, placement,
+                    [this](TargetAttempt &attempt) { onDecided(attempt); }))
+            .send(m_context.client, request);
 }
 
 void RoutedRequest::onDecided(TargetAttempt &attempt)
 {
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
     m_context.metrics.recordSend(m_service, describe(attempt.outcome()));
-    if (m_isDelivering) {
-        logSurplusResponse(m_request.id, m_attempt->target(), attempt);
-    }
     if (attempt.outcome() == SendOutcome::Unreachable) {
         --m_sendCount;
     }
@@ -334,8 +345,9 @@
                                .add("endings", suspects.find(m_fingerprint).endings.size())
                                .text());
     }
-    if (!hasEnded() && m_attempt != nullptr) {
-        continueAfter(*m_attempt);
+    if (m_response.isOpen()) {
+        // No other attempt follows before the check has ended.
+        continueAfter(*m_response.current());
     }
 }
 
@@ -343,24 +355,20 @@
 {
     endTrial();
     if (attempt.outcome() == SendOutcome::Answered) {
-        deliver(attempt);
+        deliver();
         return;
     }
     if (mayRetry(attempt)) {
         if (attempt.outcome() == SendOutcome::Failed) {
-            m_fallback = std::move(m_attempt);
+            m_response.keepCurrentAsFallback();
         } else {
-            m_finishedAttempts.push_back(std::move(m_attempt));
+            m_response.giveUpCurrent();
         }
-        // The attempt is still on the call stack and must not be destroyed here.
-        m_retryTimer = m_context.loop.schedule(microseconds(0), [this] {
-            m_finishedAttempts.clear();
-            dispatch();
-        });
+        m_retryTimer = m_context.loop.schedule(microseconds(0), [this] { dispatch(); });
         return;
     }
     if (attempt.outcome() == SendOutcome::Failed) {
-        deliver(attempt);
+        deliver();
     } else if (m_verdict == Verdict::NotRun) {
         refuse("targets-" + describe(attempt.outcome()), DeclinedRetryAfter);
     } else {
@@ -395,19 +403,35 @@
     return true;
 }
 
-void RoutedRequest::deliver(TargetAttempt &attempt)
+void RoutedRequest::deliver()
+{
+    const int status = m_response.current()->status();
+    m_response.deliverCurrent([this, status] { end("answered", status, ""); });
+}
+
+void RoutedRequest::onResponseBegun()
 {
     m_deadlineTimer.reset();
-    m_isDelivering = true;
-    const int status = attempt.status();
-    attempt.deliver(m_exchange, [this, status] { end("answered", status, ""); });
+    m_retryTimer.reset();
+    endTrial();
+}
+
+void RoutedRequest::onAttemptCancelled(const TargetAttempt &attempt, CancelCause cause)
+{
+    if (!attempt.isDecided()) {
+        m_context.metrics.recordSend(m_service, describe(attempt.outcome()));
+    }
+    if (cause != CancelCause::GivenUp) {
+        // Attempts that are given up are logged as failed.
+        logCancelledAttempt(m_request.id, attempt, cause);
+    }
 }
 
 void RoutedRequest::fail(const std::string &outcome, const std::string &reason)
 {
-    if (m_fallback != nullptr) {
-        m_attempt = std::move(m_fallback);
-        deliver(*m_attempt);
+    if (m_response.hasFallback()) {
+        m_response.restoreFallback();
+        deliver();
         return;
     }
     replyLocally(outcome == "timeout" ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway,
@@ -437,8 +461,8 @@
     const nlohmann::json body = { { "error", outcome },
                                   { "detail", reason },
                                   { "verdict", std::string(toString(m_verdict)) } };
-    m_exchange->reply(status, Platform::encodeLocalResponseHeaders(m_request.id, rounded),
-                      dumpJson(body));
+    m_response.reply(status, Platform::encodeLocalResponseHeaders(m_request.id, rounded),
+                     dumpJson(body));
     end(outcome, status, reason);
 }
 
@@ -449,18 +473,18 @@
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
     m_disconnectedConnection.disconnect();
     const nlohmann::json body = { { "error", outcome }, { "detail", reason } };
-    m_exchange->reply(HttpStatus::Unauthorized, Platform::encodeUnauthorizedHeaders(m_request.id),
-                      dumpJson(body));
+    m_response.reply(HttpStatus::Unauthorized, Platform::encodeUnauthorizedHeaders(m_request.id),
+                     dumpJson(body));
     end(outcome, HttpStatus::Unauthorized, reason);
 }
 
 void RoutedRequest::onDeadline()
 {
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
-    if (m_attempt != nullptr) {
+    if (const TargetAttempt *const attempt = m_response.current()) {
         m_verdict = combined(m_verdict, Verdict::MayHaveRun);
-        logFailedAttempt(m_request.id, m_fingerprint, *m_attempt);
-        m_finishedAttempts.push_back(std::move(m_attempt));
+        logFailedAttempt(m_request.id, m_fingerprint, *attempt);
+        m_response.giveUpCurrent();
     }
     if (m_verdict == Verdict::NotRun) {
         refuse("out-of-time", DeclinedRetryAfter);
@@ -481,7 +505,7 @@
         return;
     }
     endTrial();
-    if (m_tokenOf.has_value() && m_attempt == nullptr && m_verdict == Verdict::NotRun) {
+    if (m_tokenOf.has_value() && m_response.current() == nullptr && m_verdict == Verdict::NotRun) {
         m_context.usageCaps.giveBack(*m_tokenOf, m_context.loop.now());
     }
     m_deadlineTimer.reset();
@@ -494,13 +518,9 @@
         m_context.metrics.recordWorkspaceRequest(m_workspace->name, outcome, duration);
     }
     logEnd(outcome, status, reason, duration);
-    // Destroying the attempt cancels the call to the target. The attempt may be on the call stack,
-    // so that it is destroyed later.
-    m_context.loop.post([self] {
-        self->m_attempt.reset();
-        self->m_fallback.reset();
-        self->m_finishedAttempts.clear();
-    });
+    m_response.close();
+    // An attempt may be on the call stack, so that they are destroyed later.
+    m_context.loop.post([self] { self->m_response.destroyAttempts(); });
 }
 
 void RoutedRequest::logEnd(const std::string &outcome, int status, const std::string &reason,
@@ -525,13 +545,13 @@
             .add("verdict", toString(m_verdict))
             .add("sends", m_sendCount)
             .add("durationMs", duration);
-    if (m_attempt != nullptr) {
-        line.add("target", m_attempt->target())
-                .add("connection", m_attempt->connectionUse().connection)
-                .add("exchange", m_attempt->connectionUse().exchange)
-                .add("expectedWaitMs", m_attempt->placement().expectedWait)
-                .add("expectedWorkMs", m_attempt->placement().expectedProcessingTime);
-        if (m_attempt->placement().coldRate.has_value()) {
+    if (const TargetAttempt *const attempt = m_response.current()) {
+        line.add("target", attempt->target())
+                .add("connection", attempt->connectionUse().connection)
+                .add("exchange", attempt->connectionUse().exchange)
+                .add("expectedWaitMs", attempt->placement().expectedWait)
+                .add("expectedWorkMs", attempt->placement().expectedProcessingTime);
+        if (attempt->placement().coldRate.has_value()) {
             line.add("cold", true);
         }
     }
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/CallerResponse.h"
 #include "gateway/GatewayContext.h"
 #include "gateway/TargetAttempt.h"
 #include "net/ConnectionCheck.h"
@@ -7,7 +8,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace Tarragon {
 
@@ -19,11 +19,15 @@
     /// Starts to serve a request that has arrived.
     static void begin(GatewayContext &context, const HttpExchangePtr &exchange);
 
-    RoutedRequest(GatewayContext &context, HttpExchangePtr exchange);
+    RoutedRequest(GatewayContext &context, const HttpExchangePtr &exchange);
     RoutedRequest(const RoutedRequest &) = delete;
     RoutedRequest &operator=(const RoutedRequest &) = delete;
 
 private:
+    /// Returns the request while no response to its caller has begun, and null from then on. What
+    /// arrives later decides nothing about the request.
+    static std::shared_ptr<RoutedRequest> lockOpen(const std::weak_ptr<RoutedRequest> &request);
+
     void start();
     /// Checks the request's key against the table in force, if the table has changed since the last
     /// check. Ends the request and returns false if it may not be handled.
@@ -52,7 +56,11 @@
     void continueAfter(TargetAttempt &attempt);
     /// Whether to try another target after the attempt; if not, records the reason.
     bool mayRetry(const TargetAttempt &attempt);
-    void deliver(TargetAttempt &attempt);
+    /// Passes the response of the current attempt on to the caller.
+    void deliver();
+    /// Ends what could lead to another response: timers and the permit for a trial.
+    void onResponseBegun();
+    void onAttemptCancelled(const TargetAttempt &attempt, CancelCause cause);
     /// Ends the request with the failure response of an earlier attempt if one was kept, otherwise
     /// with a failure response of this entry.
     void fail(const std::string &outcome, const std::string &reason);
@@ -64,14 +72,14 @@
     void onDeadline();
     void onCallerDisconnected();
     void end(const std::string &outcome, int status, const std::string &reason);
-    bool hasEnded() const { return m_selfReference == nullptr; }
     /// Logs the end of the request; a successful one only if the sampler admits it.
     void logEnd(const std::string &outcome, int status, const std::string &reason,
                 microseconds duration) const;
     microseconds remainingTime() const { return m_deadline - m_context.loop.now(); }
 
     GatewayContext &m_context;
-    HttpExchangePtr m_exchange;
+    /// The request as received. Only m_response can write to the caller.
+    std::shared_ptr<const HttpExchange> m_exchange;
     Platform::CallerRequest m_request;
     /// Identifies what targets would run, over all attempts of the caller.
     RequestFingerprint m_fingerprint;
@@ -95,18 +103,15 @@
     /// Whether a trial of this request, which is under suspicion, is permitted.
     bool m_hasTrial = false;
     Verdict m_verdict = Verdict::NotRun;
-    std::unique_ptr<TargetAttempt> m_attempt;
-    /// Whether the response of m_attempt is being delivered.
-    bool m_isDelivering = false;
-    /// An attempt with a failure response of its target, kept in case no other target succeeds.
-    std::unique_ptr<TargetAttempt> m_fallback;
+    /// The attempts and the response. Its fallback is an attempt with a failure response of its
+    /// target, kept in case no other target succeeds.
+    CallerResponse m_response;
     /// The last placement if it had no target.
     std::optional<Placement> m_refusal;
     /// Why no further attempt followed the last one; empty if no such decision was made.
     std::string_view m_noRetryReason;
     /// Retry-After time sent to a refused caller; 0 if none.
     milliseconds m_retryAfter{ 0 };
-    std::vector<std::unique_ptr<TargetAttempt>> m_finishedAttempts;
     std::unique_ptr<ConnectionCheck> m_targetCheck;
     Timer m_deadlineTimer;
     Timer m_retryTimer;
--- a/Source/gateway/TargetAttempt.cpp
+++ b/Source/gateway/TargetAttempt.cpp
@@ -49,8 +49,7 @@
 
 TargetAttempt::~TargetAttempt()
 {
-    m_drainedConnection.disconnect();
-    reportEnd(SendOutcome::Aborted);
+    cancel();
 }
 
 void TargetAttempt::send(HttpClient &client, const HttpRequest &request)
@@ -205,8 +204,10 @@
 {
     m_receivedBytes += data.size();
     if (m_exchange != nullptr) {
-        m_exchange->send(data);
-        if (m_exchange->bufferedBytes() > MaxCallerBacklogBytes) {
+        const HttpExchangePtr exchange = m_exchange;
+        // Sending may close the caller's connection for lack of memory, which cancels the attempt.
+        exchange->send(data);
+        if (m_exchange != nullptr && exchange->bufferedBytes() > MaxCallerBacklogBytes) {
             m_call->pause();
         }
         return;
@@ -289,20 +290,22 @@
                          m_placement.expectedWait > microseconds(0), m_loop.now());
 }
 
-void TargetAttempt::deliver(const HttpExchangePtr &exchange, sigc::slot<void()> ended)
+void TargetAttempt::deliver(const HttpExchangePtr &exchange, const sigc::slot<void()> &ended)
 {
     if (m_isComplete) {
         exchange->reply(m_response.status, m_response.forwardedHeaders, m_body);
         ended();
         return;
     }
+    exchange->startReply(m_response.status, m_response.forwardedHeaders);
     m_exchange = exchange;
-    m_ended = std::move(ended);
+    m_ended = ended;
     m_drainedConnection =
             exchange->drained().connect(sigc::mem_fun(*this, &TargetAttempt::onDrained));
-    exchange->startReply(m_response.status, m_response.forwardedHeaders);
-    exchange->send(m_body);
-    m_body.clear();
+    exchange->send(std::exchange(m_body, {}));
+    if (m_exchange == nullptr) {
+        return;
+    }
     if (m_isBroken) {
         endDelivery();
     } else {
@@ -310,6 +313,16 @@
     }
 }
 
+void TargetAttempt::cancel()
+{
+    m_decided = DecidedSlot();
+    m_ended = sigc::slot<void()>();
+    m_drainedConnection.disconnect();
+    m_exchange = nullptr;
+    m_call.reset();
+    reportEnd(SendOutcome::Aborted);
+}
+
 void TargetAttempt::onDrained()
 {
     if (m_exchange != nullptr && m_call != nullptr
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -31,8 +31,13 @@
     void send(HttpClient &client, const HttpRequest &request);
     /// Passes the response on to the caller, including the part still to be received. The outcome
     /// must be Answered or Failed. Calls `ended` when nothing more will follow.
-    void deliver(const HttpExchangePtr &exchange, sigc::slot<void()> ended);
+    void deliver(const HttpExchangePtr &exchange, const sigc::slot<void()> &ended);
+    /// Resets the call if it is still open. Nothing more is written to the caller, and no slot is
+    /// called any more.
+    void cancel();
 
+    /// Whether more of the response can arrive.
+    bool isOpen() const { return m_call != nullptr && !m_isComplete && !m_isBroken; }
     const TargetId &target() const { return m_target; }
     bool isDecided() const { return m_outcome.has_value(); }
     SendOutcome outcome() const { return m_outcome.value_or(SendOutcome::Aborted); }
--- a/Source/net/ConnectionEnd.cpp
+++ b/Source/net/ConnectionEnd.cpp
@@ -2,6 +2,7 @@
 
 #include "net/HttpServerState.h"
 #include "net/SocketQueues.h"
+#include "net/SocketReset.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -9,8 +10,6 @@
 
 #include <utility>
 
-#include <sys/socket.h>
-
 namespace Tarragon {
 
 ConnectionEnd::ConnectionEnd(HttpServer::State &server, bufferevent *bev,
@@ -62,12 +61,9 @@
     const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
     ConnectionCloses::ofProcess().recordSocket(fd, cause, m_server.loop.now());
     m_isReset = true;
-    // Connecting a socket to AF_UNSPEC dissolves its association and sends a reset at once. A
-    // regular close would look like the end of a body that is delimited by the end of the
+    // A regular close would look like the end of a body that is delimited by the end of the
     // connection.
-    sockaddr unspecified{};
-    unspecified.sa_family = AF_UNSPEC;
-    (void)connect(fd, &unspecified, sizeof unspecified);
+    resetConnection(fd);
     // The call destroys this object.
     const CloseSlot close = m_close;
     close();
--- a/Source/net/HttpCall.h
+++ b/Source/net/HttpCall.h
@@ -20,7 +20,7 @@
     std::uint64_t exchange = 0;
 };
 
-/// Handle of an HttpClient call in progress. Destroying it cancels the call and closes the call's
+/// Handle of an HttpClient call in progress. Destroying it cancels the call and resets the call's
 /// connection.
 class HttpCall
 {
--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -6,6 +6,7 @@
 #include "net/HttpCallState.h"
 #include "net/HttpClientState.h"
 #include "net/HttpSyntax.h"
+#include "net/SocketReset.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -290,6 +291,9 @@
 {
     m_call.reset();
     bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+    // After a regular close the system would still deliver a request that it has not sent, and the
+    // peer would work on it.
+    resetConnection(bufferevent_getfd(m_bufferEvent));
     m_client->discard(*this);
 }
 
@@ -391,6 +395,7 @@
     const bool starting = m_isStarting;
     HttpClient::State *client = m_client;
     bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+    resetConnection(bufferevent_getfd(m_bufferEvent));
     // This call may destroy the connection, so that no member is used after it.
     client->discard(*this);
     if (call == nullptr) {
