Net: Log how a peer ends a connection during an upload

The log has the request as answered, and nothing of its connection. It did not tell whether an error was seen and dropped, whether the peer's end arrived as the end of its stream, or whether the rest was lost within this process.

Change: what ends a connection while a request is being written is logged as upload-ended, with the numbers of connection and exchange that the line of the request has too.

--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -6,18 +6,22 @@
 #include "net/HttpCallState.h"
 #include "net/HttpClientState.h"
 #include "net/HttpSyntax.h"
+#include "net/LogLine.h"
 #include "net/SocketReset.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <optional>
 #include <string_view>
+#include <system_error>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -61,6 +65,12 @@
 constexpr int NotModified = 304;
 constexpr int MaxStatus = 599;
 
+const log4cplus::Logger &logger()
+{
+    static const log4cplus::Logger instance = log4cplus::Logger::getInstance("net");
+    return instance;
+}
+
 /// Passes the buffer's contiguous blocks to the function and removes them, until the buffer is
 /// empty or the function returns false.
 template<typename Function>
@@ -473,6 +483,18 @@
     const CallbackScope scope(*self);
     bufferevent_setcb(bev, nullptr, self->m_evhttpWrite, self->m_evhttpEvent, self->m_connection);
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        const bool isError = (what & BEV_EVENT_ERROR) != 0;
+        LOG4CPLUS_INFO(
+                logger(),
+                LogLine("net", "upload-ended")
+                        .add("connection", self->m_use.connection)
+                        .add("exchange", self->m_use.exchange)
+                        .add("by", isError ? "error" : "end-of-stream")
+                        .add("during", (what & BEV_EVENT_READING) != 0 ? "read" : "write")
+                        .add("error",
+                             isError ? std::generic_category().message(errno) : std::string())
+                        .add("receivedBytes", evbuffer_get_length(bufferevent_get_input(bev)))
+                        .text());
         self->readEarlyResponse();
     } else {
         self->m_evhttpEvent(bev, what, self->m_connection);
