Net: Keep the error of a connection that ends during an upload

Cause: the end of a connection while a request is written is intercepted, so that early responses are read. An error was treated as the end of the stream. The system reports an error once; evhttp then read the end of the stream, which ends a body without a length.

Change: PeerEnd takes the interception out of HttpClientConnection and keeps the first observation, the end of the stream or an error. After an error a body without a length is refused at its head; while one is read, evhttp gets the end that was observed first. So only an orderly end completes such a body.

--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -6,22 +6,18 @@
 #include "net/HttpCallState.h"
 #include "net/HttpClientState.h"
 #include "net/HttpSyntax.h"
-#include "net/LogLine.h"
 #include "net/SocketReset.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <optional>
 #include <string_view>
-#include <system_error>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -65,12 +61,6 @@
 constexpr int NotModified = 304;
 constexpr int MaxStatus = 599;
 
-const log4cplus::Logger &logger()
-{
-    static const log4cplus::Logger instance = log4cplus::Logger::getInstance("net");
-    return instance;
-}
-
 /// Passes the buffer's contiguous blocks to the function and removes them, until the buffer is
 /// empty or the function returns false.
 template<typename Function>
@@ -210,6 +200,7 @@
     if (m_connection == nullptr || m_timer == nullptr || m_encodedBody == nullptr) {
         throw Error("libevent could not make an HTTP connection");
     }
+    m_peerEnd = std::make_unique<PeerEnd>(m_bufferEvent, m_connection);
     evhttp_connection_set_timeout(m_connection, EvhttpTimeoutSeconds);
     evhttp_connection_set_retries(m_connection, 0);
     evhttp_connection_set_max_headers_size(m_connection, MaxHeadBytes);
@@ -238,7 +229,6 @@
     ++m_use.exchange;
     m_anySent = false;
     m_allSent = false;
-    m_closedWhileSending = false;
     m_headSeen = false;
     m_interimHeads = 0;
     m_scanner.reset();
@@ -444,7 +434,7 @@
 {
     HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
     const evutil_socket_t fd = bufferevent_getfd(self->m_bufferEvent);
-    if (fd < 0 || self->m_closing || self->m_closedWhileSending) {
+    if (fd < 0 || self->m_closing || self->m_peerEnd->hasEndedWhileSending()) {
         // evhttp drains the buffer after it has closed the socket; these bytes were not sent.
         return;
     }
@@ -457,62 +447,11 @@
         self->m_anySent = true;
         self->m_allSent = evbuffer_get_length(output) == 0;
         if (!self->m_allSent) {
-            self->interceptSendEvents();
+            self->m_peerEnd->observeSending(self->m_use);
         }
     }
 }
 
-void HttpClientConnection::interceptSendEvents()
-{
-    bufferevent_data_cb readCallback = nullptr;
-    bufferevent_data_cb writeCallback = nullptr;
-    bufferevent_event_cb eventCallback = nullptr;
-    void *arg = nullptr;
-    bufferevent_getcb(m_bufferEvent, &readCallback, &writeCallback, &eventCallback, &arg);
-    if (arg != m_connection || writeCallback == nullptr) {
-        return;
-    }
-    m_evhttpWrite = writeCallback;
-    m_evhttpEvent = eventCallback;
-    bufferevent_setcb(m_bufferEvent, nullptr, onWrite, onSendEvent, this);
-}
-
-void HttpClientConnection::onSendEvent(bufferevent *bev, short what, void *arg)
-{
-    HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
-    const CallbackScope scope(*self);
-    bufferevent_setcb(bev, nullptr, self->m_evhttpWrite, self->m_evhttpEvent, self->m_connection);
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-        const bool isError = (what & BEV_EVENT_ERROR) != 0;
-        LOG4CPLUS_INFO(
-                logger(),
-                LogLine("net", "upload-ended")
-                        .add("connection", self->m_use.connection)
-                        .add("exchange", self->m_use.exchange)
-                        .add("by", isError ? "error" : "end-of-stream")
-                        .add("during", (what & BEV_EVENT_READING) != 0 ? "read" : "write")
-                        .add("error",
-                             isError ? std::generic_category().message(errno) : std::string())
-                        .add("receivedBytes", evbuffer_get_length(bufferevent_get_input(bev)))
-                        .text());
-        self->readEarlyResponse();
-    } else {
-        self->m_evhttpEvent(bev, what, self->m_connection);
-    }
-}
-
-void HttpClientConnection::readEarlyResponse()
-{
-    m_closedWhileSending = true;
-    evbuffer *output = bufferevent_get_output(m_bufferEvent);
-    evbuffer_unfreeze(output, 1);
-    evbuffer_drain(output, evbuffer_get_length(output));
-    evbuffer_freeze(output, 1);
-    // With nothing left to write, evhttp starts to read the response. If there is none, evhttp
-    // reads the end of the connection again and reports a failure.
-    m_evhttpWrite(m_bufferEvent, m_connection);
-}
-
 int HttpClientConnection::onHead(evhttp_request *request, void *arg)
 {
     HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
@@ -557,7 +496,8 @@
     int codings = 0;
     bool lengthValid = true;
     bool codingValid = true;
-    m_reusable = request->major == 1 && request->minor >= 1 && !m_closedWhileSending;
+    m_reusable =
+            request->major == 1 && request->minor >= 1 && m_peerEnd->state() == PeerEndState::Open;
     for (const HttpHeaders::Field &field : head.headers.fields()) {
         if (!isHttpToken(field.first) || !isHttpFieldValue(field.second)) {
             return rejectHead(HttpStage::AwaitHeaders, "malformed header field");
@@ -580,18 +520,23 @@
     }
     const bool bodyless =
             request->type == EVHTTP_REQ_HEAD || status == NoContent || status == NotModified;
-    if (!bodyless && lengths == 0 && codings == 0) {
-        if (!m_acceptUnframed) {
-            return rejectHead(HttpStage::Body, "response has neither Content-Length nor chunked "
-                                               "coding, truncation cannot be detected");
-        }
-        m_reusable = false;
+    const bool isUnframed = !bodyless && lengths == 0 && codings == 0;
+    if (isUnframed && !m_acceptUnframed) {
+        return rejectHead(HttpStage::Body, "response has neither Content-Length nor chunked "
+                                           "coding, truncation cannot be detected");
+    }
+    if (isUnframed && m_peerEnd->state() == PeerEndState::Broken) {
+        return rejectHead(HttpStage::Body, "response has neither Content-Length nor chunked "
+                                           "coding, and its connection did not end in order");
     }
     m_idleTimeout = idleTimeoutOf(head.headers);
     m_headSeen = true;
     m_chunked = !bodyless && codings > 0;
     if (m_chunked) {
         takeOverBody();
+    } else if (isUnframed) {
+        m_reusable = false;
+        m_peerEnd->observeBody();
     }
     const std::shared_ptr<HttpCall::State> call = m_call;
     guarded("HTTP client", [&call, &head] { call->handlers.onHead(head); });
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -5,6 +5,7 @@
 #include "net/ChunkedDecoder.h"
 #include "net/HttpCall.h"
 #include "net/HttpClient.h"
+#include "net/PeerEnd.h"
 #include "net/ResponseHeadScanner.h"
 
 #include <event2/bufferevent.h>
@@ -73,14 +74,7 @@
     static void onRead(bufferevent *bev, void *arg);
     static void onWrite(bufferevent *bev, void *arg);
     static void onEvent(bufferevent *bev, short what, void *arg);
-    static void onSendEvent(bufferevent *bev, short what, void *arg);
 
-    /// Intercepts evhttp's callbacks while the request is being written. A server may respond and
-    /// close before it has read the whole request, for example with 413; evhttp would report the
-    /// close as a failure and discard the response.
-    void interceptSendEvents();
-    /// Discards the rest of the request and makes evhttp read the response.
-    void readEarlyResponse();
     bool acceptHead(evhttp_request *request);
     bool rejectHead(HttpStage stage, std::string reason);
     /// Replaces evhttp's callbacks, so that this class reads a chunked body.
@@ -95,6 +89,7 @@
     Destination m_destination;
     bufferevent *m_bufferEvent = nullptr;
     evhttp_connection *m_connection = nullptr;
+    std::unique_ptr<PeerEnd> m_peerEnd;
     event *m_timer = nullptr;
     bufferevent_data_cb m_evhttpRead = nullptr;
     bufferevent_data_cb m_evhttpWrite = nullptr;
@@ -116,8 +111,6 @@
     bool m_isStarting = false;
     bool m_anySent = false;
     bool m_allSent = false;
-    /// Whether the peer closed the connection before all of the request was sent.
-    bool m_closedWhileSending = false;
     bool m_headSeen = false;
     /// Number of interim responses (status 100) to the request in progress.
     int m_interimHeads = 0;
--- a/Tests/Support/RawSocket.h
+++ b/Tests/Support/RawSocket.h
@@ -79,6 +79,9 @@
         shutdown(bufferevent_getfd(m_bufferEvent), SHUT_RDWR);
         release();
     }
+    /// Closes the descriptor without shutting the connection down before, as most programs do. The
+    /// system sends a reset in place of the end of the stream if it has unread input.
+    void closeDescriptor() { release(); }
     /// Closes the connection with a TCP reset.
     void reset()
     {
