Gateway: Cancel the attempt that a further one replaces

Cause: CallerResponse relied on its caller to add no attempt beside another one, and a local reply that comes too late would still have ended the request.

Change: an added attempt cancels the one in progress; reply() tells whether it responded, and the request ends only then.

--- a/Source/gateway/CallerResponse.h
+++ b/Source/gateway/CallerResponse.h
@@ -67,7 +67,8 @@
 
     /// Whether no response has begun and the caller is still there.
     bool isOpen() const { return m_exchange != nullptr; }
-    /// Makes the attempt the current one; there must be none. Throws Error unless isOpen().
+    /// Makes the attempt the current one, and cancels the one before, if any. Throws Error unless
+    /// isOpen().
     Attempt &add(std::unique_ptr<Attempt> attempt);
     /// Returns the attempt in progress or, after the response has begun, the one that provided it;
     /// null if there is none.
@@ -81,9 +82,10 @@
     /// Makes the attempt that was kept the current one again, and cancels the one in progress.
     void restoreFallback();
 
-    /// Responds without a target. Does nothing unless isOpen().
-    void reply(int status, const HttpHeaders &headers, std::string_view body);
-    /// Responds with the response of the current attempt. Does nothing unless isOpen().
+    /// Responds without a target. Does nothing and returns false unless isOpen().
+    bool reply(int status, const HttpHeaders &headers, std::string_view body);
+    /// Responds with the response of the current attempt, which must exist. Does nothing unless
+    /// isOpen().
     void deliverCurrent(const EndedSlot &ended);
     /// Cancels all attempts, also the one that is being delivered.
     void close();
@@ -92,7 +94,7 @@
 
 private:
     /// Gives the right to respond away and cancels all attempts but the provider of the response,
-    /// which is null for a local reply.
+    /// which is null for a local reply. Returns null unless isOpen().
     std::shared_ptr<Exchange> begin(const Attempt *provider);
     void cancel(Attempt &attempt, CancelCause cause);
     /// Cancels the attempt and destroys it later, because it may be on the call stack.
--- a/Source/gateway/CallerResponseTemplate.h
+++ b/Source/gateway/CallerResponseTemplate.h
@@ -24,7 +24,7 @@
     if (!isOpen()) {
         throw Error("a further attempt was started after the response to the caller had begun");
     }
-    m_current = std::move(attempt);
+    retire(std::exchange(m_current, std::move(attempt)), CancelCause::GivenUp);
     return *m_current;
 }
 
@@ -47,12 +47,15 @@
 }
 
 template<TimerLoop Loop, ResponseExchange Exchange, ResponseAttempt<Exchange> Attempt>
-void BasicCallerResponse<Loop, Exchange, Attempt>::reply(int status, const HttpHeaders &headers,
+bool BasicCallerResponse<Loop, Exchange, Attempt>::reply(int status, const HttpHeaders &headers,
                                                          std::string_view body)
 {
-    if (const std::shared_ptr<Exchange> exchange = begin(nullptr)) {
-        exchange->reply(status, headers, body);
+    const std::shared_ptr<Exchange> exchange = begin(nullptr);
+    if (exchange == nullptr) {
+        return false;
     }
+    exchange->reply(status, headers, body);
+    return true;
 }
 
 template<TimerLoop Loop, ResponseExchange Exchange, ResponseAttempt<Exchange> Attempt>
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -455,15 +455,15 @@
                                  microseconds retryAfter)
 {
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
-    m_disconnectedConnection.disconnect();
     const milliseconds rounded = std::chrono::ceil<milliseconds>(retryAfter);
     m_retryAfter = rounded;
     const nlohmann::json body = { { "error", outcome },
                                   { "detail", reason },
                                   { "verdict", std::string(toString(m_verdict)) } };
-    m_response.reply(status, Platform::encodeLocalResponseHeaders(m_request.id, rounded),
-                     dumpJson(body));
-    end(outcome, status, reason);
+    if (m_response.reply(status, Platform::encodeLocalResponseHeaders(m_request.id, rounded),
+                         dumpJson(body))) {
+        end(outcome, status, reason);
+    }
 }
 
 void RoutedRequest::replyUnauthorized()
@@ -471,11 +471,11 @@
     static const std::string outcome = "unauthorized";
     static const std::string reason = "no known key of a workspace";
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
-    m_disconnectedConnection.disconnect();
     const nlohmann::json body = { { "error", outcome }, { "detail", reason } };
-    m_response.reply(HttpStatus::Unauthorized, Platform::encodeUnauthorizedHeaders(m_request.id),
-                     dumpJson(body));
-    end(outcome, HttpStatus::Unauthorized, reason);
+    if (m_response.reply(HttpStatus::Unauthorized,
+                         Platform::encodeUnauthorizedHeaders(m_request.id), dumpJson(body))) {
+        end(outcome, HttpStatus::Unauthorized, reason);
+    }
 }
 
 void RoutedRequest::onDeadline()
--- a/Tests/gateway/CallerResponseTest.cpp
+++ b/Tests/gateway/CallerResponseTest.cpp
@@ -206,12 +206,22 @@
     const SourceNumber first = run.add();
     run.deliver();
     run.deliver();
-    run.response().reply(503, {}, "");
+    EXPECT_FALSE(run.response().reply(503, {}, ""));
     EXPECT_THROW(run.add(), Error);
     EXPECT_THAT(run.exchange().parts, ElementsAre(first));
     EXPECT_EQ(run.begunCount(), 1);
 }
 
+// Guards against two attempts in progress, of which either could respond.
+TEST(CallerResponseTest, AddedAttemptCancelsTheOneInProgress)
+{
+    ResponseRun run;
+    run.add();
+    const SourceNumber second = run.add();
+    EXPECT_THAT(run.openAttempts(), ElementsAre(second));
+    EXPECT_THAT(run.cancelled(), ElementsAre(CancelCause::GivenUp));
+}
+
 // Guards against an attempt that goes on for a caller that has gone.
 TEST(CallerResponseTest, AttemptsEndWithTheCaller)
 {
