Gateway, Net: Keep one copy of what ends a request and a call

RoutedRequest::end() repeated what happens when a response begins; both call stopTrying(). PeerEnd kept a flag that follows from its state. abandon() and fail() reset and discarded the connection in the same lines; both call reset().

--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -61,7 +61,7 @@
     , m_arrivedAt(context.loop.now())
     , m_table(context.state.table())
     , m_response(
-              context.loop, exchange, [this] { onResponseBegun(); },
+              context.loop, exchange, [this] { stopTrying(); },
               [this](const TargetAttempt &attempt, CancelCause cause) {
                   onAttemptCancelled(attempt, cause);
               })
@@ -409,7 +409,7 @@
     m_response.deliverCurrent([this, status] { end("answered", status, ""); });
 }
 
-void RoutedRequest::onResponseBegun()
+void RoutedRequest::stopTrying()
 {
     m_deadlineTimer.reset();
     m_retryTimer.reset();
@@ -504,12 +504,10 @@
     if (self == nullptr) {
         return;
     }
-    endTrial();
+    stopTrying();
     if (m_tokenOf.has_value() && m_response.current() == nullptr && m_verdict == Verdict::NotRun) {
         m_context.usageCaps.giveBack(*m_tokenOf, m_context.loop.now());
     }
-    m_deadlineTimer.reset();
-    m_retryTimer.reset();
     m_disconnectedConnection.disconnect();
     const microseconds duration = m_context.loop.now() - m_arrivedAt;
     const RouteName route = m_route == nullptr ? RouteName("none") : m_route->name;
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -58,8 +58,9 @@
     bool mayRetry(const TargetAttempt &attempt);
     /// Passes the response of the current attempt on to the caller.
     void deliver();
-    /// Ends what could lead to another response: timers and the permit for a trial.
-    void onResponseBegun();
+    /// Ends what could lead to a response: timers and the permit for a trial. Called when a
+    /// response begins, and when the request ends without one.
+    void stopTrying();
     void onAttemptCancelled(const TargetAttempt &attempt, CancelCause cause);
     /// Ends the request with the failure response of an earlier attempt if one was kept, otherwise
     /// with a failure response of this entry.
--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -290,6 +290,11 @@
 void HttpClientConnection::abandon()
 {
     m_call.reset();
+    reset();
+}
+
+void HttpClientConnection::reset()
+{
     bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
     // After a regular close the system would still deliver a request that it has not sent, and the
     // peer would work on it.
@@ -394,10 +399,8 @@
     m_call.reset();
     const bool starting = m_isStarting;
     HttpClient::State *client = m_client;
-    bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
-    resetConnection(bufferevent_getfd(m_bufferEvent));
     // This call may destroy the connection, so that no member is used after it.
-    client->discard(*this);
+    reset();
     if (call == nullptr) {
         return;
     }
@@ -434,8 +437,8 @@
 {
     HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
     const evutil_socket_t fd = bufferevent_getfd(self->m_bufferEvent);
-    if (fd < 0 || self->m_closing || self->m_peerEnd->hasEndedWhileSending()) {
-        // evhttp drains the buffer after it has closed the socket; these bytes were not sent.
+    if (fd < 0 || self->m_closing || !self->m_peerEnd->isOpen()) {
+        // The buffer is also drained once the connection has ended; these bytes were not sent.
         return;
     }
     if (info->n_added > 0 && !self->m_connected) {
@@ -496,8 +499,7 @@
     int codings = 0;
     bool lengthValid = true;
     bool codingValid = true;
-    m_reusable =
-            request->major == 1 && request->minor >= 1 && m_peerEnd->state() == PeerEndState::Open;
+    m_reusable = request->major == 1 && request->minor >= 1 && m_peerEnd->isOpen();
     for (const HttpHeaders::Field &field : head.headers.fields()) {
         if (!isHttpToken(field.first) || !isHttpFieldValue(field.second)) {
             return rejectHead(HttpStage::AwaitHeaders, "malformed header field");
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -82,6 +82,8 @@
     void decodeBody();
     void timeOut();
     void fail(bool timedOut, const std::string &reason);
+    /// Ends the connection with a reset. May destroy this object.
+    void reset();
     HttpStage stage() const;
     void armTimer(microseconds delay);
 
--- a/Source/net/PeerEnd.cpp
+++ b/Source/net/PeerEnd.cpp
@@ -57,7 +57,7 @@
 
 void PeerEnd::record(short what)
 {
-    if (m_state != PeerEndState::Open) {
+    if (!isOpen()) {
         return;
     }
     if ((what & BEV_EVENT_ERROR) != 0) {
@@ -84,12 +84,11 @@
     PeerEnd *self = static_cast<PeerEnd *>(arg);
     self->record(what);
     bufferevent_setcb(bev, nullptr, self->m_evhttp.write, self->m_evhttp.event, self->m_connection);
-    if (self->m_state == PeerEndState::Open) {
+    if (self->isOpen()) {
         self->m_evhttp.event(bev, what, self->m_connection);
         return;
     }
     self->logEndOfUpload(what);
-    self->m_endedWhileSending = true;
     self->discardOutput();
     // With nothing left to write, evhttp starts to read the response. If there is none, evhttp
     // reads the end of the connection again and reports a failure.
--- a/Source/net/PeerEnd.h
+++ b/Source/net/PeerEnd.h
@@ -30,6 +30,7 @@
     PeerEnd &operator=(const PeerEnd &) = delete;
 
     PeerEndState state() const { return m_state; }
+    bool isOpen() const { return m_state == PeerEndState::Open; }
     /// Intercepts evhttp's callbacks while a request is being written. A server may respond and end
     /// its stream before it has read the whole request, for example with 413; evhttp would report
     /// that as a failure and discard the response. The rest of the request is discarded instead,
@@ -38,8 +39,6 @@
     /// Intercepts evhttp's callbacks while it reads a body that ends with the connection, from the
     /// header callback on.
     void observeBody();
-    /// Whether the peer ended the connection before all of a request was written.
-    bool hasEndedWhileSending() const { return m_endedWhileSending; }
 
 private:
     /// Callbacks of evhttp that are called in turn.
@@ -67,7 +66,6 @@
     ConnectionUse m_use;
     Callbacks m_evhttp;
     PeerEndState m_state = PeerEndState::Open;
-    bool m_endedWhileSending = false;
 };
 
 } // namespace Tarragon
