--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -5,6 +5,7 @@
 #include "net/Guard.h"
 #include "net/HttpCallState.h"
 #include "net/HttpClientState.h"
+#include "net/HttpResponseFraming.h"
 #include "net/HttpSyntax.h"
 #include "net/SocketReset.h"
 
@@ -57,8 +58,6 @@
 /// Maximum number of interim responses to one request; a server needs one to ask for the body.
 constexpr int MaxInterimHeads = 8;
 constexpr int MinFinalStatus = 200;
-constexpr int NoContent = 204;
-constexpr int NotModified = 304;
 constexpr int MaxStatus = 599;
 
 /// Passes the buffer's contiguous blocks to the function and removes them, until the buffer is
@@ -107,45 +106,6 @@
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMs, sizeof TcpUserTimeoutMs);
 }
 
-/// Whether the text starts with the status code of a status line.
-bool startsWithStatusCode(std::string_view text)
-{
-    static constexpr std::size_t CodeLength = 3;
-    return text.size() >= CodeLength && (text.size() == CodeLength || text[CodeLength] == ' ')
-           && std::all_of(text.begin(), text.begin() + CodeLength,
-                          [](char ch) { return ch >= '0' && ch <= '9'; });
-}
-
-/// Whether the text contains a status line.
-bool containsStatusLine(std::string_view text)
-{
-    static constexpr std::string_view Protocol = "HTTP/1.";
-    static constexpr std::size_t VersionLength = 2; // a digit and a space
-    for (std::size_t at = text.find(Protocol); at != std::string_view::npos;
-         at = text.find(Protocol, at + 1)) {
-        const std::string_view rest = text.substr(at + Protocol.size());
-        if (rest.size() > VersionLength && startsWithStatusCode(rest.substr(VersionLength))) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/// Whether the head contains the status line of another one: the peer has broken off a response and
-/// then sent another. The status and first fields are those of the former.
-bool isSplicedHead(const evhttp_request &request)
-{
-    const char *line = request.response_code_line;
-    const std::string_view phrase = line == nullptr ? std::string_view() : line;
-    // A status line that is broken off after its code takes the next one's version into the code.
-    bool isSpliced = startsWithStatusCode(phrase) || containsStatusLine(phrase);
-    for (const evkeyval *it = request.input_headers->tqh_first; it != nullptr;
-         it = it->next.tqe_next) {
-        isSpliced = isSpliced || containsStatusLine(it->value);
-    }
-    return isSpliced;
-}
-
 /// Returns how long a connection may stay idle. The Keep-Alive header states the peer's timeout in
 /// whole seconds.
 microseconds idleTimeoutOf(const HttpHeaders &headers)
@@ -489,40 +449,14 @@
     if (status < MinFinalStatus || status > MaxStatus) {
         return rejectHead(HttpStage::AwaitHeaders, "unexpected status " + std::to_string(status));
     }
-    if (isSplicedHead(*request)) {
-        return rejectHead(HttpStage::AwaitHeaders, "response head within a response head");
-    }
     HttpResponseHead head;
     head.status = status;
     head.headers = copyHeaders(request->input_headers);
-    int lengths = 0;
-    int codings = 0;
-    bool lengthValid = true;
-    bool codingValid = true;
-    m_reusable = request->major == 1 && request->minor >= 1 && m_peerEnd->isOpen();
-    for (const HttpHeaders::Field &field : head.headers.fields()) {
-        if (!isHttpToken(field.first) || !isHttpFieldValue(field.second)) {
-            return rejectHead(HttpStage::AwaitHeaders, "malformed header field");
-        }
-        if (equalsIgnoringCase(field.first, "Content-Length")) {
-            ++lengths;
-            lengthValid = lengthValid && parseContentLength(field.second).has_value();
-        } else if (equalsIgnoringCase(field.first, "Transfer-Encoding")) {
-            ++codings;
-            codingValid = codingValid && equalsIgnoringCase(field.second, "chunked");
-        } else if (equalsIgnoringCase(field.first, "Connection")
-                   && hasListToken(field.second, "close")) {
-            m_reusable = false;
-        }
-    }
-    if (!lengthValid || lengths > 1 || !codingValid || codings > 1
-        || (lengths > 0 && codings > 0)) {
-        return rejectHead(HttpStage::AwaitHeaders,
-                          "contradictory or unknown framing of the response");
+    const HttpResponseFraming framing = checkResponseHead(*request, head.headers);
+    if (!framing.rejectReason.empty()) {
+        return rejectHead(HttpStage::AwaitHeaders, std::string(framing.rejectReason));
     }
-    const bool bodyless =
-            request->type == EVHTTP_REQ_HEAD || status == NoContent || status == NotModified;
-    const bool isUnframed = !bodyless && lengths == 0 && codings == 0;
+    const bool isUnframed = framing.bodyEnd == BodyEnd::ConnectionEnd;
     if (isUnframed && !m_acceptUnframed) {
         return rejectHead(HttpStage::Body, "response has neither Content-Length nor chunked "
                                            "coding, truncation cannot be detected");
@@ -531,13 +465,13 @@
         return rejectHead(HttpStage::Body, "response has neither Content-Length nor chunked "
                                            "coding, and its connection did not end in order");
     }
+    m_reusable = framing.isKeepAlive && m_peerEnd->isOpen();
     m_idleTimeout = idleTimeoutOf(head.headers);
     m_headSeen = true;
-    m_chunked = !bodyless && codings > 0;
+    m_chunked = framing.bodyEnd == BodyEnd::LastChunk;
     if (m_chunked) {
         takeOverBody();
     } else if (isUnframed) {
-        m_reusable = false;
         m_peerEnd->observeBody();
     }
     const std::shared_ptr<HttpCall::State> call = m_call;
