Gateway: Log responses that break off as broken-off

Callers saw part of a response and a reset. The request's log line and metrics said answered, status 200, and the line was sampled away like that of a success, so that nothing could show such an end.

The outcome is broken-off now, with the reason. RequestLogTest.ResponsesThatBreakOffAreLoggedAsSuch holds it.

--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -406,7 +406,14 @@
 void RoutedRequest::deliver()
 {
     const int status = m_response.current()->status();
-    m_response.deliverCurrent([this, status] { end("answered", status, ""); });
+    m_response.deliverCurrent([this, status] {
+        const TargetAttempt &attempt = *m_response.current();
+        if (attempt.isBroken()) {
+            end("broken-off", status, attempt.reason());
+        } else {
+            end("answered", status, "");
+        }
+    });
 }
 
 void RoutedRequest::stopTrying()
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -47,6 +47,8 @@
     /// What the response head states; all fields are empty if no head was received.
     const Platform::TargetResponse &response() const { return m_response; }
     const std::string &reason() const { return m_reason; }
+    /// Whether the response broke off after its head.
+    bool isBroken() const { return m_isBroken; }
     /// Whether the connection ended before the target answered a request that had been sent, so
     /// that the target may have ended.
     bool hasLostConnection() const { return m_hasLostConnection; }
--- a/Tests/gateway/RequestLogTest.cpp
+++ b/Tests/gateway/RequestLogTest.cpp
@@ -3,6 +3,8 @@
 #include "GatewayFixture.h"
 #include "net/LogWriter.h"
 
+#include <gmock/gmock.h>
+
 #include <array>
 
 #include <fcntl.h>
@@ -95,6 +97,21 @@
                                         "sealed=false ", "notExecuted=true " });
 }
 
+// Guards against a response that broke off being logged, counted and sampled like a complete one.
+TEST_F(RequestLogTest, ResponsesThatBreakOffAreLoggedAsSuch)
+{
+    adoptTable();
+    addTarget("t1", [](RawSocket &socket, const std::string &) {
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n" + sealed() + "\r\n"
+                    + std::string(40'000, 'x'));
+        socket.closeAfterSending();
+    });
+    EXPECT_TRUE(get("/read/1").failure.has_value());
+    expectKeys(lineOf("request"), { "request=a1", "target=t1", "outcome=broken-off", "status=200",
+                                    "verdict=ran", "reason=" });
+    EXPECT_THAT(m_metrics.text(), testing::HasSubstr("outcome=\"broken-off\""));
+}
+
 // Guards against a timeout whose log line does not name the target.
 TEST_F(RequestLogTest, TimeoutsLogTheTarget)
 {
