Net: Log and count input that no handler gets

Nothing told how a whole request could end without an answer or a refusal. Closes with input that no handler got are logged with their cause, the time without progress, the idle limit in force and the id of the request, and counted; idle connections that are closed within the limit are logged and counted apart; and a loop that was held up is logged. Ends of connections are counted by cause.

The logic is unchanged.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -16,6 +16,7 @@
 #include "net/MemoryMetrics.h"
 #include "platform/LookupCodec.h"
 #include "platform/RegistryDecoder.h"
+#include "platform/RequestCodec.h"
 #include "platform/RouteTableDecoder.h"
 #include "routing/EntryChoice.h"
 
@@ -31,6 +32,9 @@
 
 /// Period of the tick that checks retained targets, entry counts and the shutdown.
 constexpr milliseconds TickPeriod{ 100 };
+/// Delay of the tick from which on it is logged. Callers that keep a connection for four fifths of
+/// the shortest idle limit, 1 s, are within 200 ms of its end.
+constexpr milliseconds LoggedLoopLag{ 200 };
 /// Batch time of target changes. Targets change most often, many of them at the same time. The
 /// pause is a fifth of 2.5 s, the shortest time within which a leaving target must no longer
 /// receive requests.
@@ -184,6 +188,7 @@
     m_lookup = std::make_unique<HttpServer>(
             m_loop, m_settings.lookup.address, m_settings.lookup.port, HttpServerLimits{},
             [this](const HttpExchangePtr &exchange) { answerLookup(exchange); });
+    ConnectionCloses::ofProcess().setRequestIdField(Platform::requestIdField());
     m_metricsServer = std::make_unique<HttpServer>(
             m_loop, m_settings.metrics.address, m_settings.metrics.port, HttpServerLimits{},
             [this](const HttpExchangePtr &exchange) {
@@ -491,7 +496,11 @@
         logTargetChanges(dispatcher->takeTargetChanges());
     }
     m_membership.setServing(isReady());
-    m_metrics.recordLoopLag(now - m_lastTickAt - TickPeriod);
+    const microseconds lag = now - m_lastTickAt - TickPeriod;
+    m_metrics.recordLoopLag(lag);
+    if (lag >= LoggedLoopLag) {
+        LOG4CPLUS_WARN(logger(), LogLine("gateway", "loop-held-up").add("lagMs", lag).text());
+    }
     m_lastTickAt = now;
     checkShutdown();
 }
--- a/Source/net/ConnectionCloses.cpp
+++ b/Source/net/ConnectionCloses.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr seconds LogPeriod{ 1 };
+/// Maximum number of lines on unprocessed input in a period. Each names a request, so that more
+/// than one is wanted.
+constexpr int MaxUnprocessedLines = 20;
 
 const log4cplus::Logger &logger()
 {
@@ -46,6 +49,53 @@
     return instance;
 }
 
+void ConnectionCloses::recordEnd(const ClosedConnection &closed, MonotonicTime now)
+{
+    ++m_counts.byCause[std::size_t(closed.cause)];
+    if (closed.cause != CloseCause::Idle || closed.idleTime >= closed.idleTimeout) {
+        return;
+    }
+    ++m_counts.early;
+    if (now < m_nextEarlyLogAt) {
+        return;
+    }
+    m_nextEarlyLogAt = now + LogPeriod;
+    LOG4CPLUS_WARN(logger(), LogLine("net", "closed-early")
+                                     .add("idleMs", closed.idleTime)
+                                     .add("limitMs", closed.idleTimeout)
+                                     .add("earlyCloses", m_counts.early)
+                                     .text());
+}
+
+void ConnectionCloses::recordUnprocessed(const ClosedConnection &closed,
+                                         const UnprocessedInput &input, MonotonicTime now)
+{
+    if (input.size() == 0) {
+        return;
+    }
+    ++m_counts.unprocessed;
+    m_counts.unprocessedRequests += input.hasWholeHead() ? 1 : 0;
+    if (now - m_unprocessedSince >= LogPeriod) {
+        m_unprocessedSince = now;
+        m_unprocessedLines = 0;
+    }
+    if (++m_unprocessedLines > MaxUnprocessedLines) {
+        return;
+    }
+    LogLine line("net", "input-unprocessed");
+    line.add("cause", toString(closed.cause))
+            .add("idleMs", closed.idleTime)
+            .add("limitMs", closed.idleTimeout)
+            .add("bytes", input.size())
+            .add("wholeHead", input.hasWholeHead());
+    const std::string id = input.headerValue(m_requestIdField);
+    if (!id.empty()) {
+        line.add("request", id);
+    }
+    line.add("closes", m_counts.unprocessed);
+    LOG4CPLUS_WARN(logger(), line.text());
+}
+
 void ConnectionCloses::recordSocket(evutil_socket_t fd, CloseCause cause, MonotonicTime now)
 {
     if (!hasPeerFinished(fd)) {
@@ -76,8 +126,23 @@
 
 std::string ConnectionCloses::metricsText(const std::string &prefix) const
 {
-    return metricText(prefix + "_closes_total", "counter",
-                      "Connections of clients that this process closed", m_counts.closes)
+    std::string byCause;
+    for (const CloseCause it : CloseCauses) {
+        byCause += prefix + "_ends_total{cause=\"" + std::string(toString(it)) + "\"} "
+                   + std::to_string(m_counts.byCause[std::size_t(it)]) + "\n";
+    }
+    return "# HELP " + prefix + "_ends_total Connections of clients that this process ended\n"
+           + "# TYPE " + prefix + "_ends_total counter\n" + byCause
+           + metricText(prefix + "_early_closes_total", "counter",
+                        "Idle connections closed before the idle timeout in force", m_counts.early)
+           + metricText(prefix + "_unprocessed_closes_total", "counter",
+                        "Closes of connections with input that was not processed",
+                        m_counts.unprocessed)
+           + metricText(prefix + "_unprocessed_requests_total", "counter",
+                        "Closes of connections whose unprocessed input has a whole request head",
+                        m_counts.unprocessedRequests)
+           + metricText(prefix + "_closes_total", "counter",
+                        "Connections of clients that this process closed", m_counts.closes)
            + metricText(prefix + "_unacknowledged_closes_total", "counter",
                         "Closes of connections whose client may not have received all responses",
                         m_counts.unacknowledged)
--- a/Source/net/ConnectionEnd.cpp
+++ b/Source/net/ConnectionEnd.cpp
@@ -59,7 +59,14 @@
 void ConnectionEnd::reset(CloseCause cause)
 {
     const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
-    ConnectionCloses::ofProcess().recordSocket(fd, cause, m_server.loop.now());
+    const MonotonicTime now = m_server.loop.now();
+    const ClosedConnection closed = closedConnection(cause, m_account, now);
+    ConnectionCloses &closes = ConnectionCloses::ofProcess();
+    UnprocessedInput unread;
+    unread.addUnread(fd);
+    closes.recordEnd(closed, now);
+    closes.recordUnprocessed(closed, unread, now);
+    closes.recordSocket(fd, cause, now);
     m_isReset = true;
     // A regular close would look like the end of a body that is delimited by the end of the
     // connection.
@@ -69,22 +76,31 @@
     close();
 }
 
+ClosedConnection ConnectionEnd::closedConnection(CloseCause cause, const ConnectionAccount &account,
+                                                 MonotonicTime now) const
+{
+    return { cause, now - account.lastProgress(), m_server.limits.idleTimeout };
+}
+
 void ConnectionEnd::handOver(CloseCause cause, std::unique_ptr<ConnectionAccount> account)
 {
     const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
+    const MonotonicTime now = m_server.loop.now();
+    const ClosedConnection closed = closedConnection(cause, *account, now);
     const bool hasLingered = hasBegun();
     // libevent must remove its events before evhttp closes the descriptor.
     m_lingering.reset();
     if (m_isReset || hasPeerFinished(fd)) {
         return;
     }
+    ConnectionCloses::ofProcess().recordEnd(closed, now);
     if (hasLingered || m_server.isEnding) {
-        ConnectionCloses::ofProcess().recordSocket(fd, cause, m_server.loop.now());
+        ConnectionCloses::ofProcess().recordSocket(fd, cause, now);
         return;
     }
     // evhttp still shuts down the sending direction; the bufferevent closes no descriptor then.
     bufferevent_setfd(m_bufferEvent, -1);
-    m_server.lingering.add(fd, cause, std::move(account), m_server.limits.linger);
+    m_server.lingering.add(fd, closed, std::move(account), m_server.limits.linger);
 }
 
 } // namespace Tarragon
--- a/Source/net/ConnectionEnd.h
+++ b/Source/net/ConnectionEnd.h
@@ -45,6 +45,8 @@
 private:
     /// Stops the bufferevent and returns what it has not written.
     std::string takeOutput();
+    ClosedConnection closedConnection(CloseCause cause, const ConnectionAccount &account,
+                                      MonotonicTime now) const;
     void linger(std::string pending, StreamEnd streamEnd, const CloseSlot &ended);
 
     HttpServer::State &m_server;
--- a/Source/net/LingeringConnections.cpp
+++ b/Source/net/LingeringConnections.cpp
@@ -11,27 +11,33 @@
 LingeringConnections::~LingeringConnections()
 {
     while (!m_connections.empty()) {
-        close(m_connections.begin()->first, CloseCause::ServerEnd);
+        m_connections.begin()->second.closed.cause = CloseCause::ServerEnd;
+        close(m_connections.begin()->first);
     }
 }
 
-void LingeringConnections::add(evutil_socket_t fd, CloseCause cause,
+void LingeringConnections::add(evutil_socket_t fd, const ClosedConnection &closed,
                                std::unique_ptr<ConnectionAccount> account,
                                const LingerLimits &limits)
 {
     account->clearBuffered();
     account->setBusy(false);
-    account->setEvict([this, fd] { close(fd, CloseCause::Eviction); });
+    account->setEvict([this, fd] {
+        m_connections.at(fd).closed.cause = CloseCause::Eviction;
+        close(fd);
+    });
     ConnectionAccount &counted = *account;
+    std::unique_ptr<UnprocessedInput> discarded = std::make_unique<UnprocessedInput>();
     std::unique_ptr<LingeringClose> lingering = std::make_unique<LingeringClose>(
-            m_loop, LingeringSocket(m_loop.base(), fd), std::string(), StreamEnd::Shutdown, limits,
-            [this, fd, cause](LingerResult) { close(fd, cause); });
+            m_loop, LingeringSocket(m_loop.base(), fd, discarded.get()), std::string(),
+            StreamEnd::Shutdown, limits, [this, fd](LingerResult) { close(fd); });
     lingering->progressed().connect([this, &counted] { counted.onProgress(m_loop.now()); });
     ConnectionCloses::ofProcess().addLingering();
-    m_connections.emplace(fd, Connection{ cause, std::move(account), std::move(lingering) });
+    m_connections.emplace(fd, Connection{ closed, std::move(account), std::move(discarded),
+                                          std::move(lingering) });
 }
 
-void LingeringConnections::close(evutil_socket_t fd, CloseCause cause)
+void LingeringConnections::close(evutil_socket_t fd)
 {
     const auto it = m_connections.find(fd);
     Connection connection = std::move(it->second);
@@ -39,7 +45,10 @@
     // libevent must remove its events before the descriptor can be used again.
     connection.close.reset();
     ConnectionCloses::ofProcess().removeLingering();
-    ConnectionCloses::ofProcess().recordSocket(fd, cause, m_loop.now());
+    connection.discarded->addUnread(fd);
+    ConnectionCloses &closes = ConnectionCloses::ofProcess();
+    closes.recordUnprocessed(connection.closed, *connection.discarded, m_loop.now());
+    closes.recordSocket(fd, connection.closed.cause, m_loop.now());
     evutil_closesocket(fd);
 }
 
--- a/Source/net/LingeringConnections.h
+++ b/Source/net/LingeringConnections.h
@@ -25,20 +25,21 @@
     LingeringConnections &operator=(const LingeringConnections &) = delete;
 
     /// Takes ownership of a socket to which nothing further is written, and of its account.
-    void add(evutil_socket_t fd, CloseCause cause, std::unique_ptr<ConnectionAccount> account,
-             const LingerLimits &limits);
+    void add(evutil_socket_t fd, const ClosedConnection &closed,
+             std::unique_ptr<ConnectionAccount> account, const LingerLimits &limits);
     bool isEmpty() const { return m_connections.empty(); }
     std::size_t size() const { return m_connections.size(); }
 
 private:
     struct Connection
     {
-        CloseCause cause;
+        ClosedConnection closed;
         std::unique_ptr<ConnectionAccount> account;
+        std::unique_ptr<UnprocessedInput> discarded;
         std::unique_ptr<LingeringClose> close;
     };
 
-    void close(evutil_socket_t fd, CloseCause cause);
+    void close(evutil_socket_t fd);
 
     EventLoop &m_loop;
     std::unordered_map<evutil_socket_t, Connection> m_connections;
--- a/Source/net/LingeringSocket.cpp
+++ b/Source/net/LingeringSocket.cpp
@@ -23,14 +23,16 @@
 
 } // namespace
 
-LingeringSocket::LingeringSocket(event_base *base, evutil_socket_t fd)
+LingeringSocket::LingeringSocket(event_base *base, evutil_socket_t fd, UnprocessedInput *discarded)
     : m_base(base)
     , m_fd(fd)
+    , m_discarded(discarded)
 {}
 
 LingeringSocket::LingeringSocket(LingeringSocket &&other) noexcept
     : m_base(other.m_base)
     , m_fd(other.m_fd)
+    , m_discarded(other.m_discarded)
 {}
 
 LingeringSocket::~LingeringSocket()
@@ -63,6 +65,9 @@
             break;
         }
         result.bytes += std::size_t(n);
+        if (m_discarded != nullptr) {
+            m_discarded->add(std::string_view(buf.data(), std::size_t(n)));
+        }
     }
     return result;
 }
--- a/Source/net/LingeringSocket.h
+++ b/Source/net/LingeringSocket.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/UnprocessedInput.h"
+
 #include <event2/util.h>
 #include <sigc++/sigc++.h>
 
@@ -34,7 +36,9 @@
 class LingeringSocket
 {
 public:
-    LingeringSocket(event_base *base, evutil_socket_t fd);
+    /// Adds what is discarded to the given input, which must outlive the object; null for input
+    /// that belongs to a request with a response.
+    LingeringSocket(event_base *base, evutil_socket_t fd, UnprocessedInput *discarded = nullptr);
     ~LingeringSocket();
     LingeringSocket(LingeringSocket &&other) noexcept;
     LingeringSocket &operator=(LingeringSocket &&) = delete;
@@ -56,6 +60,7 @@
 
     event_base *m_base;
     evutil_socket_t m_fd;
+    UnprocessedInput *m_discarded;
     event *m_event = nullptr;
     short m_watched = 0;
     sigc::slot<void()> m_callback;
--- a/Tests/Support/GatewayProcess.h
+++ b/Tests/Support/GatewayProcess.h
@@ -15,25 +15,35 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 namespace Tarragon {
 
+/// What a GatewayProcess logs.
+struct GatewayLogOptions
+{
+    std::string level = "ERROR";
+    /// File to which the log is written; empty for the standard output of the test.
+    std::filesystem::path file;
+};
+
 /// A gateway that runs as a child process on free ports of the loopback address. The destructor
 /// ends it.
 class GatewayProcess
 {
 public:
-    explicit GatewayProcess(std::uint16_t storePort)
+    explicit GatewayProcess(std::uint16_t storePort, const GatewayLogOptions &log = {})
         : m_front(freePort())
         , m_file(std::filesystem::temp_directory_path()
-                 / ("flood-" + std::to_string(getpid()) + "-" + std::to_string(m_front)))
+                 / ("gateway-" + std::to_string(getpid()) + "-" + std::to_string(m_front)))
     {
         std::ofstream settings(m_file);
         settings << "instance: e1\nfailureDomain: d1\nregion: r1\nfailureDomains: { d1: r1 }\n"
                  << "front: \"127.0.0.1:" << m_front << "\"\n"
-                 << "store: \"127.0.0.1:" << storePort << "\"\nlog:\n  level: ERROR\n";
+                 << "store: \"127.0.0.1:" << storePort << "\"\nlog:\n  level: " << log.level
+                 << "\n";
         for (const char *key : { "readiness", "lookup", "rpc", "metrics" }) {
             settings << key << ": \"127.0.0.1:" << freePort() << "\"\n";
         }
@@ -42,8 +52,16 @@
         std::array<std::string, 4> words = { program, "gateway", "--settings", m_file.string() };
         std::array<char *, 5> arguments = { words[0].data(), words[1].data(), words[2].data(),
                                             words[3].data(), nullptr };
-        EXPECT_EQ(posix_spawn(&m_pid, program.c_str(), nullptr, nullptr, arguments.data(), environ),
-                  0);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        if (!log.file.empty()) {
+            posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.file.c_str(),
+                                             O_WRONLY | O_CREAT | O_TRUNC, S_IRUSR | S_IWUSR);
+        }
+        EXPECT_EQ(
+                posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments.data(), environ),
+                0);
+        posix_spawn_file_actions_destroy(&actions);
     }
     ~GatewayProcess()
     {
@@ -62,6 +80,10 @@
         m_hasEnded = m_hasEnded || waitpid(m_pid, nullptr, WNOHANG) != 0;
         return !m_hasEnded;
     }
+    /// Stops the process as a debugger or a suspended machine does.
+    void pause() const { kill(m_pid, SIGSTOP); }
+    /// Lets the process go on after pause().
+    void resume() const { kill(m_pid, SIGCONT); }
     /// Returns the largest resident memory so far, in bytes; 0 if the process has ended.
     std::size_t peakMemory() const
     {
--- a/Tests/Support/PromptCaller.h
+++ b/Tests/Support/PromptCaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Support/LoopbackAddress.h"
+#include "net/SocketQueues.h"
 
 #include <gtest/gtest.h>
 
@@ -65,6 +66,8 @@
         return n != 0 && !m_isReset;
     }
     const std::string &received() const { return m_received; }
+    /// Whether the server has reset the connection, also if it had ended its stream before.
+    bool isDisconnected() const { return Tarragon::isDisconnected(m_fd); }
     /// Whether receive() has found that the server reset the connection.
     bool isReset() const { return m_isReset; }
 
--- a/Tests/Support/RawSocket.h
+++ b/Tests/Support/RawSocket.h
@@ -89,6 +89,7 @@
         setsockopt(bufferevent_getfd(m_bufferEvent), SOL_SOCKET, SO_LINGER, &now, sizeof now);
         release();
     }
+    evutil_socket_t descriptor() const { return bufferevent_getfd(m_bufferEvent); }
     void stopReading() { bufferevent_disable(m_bufferEvent, EV_READ); }
     void startReading() { bufferevent_enable(m_bufferEvent, EV_READ); }
     std::size_t unsentBytes() const
--- a/Tests/flood/FloodTest.cpp
+++ b/Tests/flood/FloodTest.cpp
@@ -1,7 +1,7 @@
 #include "FloodClient.h"
-#include "GatewayProcess.h"
 
 #include "StandIns/platform/StandInStore.h"
+#include "Support/GatewayProcess.h"
 #include "Support/LoopTest.h"
 #include "net/HttpClient.h"
 
