Tests: Show requests that are lost when their connection counts as idle

In one process with sockets: connections beyond the first poll are closed although their requests lie in the sockets, and a request that crosses a close is read and discarded.

--- /dev/null
+++ b/Tests/net/IdleTimeoutTest.cpp
@@ -0,0 +1,143 @@
+// Requests that arrive while the connection's time is running out, or has run out without the
+// server noticing.
+
+#include "Support/LoopTest.h"
+#include "Support/PromptCaller.h"
+#include "net/ConnectionCloses.h"
+#include "net/HttpServer.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Tarragon {
+namespace {
+
+constexpr std::string_view Get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr milliseconds IdleTimeout{ 100 };
+constexpr seconds RaisedTimeout{ 60 };
+
+class IdleTimeoutTest : public LoopTest
+{
+protected:
+    IdleTimeoutTest() { m_limits.idleTimeout = IdleTimeout; }
+
+    std::unique_ptr<HttpServer> serve()
+    {
+        return std::make_unique<HttpServer>(
+                m_loop, "127.0.0.1", 0, m_limits,
+                [](const HttpExchangePtr &exchange) { exchange->reply(200, {}, "done"); });
+    }
+
+    /// Returns the number of responses that a caller has received.
+    static std::size_t responses(const PromptCaller &caller)
+    {
+        std::size_t n = 0;
+        for (std::size_t at = caller.received().find("done"); at != std::string::npos;
+             at = caller.received().find("done", at + 1)) {
+            ++n;
+        }
+        return n;
+    }
+
+    /// Sends a request and waits for the response.
+    void askOnce(PromptCaller &caller)
+    {
+        const std::size_t n = responses(caller);
+        caller.send(Get);
+        runUntil([&caller, n] {
+            caller.receive();
+            return responses(caller) > n;
+        });
+    }
+
+    /// Waits until a connection that starts to be idle now has been closed.
+    void awaitIdleTimeout()
+    {
+        const std::unique_ptr<HttpServer> server = serve();
+        PromptCaller caller(server->port());
+        askOnce(caller);
+        runUntil([&caller] { return !caller.receive(); });
+    }
+
+    /// Blocks the loop until the idle timeout of all connections has passed.
+    void holdUpLoop()
+    {
+        const MonotonicTime end = m_loop.now() + 2 * IdleTimeout;
+        while (m_loop.now() < end) {
+        }
+    }
+
+    HttpServerLimits m_limits;
+};
+
+// Guards against connections that are closed as idle after a pause although requests have arrived
+// in time. There are more of them than libevent returns from one poll.
+TEST_F(IdleTimeoutTest, RequestsThatArrivedDuringAPauseAreAnswered)
+{
+    static constexpr std::size_t Count = 200;
+    m_limits.idleTimeout = RaisedTimeout;
+    const std::unique_ptr<HttpServer> server = serve();
+    std::vector<std::unique_ptr<PromptCaller>> callers;
+    for (std::size_t i = 0; i < Count; ++i) {
+        callers.push_back(std::make_unique<PromptCaller>(server->port()));
+        askOnce(*callers.back());
+    }
+    m_limits.idleTimeout = IdleTimeout;
+    server->setLimits(m_limits);
+    for (const std::unique_ptr<PromptCaller> &it : callers) {
+        askOnce(*it);
+    }
+    m_loop.post([&] {
+        for (const std::unique_ptr<PromptCaller> &it : callers) {
+            it->send(Get);
+        }
+        holdUpLoop();
+    });
+    std::size_t open = Count;
+    runUntil([&] {
+        open = 0;
+        std::size_t ended = 0;
+        for (const std::unique_ptr<PromptCaller> &it : callers) {
+            const bool isOpen = it->receive();
+            open += isOpen || responses(*it) == 3 ? 1 : 0;
+            ended += !isOpen || responses(*it) == 3 ? 1 : 0;
+        }
+        return ended == Count;
+    });
+    EXPECT_EQ(open, Count);
+}
+
+// Guards against a raised idle timeout that does not hold for connections that are idle already.
+TEST_F(IdleTimeoutTest, RaisedTimeoutHoldsForIdleConnections)
+{
+    const std::unique_ptr<HttpServer> server = serve();
+    PromptCaller caller(server->port());
+    askOnce(caller);
+    HttpServerLimits raised = m_limits;
+    raised.idleTimeout = RaisedTimeout;
+    server->setLimits(raised);
+    awaitIdleTimeout();
+    EXPECT_TRUE(caller.receive());
+    EXPECT_EQ(server->connectionCount(), 1u);
+}
+
+// Guards against a request that crosses the close of its idle connection, is read all the same, and
+// ends without a trace: its caller must see at once that it was not read.
+TEST_F(IdleTimeoutTest, RequestThatCrossesTheCloseIsNotRead)
+{
+    const std::unique_ptr<HttpServer> server = serve();
+    PromptCaller caller(server->port());
+    askOnce(caller);
+    const std::uint64_t before = ConnectionCloses::ofProcess().counts().unprocessedRequests;
+    runUntil([&server] { return server->connectionCount() == 0; });
+    caller.send(Get);
+    runUntil([&server] { return server->lingeringCount() == 0; });
+    EXPECT_TRUE(caller.isDisconnected());
+    EXPECT_EQ(ConnectionCloses::ofProcess().counts().unprocessedRequests, before + 1);
+}
+
+} // namespace
+} // namespace Tarragon
