Net: Apply changed limits to all open connections at once

A raised size limit ended in a 413 or 400 of evhttp.

Cause: the idle time was the read timeout of a bufferevent, which stays as it was set until the next request, and evhttp copies limits on sizes when it accepts a connection. Beyond 256 different idle limits libevent rejected each further change.

net/TimeoutQueue keeps the time limits of all connections of a server: one queue for those that wait for a request, one for incomplete heads and one for responses that are not read. A change of the limit applies to all members. A head or a body that does not arrive in time is answered with 408, not only closed. A response that its caller does not read has a time limit of its own, so that a short idle limit does not cut it. The search for the end of a head moved to net/UnparsedInput.

--- a/Source/net/HttpExchange.cpp
+++ b/Source/net/HttpExchange.cpp
@@ -19,10 +19,6 @@
 
 namespace {
 
-/// Responses above this length may take the peer longer to read than the idle timeout, which is
-/// therefore disabled for them.
-constexpr std::size_t LargeResponseBytes = 65'536;
-
 std::string_view methodName(evhttp_cmd_type type)
 {
     switch (type) {
@@ -149,7 +145,6 @@
         return;
     }
     addHeaders(response->status, response->headers, true);
-    connection->disableIdleTimeout();
     evhttp_send_reply_start(request, response->status, nullptr);
     if (response->body.empty()) {
         // The sender may be paused because of the responses that were held with this one.
@@ -327,9 +322,6 @@
     if (!m_state->bodyless) {
         evbuffer_add(request->output_buffer, body.data(), body.size());
     }
-    if (body.size() > LargeResponseBytes) {
-        m_state->connection->disableIdleTimeout();
-    }
     m_state->started = true;
     m_state->ended = true;
     evhttp_send_reply(request, status, nullptr, nullptr);
@@ -362,7 +354,6 @@
     m_state->addHeaders(status, headers, true);
     m_state->remaining = remaining;
     m_state->started = true;
-    m_state->connection->disableIdleTimeout();
     evhttp_send_reply_start(m_state->request, status, nullptr);
 }
 
--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -32,10 +32,6 @@
 /// Maximum time that a closing listener goes on accepting while new connections keep arriving.
 constexpr milliseconds MaxFinalAcceptTime{ 200 };
 
-/// Added to the limits for evhttp, so that the checks made before evhttp sees the input apply
-/// first.
-constexpr ev_ssize_t LimitSlackBytes = 1024;
-
 bufferevent *makeBufferEvent(event_base *, void *arg)
 {
     HttpServer::State *state = static_cast<HttpServer::State *>(arg);
@@ -73,6 +69,9 @@
     : loop(eventLoop)
     , limits(serverLimits)
     , handler(std::move(requestHandler))
+    , idle(eventLoop, limits.idleTimeout)
+    , partialHeads(eventLoop, limits.headerTimeout)
+    , writing(eventLoop, limits.writeTimeout)
     , lingering(eventLoop)
 {
     http = evhttp_new(loop.base());
@@ -97,16 +96,17 @@
 
 void HttpServer::State::setLimits(const HttpServerLimits &newLimits)
 {
-    const timeval idle = toTimeval(newLimits.idleTimeout);
-    const timeval *common = event_base_init_common_timeout(loop.base(), &idle);
-    if (common == nullptr) {
-        throw Error("libevent rejected an idle timeout of "
-                    + std::to_string(newLimits.idleTimeout.count()) + " ms");
-    }
-    idleTimeout = common;
     limits = newLimits;
-    evhttp_set_max_headers_size(http, ev_ssize_t(limits.headerBytes.value) + LimitSlackBytes);
-    evhttp_set_max_body_size(http, ev_ssize_t(limits.bodyBytes.value) + LimitSlackBytes);
+    idle.setDuration(limits.idleTimeout);
+    partialHeads.setDuration(limits.headerTimeout);
+    writing.setDuration(limits.writeTimeout);
+    evhttp_set_max_headers_size(http, ev_ssize_t(limits.headerBytes.value)
+                                              + HttpServerConnection::LimitSlackBytes);
+    evhttp_set_max_body_size(http, ev_ssize_t(limits.bodyBytes.value)
+                                           + HttpServerConnection::LimitSlackBytes);
+    for (const auto &[connection, owner] : connections) {
+        connection->applyLimits();
+    }
 }
 
 void HttpServer::State::attachNewConnections()
--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -28,9 +28,9 @@
 
     /// Returns the port that the server listens on.
     std::uint16_t port() const;
-    /// Changes the limits. They apply to requests whose head has not been read yet; the idle
-    /// timeout applies to new connections, and to others after their next request. Throws Error if
-    /// libevent rejects the idle timeout.
+    /// Changes the limits, for all open connections at once. Sizes apply to requests whose head has
+    /// not been read yet. Connections that wait under a timeout that is reduced keep some time; see
+    /// TimeoutQueue::ReductionNotice.
     void setLimits(const HttpServerLimits &limits);
     /// Makes the server close every connection after the next response on it, which carries
     /// "Connection: close". New connections are still accepted.
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -30,20 +30,11 @@
 
 /// Maximum input that is buffered beyond the request in progress.
 constexpr std::size_t MaxReadAheadBytes = 65'536;
-/// Input up to this size is copied. A buffer that were moved instead would keep its unused part,
-/// so that a client that sends single bytes could make the process hold a thousand times as much.
-constexpr std::size_t MaxCopiedInputBytes = 4'096;
 /// Time after the acceptance of a connection within which its first bytes are expected. A round
 /// trip between regions takes 50 ms at most; a lost segment is retransmitted after 200 ms, then
 /// after 400 ms.
 constexpr milliseconds FirstRequestTimeout{ 800 };
 
-/// Read timeout while a request is in progress: none in effect. Without a timeout, libevent would
-/// restart the previous one with the next bytes that arrive.
-constexpr timeval NoIdleTimeout{ 604'800, 0 };
-
-constexpr std::string_view HeadEnd = "\r\n\r\n";
-
 /// Throws Error if libevent cannot make a bufferevent.
 bufferevent *makeBufferEvent(const EventLoop &loop)
 {
@@ -72,15 +63,17 @@
 HttpServerConnection::HttpServerConnection(HttpServer::State &server)
     : m_server(&server)
     , m_bufferEvent(makeBufferEvent(server.loop))
+    , m_unread([this](std::size_t added, std::size_t removed) {
+        m_account->changeBuffered(added, removed);
+    })
     , m_acceptedAt(server.loop.now())
+    , m_timeout(sigc::mem_fun(*this, &HttpServerConnection::onTimeout))
     , m_account(std::make_unique<ConnectionAccount>(
               server.budget, m_acceptedAt, sigc::mem_fun(*this, &HttpServerConnection::onEvicted)))
     , m_end(server, m_bufferEvent, *m_account,
             sigc::mem_fun(*this, &HttpServerConnection::closeNow))
 {
     m_timer = evtimer_new(server.loop.base(), onTimer, this);
-    m_unread = evbuffer_new();
-    evbuffer_add_cb(m_unread, onUnreadChanged, this);
     evbuffer_add_cb(bufferevent_get_input(m_bufferEvent), onInputChanged, this);
     evbuffer_add_cb(bufferevent_get_output(m_bufferEvent), onOutputChanged, this);
     // The input of all connections together must not exceed the budget.
@@ -90,13 +83,11 @@
     const std::size_t readAhead = std::max<std::size_t>(std::min(MaxReadAheadBytes, share),
                                                         server.limits.headerBytes.value * 2);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, readAhead);
-    enableIdleTimeout();
+    startTimeout();
 }
 
 HttpServerConnection::~HttpServerConnection()
 {
-    evbuffer_remove_cb(m_unread, onUnreadChanged, this);
-    evbuffer_free(m_unread);
     event_free(m_timer);
 }
 
@@ -104,6 +95,7 @@
 {
     wrapCallbacks();
     evhttp_connection_set_closecb(m_connection, onClosed, this);
+    applyLimits();
     if (m_account->isEvicted()) {
         onEvicted();
     }
@@ -144,19 +136,22 @@
     }
 }
 
-void HttpServerConnection::onUnreadChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
-{
-    static_cast<HttpServerConnection *>(arg)->m_account->changeBuffered(info->n_added,
-                                                                        info->n_deleted);
-}
-
-void HttpServerConnection::onOutputChanged(evbuffer *, const evbuffer_cb_info *info, void *arg)
+void HttpServerConnection::onOutputChanged(evbuffer *output, const evbuffer_cb_info *info,
+                                           void *arg)
 {
     HttpServerConnection *self = static_cast<HttpServerConnection *>(arg);
     self->m_account->changeBuffered(info->n_added, info->n_deleted);
     if (info->n_deleted > 0) {
         self->m_account->onProgress(self->m_server->loop.now());
     }
+    if (self->m_phase != Phase::Exchange) {
+        return;
+    }
+    if (evbuffer_get_length(output) == 0) {
+        self->m_timeout.stop();
+    } else if (info->n_deleted > 0 || !self->m_timeout.isRunning()) {
+        self->startTimeout();
+    }
 }
 
 void HttpServerConnection::onRead(bufferevent *, void *arg)
@@ -186,15 +181,17 @@
             startNextResponse();
             break;
         }
-        moveInputToUnread();
+        m_unread.append(bufferevent_get_input(m_bufferEvent));
         readHead();
         break;
     case Phase::Body:
-        moveInputToUnread();
+        startTimeout();
+        m_unread.append(bufferevent_get_input(m_bufferEvent));
         readBody();
         break;
     case Phase::ChunkedBody:
-        moveInputToUnread();
+        startTimeout();
+        m_unread.append(bufferevent_get_input(m_bufferEvent));
         readChunkedBody();
         break;
     case Phase::Exchange:
@@ -207,29 +204,6 @@
     }
 }
 
-void HttpServerConnection::moveInputToUnread()
-{
-    evbuffer *input = bufferevent_get_input(m_bufferEvent);
-    std::array<char, MaxCopiedInputBytes> copy;
-    if (evbuffer_get_length(input) > copy.size()) {
-        evbuffer_add_buffer(m_unread, input);
-        return;
-    }
-    const int n = evbuffer_remove(input, copy.data(), copy.size());
-    if (n > 0) {
-        evbuffer_add(m_unread, copy.data(), std::size_t(n));
-    }
-}
-
-void HttpServerConnection::skipEmptyLines()
-{
-    std::array<char, 2> start{};
-    while (m_scannedBytes == 0 && evbuffer_copyout(m_unread, start.data(), start.size()) == 2
-           && start[0] == '\r' && start[1] == '\n') {
-        evbuffer_drain(m_unread, start.size());
-    }
-}
-
 bool HttpServerConnection::mayReadAhead() const
 {
     return m_phase == Phase::Exchange && m_isPipelinable && !m_mustWait && !m_isClosing
@@ -239,7 +213,7 @@
 void HttpServerConnection::readAhead()
 {
     if (mayReadAhead()) {
-        moveInputToUnread();
+        m_unread.append(bufferevent_get_input(m_bufferEvent));
         while (mayReadAhead() && readHeadAhead()) {
         }
     }
@@ -247,24 +221,16 @@
 
 bool HttpServerConnection::readHeadAhead()
 {
-    skipEmptyLines();
-    const std::size_t length = evbuffer_get_length(m_unread);
-    evbuffer_ptr from{};
-    evbuffer_ptr_set(m_unread, &from, m_scannedBytes, EVBUFFER_PTR_SET);
-    const evbuffer_ptr found = evbuffer_search(m_unread, HeadEnd.data(), HeadEnd.size(), &from);
-    const std::size_t headLength = found.pos < 0 ? length : std::size_t(found.pos) + HeadEnd.size();
-    if (headLength > m_server->limits.headerBytes.value) {
+    m_unread.skipEmptyLines();
+    const RequestHeadExtent extent = m_unread.findHead();
+    if (extent.length > m_server->limits.headerBytes.value) {
         m_mustWait = true;
         return false;
     }
-    if (found.pos < 0) {
-        m_scannedBytes = length - std::min(length, HeadEnd.size() - 1);
+    if (!extent.isComplete) {
         return false;
     }
-    m_scannedBytes = 0;
-    const std::string_view head(
-            reinterpret_cast<const char *>(evbuffer_pullup(m_unread, ev_ssize_t(headLength))),
-            headLength);
+    const std::string_view head = m_unread.front(extent.length);
     std::optional<PipelinedRequest> request;
     if (checkRequestHead(head, m_server->limits.bodyBytes).rejectStatus == 0) {
         request = parsePipelinedRequest(head);
@@ -274,7 +240,7 @@
         m_mustWait = true;
         return false;
     }
-    evbuffer_drain(m_unread, headLength);
+    m_unread.removeFront(extent.length);
     passAhead(std::move(*request));
     return true;
 }
@@ -287,7 +253,6 @@
     const std::shared_ptr<HeldResponse> response = std::make_shared<HeldResponse>();
     m_requestsAhead.add(response);
     ++m_server->exchangesInProgress;
-    disableIdleTimeout();
     const HttpExchangePtr pointer =
             std::make_shared<HttpExchange>(std::make_unique<HttpExchange::State>(
                     shared_from_this(), std::move(request), address, response));
@@ -311,42 +276,28 @@
     // evhttp writes a response only to a request that it has read. The exchange has its own copy of
     // the request, so that only the method matters.
     const std::string head = m_nextResponse->method + " / HTTP/1.1\r\nHost: pipelined\r\n\r\n";
-    evbuffer_prepend(m_unread, head.data(), head.size());
+    m_unread.prepend(head);
     passToEvhttp(head.size());
 }
 
 void HttpServerConnection::readHead()
 {
-    skipEmptyLines();
-    const std::size_t length = evbuffer_get_length(m_unread);
-    if (length == 0) {
+    m_unread.skipEmptyLines();
+    if (m_unread.size() == 0) {
         return;
     }
-    evbuffer_ptr from{};
-    evbuffer_ptr_set(m_unread, &from, m_scannedBytes, EVBUFFER_PTR_SET);
-    const evbuffer_ptr found = evbuffer_search(m_unread, HeadEnd.data(), HeadEnd.size(), &from);
-    const std::size_t limit = m_server->limits.headerBytes.value;
-    const std::size_t headLength = found.pos < 0 ? length : std::size_t(found.pos) + HeadEnd.size();
-    if (headLength > limit) {
+    const bool isFirstPart = !m_unread.hasPartialHead();
+    const RequestHeadExtent extent = m_unread.findHead();
+    if (extent.length > m_server->limits.headerBytes.value) {
         reject(HttpStatus::HeaderFieldsTooLarge, "request line and header fields above the limit");
         return;
     }
-    if (found.pos < 0) {
-        const MonotonicTime now = m_server->loop.now();
-        if (m_scannedBytes == 0) {
-            m_headStartedAt = now;
-        } else if (now - m_headStartedAt > m_server->limits.headerTimeout) {
-            reject(HttpStatus::RequestTimeout, "request head not complete in time");
-            return;
-        }
-        m_scannedBytes = std::max<std::size_t>(1, length - std::min(length, HeadEnd.size() - 1));
+    if (!extent.isComplete) {
+        awaitRestOfHead(isFirstPart);
         return;
     }
-    m_scannedBytes = 0;
-    const char *data =
-            reinterpret_cast<const char *>(evbuffer_pullup(m_unread, ev_ssize_t(headLength)));
     const HttpRequestFraming framing =
-            checkRequestHead(std::string_view(data, headLength), m_server->limits.bodyBytes);
+            checkRequestHead(m_unread.front(extent.length), m_server->limits.bodyBytes);
     if (framing.rejectStatus != 0) {
         reject(framing.rejectStatus, framing.reason);
         return;
@@ -362,7 +313,8 @@
     m_decoder = ChunkedDecoder();
     m_bodyLength = framing.contentLength;
     m_phase = framing.chunked ? Phase::ChunkedBody : Phase::Body;
-    passToEvhttp(headLength);
+    startTimeout();
+    passToEvhttp(extent.length);
     if (m_phase == Phase::ChunkedBody) {
         readChunkedBody();
     } else if (m_phase == Phase::Body) {
@@ -373,16 +325,15 @@
 void HttpServerConnection::readBody()
 {
     while (m_body != nullptr && m_body->size() < m_bodyLength) {
-        const std::size_t n =
-                std::min(evbuffer_get_contiguous_space(m_unread), m_bodyLength - m_body->size());
+        const std::size_t n = std::min(evbuffer_get_contiguous_space(m_unread.buffer()),
+                                       m_bodyLength - m_body->size());
         if (n == 0) {
             return;
         }
-        const char *data = reinterpret_cast<const char *>(evbuffer_pullup(m_unread, ev_ssize_t(n)));
-        if (!storeBody(std::string_view(data, n))) {
+        if (!storeBody(m_unread.front(n))) {
             return;
         }
-        evbuffer_drain(m_unread, n);
+        m_unread.removeFront(n);
     }
     if (m_body == nullptr) {
         passToEvhttp(std::size_t(0));
@@ -414,7 +365,7 @@
 {
     bool tooLong = false;
     const ChunkedDecoder::Result result =
-            m_decoder.decode(m_unread, [this, &tooLong](std::string_view data) {
+            m_decoder.decode(m_unread.buffer(), [this, &tooLong](std::string_view data) {
                 tooLong = m_body->size() + data.size() > m_server->limits.bodyBytes.value;
                 return !tooLong && storeBody(data);
             });
@@ -427,7 +378,7 @@
         reject(HttpStatus::BadRequest, "malformed chunked body");
     } else if (result == ChunkedDecoder::Result::Done) {
         static constexpr std::string_view LastChunk = "0\r\n\r\n";
-        evbuffer_prepend(m_unread, LastChunk.data(), LastChunk.size());
+        m_unread.prepend(LastChunk);
         passToEvhttp(LastChunk.size());
     }
 }
@@ -435,7 +386,7 @@
 void HttpServerConnection::passToEvhttp(std::size_t n)
 {
     evbuffer *piece = evbuffer_new();
-    evbuffer_remove_buffer(m_unread, piece, n);
+    evbuffer_remove_buffer(m_unread.buffer(), piece, n);
     passToEvhttp(piece);
     evbuffer_free(piece);
 }
@@ -456,6 +407,7 @@
 void HttpServerConnection::onRequest(evhttp_request *request)
 {
     m_phase = Phase::Exchange;
+    m_timeout.stop();
     m_isCounted = true;
     m_account->setBusy(true);
     m_account->clearBody();
@@ -479,7 +431,6 @@
     }
     if (m_phase == Phase::Exchange && exchange != nullptr && !exchange->ended) {
         // evhttp stops reading while a request is in progress and would not detect a disconnect.
-        disableIdleTimeout();
         bufferevent_enable(m_bufferEvent, EV_READ);
     }
 }
@@ -504,19 +455,52 @@
     }
 }
 
-void HttpServerConnection::disableIdleTimeout()
+void HttpServerConnection::applyLimits()
 {
-    if (m_idleTimeout != nullptr) {
-        m_idleTimeout = nullptr;
-        bufferevent_set_timeouts(m_bufferEvent, &NoIdleTimeout, m_server->idleTimeout);
+    if (m_connection != nullptr) {
+        const HttpServerLimits &limits = m_server->limits;
+        evhttp_connection_set_max_headers_size(m_connection, ev_ssize_t(limits.headerBytes.value)
+                                                                     + LimitSlackBytes);
+        evhttp_connection_set_max_body_size(m_connection,
+                                            ev_ssize_t(limits.bodyBytes.value) + LimitSlackBytes);
     }
 }
 
-void HttpServerConnection::enableIdleTimeout()
+void HttpServerConnection::startTimeout()
+{
+    if (m_phase == Phase::Exchange) {
+        m_timeout.start(m_server->writing);
+    } else if (m_phase == Phase::Head && m_unread.hasPartialHead()) {
+        m_timeout.start(m_server->partialHeads);
+    } else {
+        m_timeout.start(m_server->idle);
+    }
+}
+
+void HttpServerConnection::onTimeout()
+{
+    if (m_phase == Phase::Exchange || (m_phase == Phase::Head && !m_unread.hasPartialHead())) {
+        closeNow();
+    } else {
+        rejectOverdue();
+    }
+}
+
+void HttpServerConnection::rejectOverdue()
+{
+    reject(HttpStatus::RequestTimeout, m_phase == Phase::Head
+                                               ? "request head not complete in time"
+                                               : "request body not complete in time");
+}
+
+void HttpServerConnection::awaitRestOfHead(bool isFirstPart)
 {
-    if (m_idleTimeout != m_server->idleTimeout) {
-        m_idleTimeout = m_server->idleTimeout;
-        bufferevent_set_timeouts(m_bufferEvent, m_idleTimeout, nullptr);
+    const MonotonicTime now = m_server->loop.now();
+    if (isFirstPart) {
+        m_headStartedAt = now;
+        startTimeout();
+    } else if (now - m_headStartedAt > m_server->limits.headerTimeout) {
+        rejectOverdue();
     }
 }
 
@@ -543,11 +527,11 @@
     if (!m_requestsAhead.isEmpty()) {
         return true;
     }
-    if (m_scannedBytes > 0) {
+    if (m_unread.hasPartialHead()) {
         return now - m_headStartedAt <= m_server->limits.headerTimeout;
     }
     const bool isNew = !m_hasResponded && now - m_acceptedAt < FirstRequestTimeout;
-    return isNew || evbuffer_get_length(m_unread) > 0 || hasUnreadInput()
+    return isNew || m_unread.size() > 0 || hasUnreadInput()
            || unacknowledgedBytes(bufferevent_getfd(m_bufferEvent)).value_or(0) > 0;
 }
 
@@ -570,14 +554,14 @@
     self->m_account->setBusy(!self->m_requestsAhead.isEmpty());
     self->m_hasResponded = true;
     self->m_phase = Phase::Head;
-    self->m_scannedBytes = 0;
+    self->m_unread.restartSearch();
     self->m_mustWait = false;
     if (self->m_requestsAhead.isEmpty()) {
-        self->enableIdleTimeout();
+        self->startTimeout();
     }
     // evhttp would parse bytes left in the input buffer without the checks of readHead().
-    self->moveInputToUnread();
-    if (evbuffer_get_length(self->m_unread) > 0 || !self->m_requestsAhead.isEmpty()) {
+    self->m_unread.append(bufferevent_get_input(self->m_bufferEvent));
+    if (self->m_unread.size() > 0 || !self->m_requestsAhead.isEmpty()) {
         event_active(self->m_timer, EV_TIMEOUT, 0);
     }
 }
@@ -648,11 +632,12 @@
 
 void HttpServerConnection::dropInput()
 {
+    m_timeout.stop();
     // It may have been activated for input that is dropped now.
     event_del(m_timer);
     evbuffer *input = bufferevent_get_input(m_bufferEvent);
     evbuffer_drain(input, evbuffer_get_length(input));
-    evbuffer_drain(m_unread, evbuffer_get_length(m_unread));
+    m_unread.clear();
 }
 
 void HttpServerConnection::closeNow()
@@ -701,6 +686,7 @@
     evbuffer_remove_cb(bufferevent_get_input(self->m_bufferEvent), onInputChanged, self.get());
     evbuffer_remove_cb(bufferevent_get_output(self->m_bufferEvent), onOutputChanged, self.get());
     event_del(self->m_timer);
+    self->m_timeout.stop();
     self->m_end.handOver(self->closeCause(), std::move(self->m_account));
     self->m_phase = Phase::Closed;
     self->m_server->remove(self.get());
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -9,6 +9,8 @@
 #include "net/HttpServer.h"
 #include "net/RequestBody.h"
 #include "net/RequestsAhead.h"
+#include "net/TimeoutQueue.h"
+#include "net/UnparsedInput.h"
 
 #include <event2/bufferevent.h>
 #include <event2/util.h>
@@ -35,6 +37,10 @@
 class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
 {
 public:
+    /// Added to the limits for evhttp, so that the checks made before evhttp sees the input apply
+    /// first.
+    static constexpr ev_ssize_t LimitSlackBytes = 1024;
+
     explicit HttpServerConnection(HttpServer::State &server);
     ~HttpServerConnection();
     HttpServerConnection(const HttpServerConnection &) = delete;
@@ -61,11 +67,8 @@
     /// Whether a request without a complete response has begun to arrive or may still be in transit
     /// because the connection is new, or the peer has not acknowledged all responses.
     bool mustStayOpen(MonotonicTime now) const;
-    /// Applies the idle timeout to writing instead of reading, until the response has been written:
-    /// the connection is closed only if the peer does not read the response.
-    void disableIdleTimeout();
-    /// Applies the server's current idle timeout to reading.
-    void enableIdleTimeout();
+    /// Applies the server's current limits on sizes.
+    void applyLimits();
 
     /// The exchange in progress; null if there is none or its HttpExchange was destroyed.
     HttpExchange::State *exchange = nullptr;
@@ -88,7 +91,6 @@
     };
 
     static void onInputChanged(evbuffer *input, const evbuffer_cb_info *info, void *arg);
-    static void onUnreadChanged(evbuffer *unread, const evbuffer_cb_info *info, void *arg);
     static void onOutputChanged(evbuffer *output, const evbuffer_cb_info *info, void *arg);
     static void onRead(bufferevent *bev, void *arg);
     static void onWrite(bufferevent *bev, void *arg);
@@ -113,10 +115,6 @@
     void startNextResponse();
     /// Removes all input that has not been read by evhttp.
     void dropInput();
-    /// Removes empty lines before a request head from m_unread.
-    void skipEmptyLines();
-    /// Appends the contents of the input buffer to m_unread.
-    void moveInputToUnread();
     void readHead();
     void readBody();
     void readChunkedBody();
@@ -144,6 +142,13 @@
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
     void uncountExchange();
     bool hasUnreadInput() const;
+    /// Waits for the peer, with the time limit for what it is to do next.
+    void startTimeout();
+    /// Ends the connection unless the peer has done in time what was awaited.
+    void onTimeout();
+    void awaitRestOfHead(bool isFirstPart);
+    /// Rejects a request that has not arrived in time.
+    void rejectOverdue();
 
     HttpServer::State *m_server;
     bufferevent *m_bufferEvent = nullptr;
@@ -156,7 +161,7 @@
     /// Bytes that were removed from the input buffer and have not been parsed, in the order of
     /// their arrival. Bytes still in the input buffer arrived after them. evhttp finds in the input
     /// buffer only what passToEvhttp() has moved there.
-    evbuffer *m_unread = nullptr;
+    UnparsedInput m_unread;
     Phase m_phase = Phase::Head;
     MonotonicTime m_acceptedAt;
     bool m_hasResponded = false;
@@ -173,13 +178,10 @@
     bool m_mustWait = false;
     /// Whether no further request is passed to the handler.
     bool m_isClosing = false;
-    /// Number of bytes at the start of m_unread that were searched for the end of the head without
-    /// success; 0 if no part of a head has been received.
-    std::size_t m_scannedBytes = 0;
     MonotonicTime m_headStartedAt;
     bool m_isCounted = false;
-    /// The idle timeout applied to reading; null while disableIdleTimeout() is in effect.
-    const timeval *m_idleTimeout = nullptr;
+    /// Running while the peer is awaited.
+    TimeoutQueue::Member m_timeout;
     /// Content-Length of the request whose head was read last; 0 if the head has none.
     std::size_t m_bodyLength = 0;
     ChunkedDecoder m_decoder;
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -4,12 +4,11 @@
 #include "net/HttpServerConnection.h"
 #include "net/LingeringConnections.h"
 #include "net/MemoryBudget.h"
+#include "net/TimeoutQueue.h"
 
 #include <unordered_map>
 #include <vector>
 
-#include <sys/time.h>
-
 struct event;
 struct evhttp;
 struct evhttp_bound_socket;
@@ -40,9 +39,11 @@
     HttpServerLimits limits;
     MemoryBudget &budget = MemoryBudget::ofProcess();
     Handler handler;
-    /// The idle timeout as a "common timeout" of libevent, which is cheaper to set for many
-    /// connections than separate ones.
-    const timeval *idleTimeout = nullptr;
+    /// Connections that wait for a request, for the rest of a request head, and for the peer to
+    /// read a response.
+    TimeoutQueue idle;
+    TimeoutQueue partialHeads;
+    TimeoutQueue writing;
     evhttp *http = nullptr;
     evhttp_bound_socket *listener = nullptr;
     std::uint16_t port = 0;
--- /dev/null
+++ b/Source/net/TimeoutQueue.cpp
@@ -0,0 +1,7 @@
+#include "net/TimeoutQueueTemplate.h"
+
+namespace Tarragon {
+
+template class BasicTimeoutQueue<EventLoop>;
+
+} // namespace Tarragon
--- a/Tests/net/IdleTimeoutTest.cpp
+++ b/Tests/net/IdleTimeoutTest.cpp
@@ -124,6 +124,24 @@
     EXPECT_EQ(server->connectionCount(), 1u);
 }
 
+// Guards against raised limits on sizes that do not hold for open connections.
+TEST_F(IdleTimeoutTest, RaisedSizesHoldForOpenConnections)
+{
+    m_limits.headerBytes = ByteCount{ 1'000 };
+    m_limits.bodyBytes = ByteCount{ 1'000 };
+    m_limits.idleTimeout = RaisedTimeout;
+    const std::unique_ptr<HttpServer> server = serve();
+    PromptCaller caller(server->port());
+    askOnce(caller);
+    m_limits.headerBytes = ByteCount{ 8'000 };
+    m_limits.bodyBytes = ByteCount{ 8'000 };
+    server->setLimits(m_limits);
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nFiller: " + std::string(4'000, 'f')
+                + "\r\nContent-Length: 7000\r\n\r\n" + std::string(7'000, 'x'));
+    runUntil([&caller] { return !caller.receive() || responses(caller) == 2; });
+    EXPECT_EQ(responses(caller), 2u);
+}
+
 // Guards against a request that crosses the close of its idle connection, is read all the same, and
 // ends without a trace: its caller must see at once that it was not read.
 TEST_F(IdleTimeoutTest, RequestThatCrossesTheCloseIsNotRead)
