Net: Refuse input that crosses the close of an idle connection

A request that crossed the close of its idle connection was read and discarded for up to 2 s. Its caller could not tell that it had not been processed, and a request that must not be repeated was lost.

The lingering close is needed where a reset could cut a response. On a connection that was closed as idle, and whose responses have all been acknowledged, nothing can be cut: input stays unread there, the first byte of it ends the wait, and the close resets the connection.

The lingering close also reads before its timer decides.

--- a/Source/net/ConnectionEnd.cpp
+++ b/Source/net/ConnectionEnd.cpp
@@ -50,7 +50,9 @@
 void ConnectionEnd::linger(std::string pending, StreamEnd streamEnd, const CloseSlot &ended)
 {
     m_lingering = std::make_unique<LingeringClose>(
-            m_server.loop, LingeringSocket(m_server.loop.base(), bufferevent_getfd(m_bufferEvent)),
+            m_server.loop,
+            LingeringSocket(m_server.loop.base(), bufferevent_getfd(m_bufferEvent),
+                            FurtherInput::Discard),
             std::move(pending), streamEnd, m_server.limits.linger,
             [ended](LingerResult) { ended(); });
     m_lingering->progressed().connect([this] { m_account.onProgress(m_server.loop.now()); });
--- a/Source/net/LingeringClose.h
+++ b/Source/net/LingeringClose.h
@@ -46,6 +46,8 @@
 enum class LingerResult {
     /// The peer has closed the connection, or it is broken.
     PeerClosed,
+    /// Input has arrived that must not be read.
+    InputRefused,
     /// The peer has acknowledged all bytes, and the time for it to close the connection has passed.
     Acknowledged,
     /// The peer has not acknowledged any byte for the stall time.
--- a/Source/net/LingeringCloseTemplate.h
+++ b/Source/net/LingeringCloseTemplate.h
@@ -79,6 +79,8 @@
         m_lastProgress = now;
         m_progressed.emit();
     }
+    // The timer may run before the event for input that has arrived.
+    discardInput();
     if (m_socket.isDisconnected()) {
         m_inputState = InputState::Broken;
     }
@@ -100,6 +102,9 @@
         || (m_inputState == InputState::Ended && isAcknowledged)) {
         return LingerResult::PeerClosed;
     }
+    if (m_inputState == InputState::Refused) {
+        return LingerResult::InputRefused;
+    }
     if (isAcknowledged
         && (m_streamEnd == StreamEnd::Reset || now - m_lastProgress >= m_limits.closeTime)) {
         return LingerResult::Acknowledged;
--- a/Source/net/LingeringConnections.cpp
+++ b/Source/net/LingeringConnections.cpp
@@ -1,5 +1,7 @@
 #include "net/LingeringConnections.h"
 
+#include "net/SocketQueues.h"
+
 #include <utility>
 
 namespace Tarragon {
@@ -28,9 +30,14 @@
     });
     ConnectionAccount &counted = *account;
     std::unique_ptr<UnprocessedInput> discarded = std::make_unique<UnprocessedInput>();
+    // Nothing of an idle connection can be lost by a reset once all responses have arrived.
+    const FurtherInput furtherInput =
+            closed.cause == CloseCause::Idle && unacknowledgedBytes(fd).value_or(1) == 0
+                    ? FurtherInput::Refuse
+                    : FurtherInput::Discard;
     std::unique_ptr<LingeringClose> lingering = std::make_unique<LingeringClose>(
-            m_loop, LingeringSocket(m_loop.base(), fd, discarded.get()), std::string(),
-            StreamEnd::Shutdown, limits, [this, fd](LingerResult) { close(fd); });
+            m_loop, LingeringSocket(m_loop.base(), fd, furtherInput, discarded.get()),
+            std::string(), StreamEnd::Shutdown, limits, [this, fd](LingerResult) { close(fd); });
     lingering->progressed().connect([this, &counted] { counted.onProgress(m_loop.now()); });
     ConnectionCloses::ofProcess().addLingering();
     m_connections.emplace(fd, Connection{ closed, std::move(account), std::move(discarded),
--- a/Source/net/LingeringSocket.cpp
+++ b/Source/net/LingeringSocket.cpp
@@ -23,15 +23,18 @@
 
 } // namespace
 
-LingeringSocket::LingeringSocket(event_base *base, evutil_socket_t fd, UnprocessedInput *discarded)
+LingeringSocket::LingeringSocket(event_base *base, evutil_socket_t fd, FurtherInput furtherInput,
+                                 UnprocessedInput *discarded)
     : m_base(base)
     , m_fd(fd)
+    , m_furtherInput(furtherInput)
     , m_discarded(discarded)
 {}
 
 LingeringSocket::LingeringSocket(LingeringSocket &&other) noexcept
     : m_base(other.m_base)
     , m_fd(other.m_fd)
+    , m_furtherInput(other.m_furtherInput)
     , m_discarded(other.m_discarded)
 {}
 
@@ -53,6 +56,10 @@
 {
     std::array<char, 16'384> buf;
     DiscardedInput result;
+    if (m_furtherInput == FurtherInput::Refuse && unreadBytes(m_fd).value_or(0) > 0) {
+        result.state = InputState::Refused;
+        return result;
+    }
     while (result.bytes < size) {
         const std::size_t limit = std::min(buf.size(), size - result.bytes);
         const ssize_t n = recv(m_fd, buf.data(), limit, MSG_DONTWAIT);
--- a/Source/net/LingeringSocket.h
+++ b/Source/net/LingeringSocket.h
@@ -20,10 +20,21 @@
     Open,
     /// The peer has ended its stream; it may still read.
     Ended,
+    /// Input has arrived that must not be read.
+    Refused,
     /// Neither direction works any more.
     Broken,
 };
 
+/// What is done with input that arrives while the connection ends.
+enum class FurtherInput {
+    /// It is read and discarded.
+    Discard,
+    /// It stays unread, so that the close resets the connection. The peer can tell by that that
+    /// none of it was processed.
+    Refuse,
+};
+
 /// Result of reading and discarding input.
 struct DiscardedInput
 {
@@ -38,7 +49,8 @@
 public:
     /// Adds what is discarded to the given input, which must outlive the object; null for input
     /// that belongs to a request with a response.
-    LingeringSocket(event_base *base, evutil_socket_t fd, UnprocessedInput *discarded = nullptr);
+    LingeringSocket(event_base *base, evutil_socket_t fd, FurtherInput furtherInput,
+                    UnprocessedInput *discarded = nullptr);
     ~LingeringSocket();
     LingeringSocket(LingeringSocket &&other) noexcept;
     LingeringSocket &operator=(LingeringSocket &&) = delete;
@@ -46,7 +58,7 @@
     /// Returns how many of the bytes were written, as far as they fit at present; nothing if the
     /// connection is broken.
     std::optional<std::size_t> write(std::string_view data);
-    /// Reads at most the given number of bytes.
+    /// Reads at most the given number of bytes, or none if input is refused.
     DiscardedInput discard(std::size_t size);
     std::optional<std::size_t> unacknowledgedBytes() const;
     /// Whether the peer has reset the connection, or both directions have ended.
@@ -60,6 +72,7 @@
 
     event_base *m_base;
     evutil_socket_t m_fd;
+    FurtherInput m_furtherInput;
     UnprocessedInput *m_discarded;
     event *m_event = nullptr;
     short m_watched = 0;
