Gateway: Keep idle connections while a raised limit is on its way

Cause: callers know a limit from when the operator has stated it, entries some hundred milliseconds later. Entries therefore keep idle connections for the stated limit and the time within which a change must be in force, 2.5 s.

The case Raised waits for longer than before, so that it still shows a raised limit that does not hold.

--- a/Source/gateway/GatewayDaemon.cpp
+++ b/Source/gateway/GatewayDaemon.cpp
@@ -1,7 +1,7 @@
 #include "gateway/GatewayDaemon.h"
 
 #include "base/Digest.h"
-#include "base/Error.h"
+#include "gateway/CallerLimits.h"
 #include "gateway/PermitRpc.h"
 #include "gateway/RelayCalls.h"
 #include "gateway/RelayCodec.h"
@@ -319,12 +319,7 @@
     }
     const RouteTable &table = *m_state.table();
     m_state.refreshTargets(m_loop.now());
-    try {
-        m_front->setLimits(table.limits);
-    } catch (const Error &error) {
-        LOG4CPLUS_ERROR(logger(),
-                        LogLine("gateway", "limits-refused").add("reason", error.what()).text());
-    }
+    m_front->setLimits(callerLimits(table.limits));
     m_metrics.setRouteVersion(table.version.value());
     LOG4CPLUS_INFO(logger(), LogLine("gateway", "route-table-adopted")
                                      .add("version", table.version)
--- a/Tests/soak/IdleCallerTest.cpp
+++ b/Tests/soak/IdleCallerTest.cpp
@@ -34,6 +34,8 @@
     seconds limit;
     /// The idle limit to which it changes while the callers are idle; 0 for none.
     seconds newLimit;
+    /// Idle time of the callers at which it changes.
+    milliseconds changeAt;
     /// Time between further changes from one limit to the other, until the last caller has sent; 0
     /// for none.
     milliseconds changePeriod;
@@ -51,22 +53,27 @@
 }
 
 constexpr std::array Scenarios = {
-    IdleScenario{ "Quiet", seconds(2), seconds(0), milliseconds(0), milliseconds(200),
-                  milliseconds(1'600), milliseconds(0), milliseconds(0) },
-    IdleScenario{ "Raised", seconds(2), seconds(20), milliseconds(0), milliseconds(3'600),
-                  milliseconds(4'400), milliseconds(0), milliseconds(0) },
-    IdleScenario{ "Lowered", seconds(20), seconds(2), milliseconds(0), milliseconds(800),
-                  milliseconds(1'600), milliseconds(0), milliseconds(0) },
-    IdleScenario{ "Storm", seconds(2), seconds(20), milliseconds(400), milliseconds(800),
-                  milliseconds(1'600), milliseconds(0), milliseconds(0) },
-    IdleScenario{ "PauseOf300Ms", seconds(2), seconds(0), milliseconds(0), milliseconds(1'200),
-                  milliseconds(1'600), milliseconds(1'150), milliseconds(300) },
-    IdleScenario{ "PauseOf800Ms", seconds(2), seconds(0), milliseconds(0), milliseconds(1'200),
-                  milliseconds(1'600), milliseconds(1'300), milliseconds(800) },
-    IdleScenario{ "PauseOf1700Ms", seconds(2), seconds(0), milliseconds(0), milliseconds(900),
-                  milliseconds(1'600), milliseconds(850), milliseconds(1'700) },
-    IdleScenario{ "PauseOf5S", seconds(2), seconds(0), milliseconds(0), milliseconds(900),
-                  milliseconds(1'600), milliseconds(850), milliseconds(5'000) },
+    IdleScenario{ "Quiet", seconds(2), seconds(0), milliseconds(0), milliseconds(0),
+                  milliseconds(200), milliseconds(1'600), milliseconds(0), milliseconds(0) },
+    IdleScenario{ "Raised", seconds(2), seconds(20), milliseconds(0), milliseconds(0),
+                  milliseconds(5'000), milliseconds(7'000), milliseconds(0), milliseconds(0) },
+    IdleScenario{ "RaisedAtTheLastMoment", seconds(2), seconds(20), milliseconds(1'900),
+                  milliseconds(0), milliseconds(1'960), milliseconds(2'400), milliseconds(0),
+                  milliseconds(0) },
+    IdleScenario{ "Lowered", seconds(20), seconds(2), milliseconds(0), milliseconds(0),
+                  milliseconds(800), milliseconds(1'600), milliseconds(0), milliseconds(0) },
+    IdleScenario{ "Storm", seconds(2), seconds(20), milliseconds(0), milliseconds(400),
+                  milliseconds(800), milliseconds(1'600), milliseconds(0), milliseconds(0) },
+    IdleScenario{ "PauseOf300Ms", seconds(2), seconds(0), milliseconds(0), milliseconds(0),
+                  milliseconds(1'200), milliseconds(1'600), milliseconds(1'150),
+                  milliseconds(300) },
+    IdleScenario{ "PauseOf800Ms", seconds(2), seconds(0), milliseconds(0), milliseconds(0),
+                  milliseconds(1'200), milliseconds(1'600), milliseconds(1'300),
+                  milliseconds(800) },
+    IdleScenario{ "PauseOf1700Ms", seconds(2), seconds(0), milliseconds(0), milliseconds(0),
+                  milliseconds(900), milliseconds(1'600), milliseconds(850), milliseconds(1'700) },
+    IdleScenario{ "PauseOf5S", seconds(2), seconds(0), milliseconds(0), milliseconds(0),
+                  milliseconds(900), milliseconds(1'600), milliseconds(850), milliseconds(5'000) },
 };
 
 /// A gateway process with targets and callers.
@@ -183,7 +190,8 @@
             });
         }
         if (scenario.newLimit > seconds(0)) {
-            putLimit(scenario.newLimit);
+            m_limitTimer = m_loop.schedule(scenario.changeAt,
+                                           [this, &scenario] { putLimit(scenario.newLimit); });
         }
         if (scenario.changePeriod > milliseconds(0)) {
             m_changeTimer = m_loop.scheduleEvery(scenario.changePeriod, [this, &scenario] {
@@ -208,6 +216,7 @@
     int m_asked = 0;
     Timer m_pauseTimer;
     Timer m_resumeTimer;
+    Timer m_limitTimer;
     Timer m_changeTimer;
 };
 
