Net: Leave limits on sizes to the checks before evhttp

A change of limits went over all connections to set evhttp's copies of the limits, although each head and body is checked before evhttp sees it. evhttp gets no limits any more, and a queue whose members are in order is not sorted again.

IdleTimeoutTest.RaisedSizesHoldForOpenConnections and the 91 tests of limits pass.

--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -100,13 +100,6 @@
     idle.setDuration(limits.idleTimeout);
     partialHeads.setDuration(limits.headerTimeout);
     writing.setDuration(limits.writeTimeout);
-    evhttp_set_max_headers_size(http, ev_ssize_t(limits.headerBytes.value)
-                                              + HttpServerConnection::LimitSlackBytes);
-    evhttp_set_max_body_size(http, ev_ssize_t(limits.bodyBytes.value)
-                                           + HttpServerConnection::LimitSlackBytes);
-    for (const auto &[connection, owner] : connections) {
-        connection->applyLimits();
-    }
 }
 
 void HttpServer::State::attachNewConnections()
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -95,7 +95,6 @@
 {
     wrapCallbacks();
     evhttp_connection_set_closecb(m_connection, onClosed, this);
-    applyLimits();
     if (m_account->isEvicted()) {
         onEvicted();
     }
@@ -455,17 +454,6 @@
     }
 }
 
-void HttpServerConnection::applyLimits()
-{
-    if (m_connection != nullptr) {
-        const HttpServerLimits &limits = m_server->limits;
-        evhttp_connection_set_max_headers_size(m_connection, ev_ssize_t(limits.headerBytes.value)
-                                                                     + LimitSlackBytes);
-        evhttp_connection_set_max_body_size(m_connection,
-                                            ev_ssize_t(limits.bodyBytes.value) + LimitSlackBytes);
-    }
-}
-
 void HttpServerConnection::startTimeout()
 {
     if (m_phase == Phase::Exchange) {
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -37,10 +37,6 @@
 class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
 {
 public:
-    /// Added to the limits for evhttp, so that the checks made before evhttp sees the input apply
-    /// first.
-    static constexpr ev_ssize_t LimitSlackBytes = 1024;
-
     explicit HttpServerConnection(HttpServer::State &server);
     ~HttpServerConnection();
     HttpServerConnection(const HttpServerConnection &) = delete;
@@ -67,8 +63,6 @@
     /// Whether a request without a complete response has begun to arrive or may still be in transit
     /// because the connection is new, or the peer has not acknowledged all responses.
     bool mustStayOpen(MonotonicTime now) const;
-    /// Applies the server's current limits on sizes.
-    void applyLimits();
 
     /// The exchange in progress; null if there is none or its HttpExchange was destroyed.
     HttpExchange::State *exchange = nullptr;
--- a/Source/net/TimeoutQueueTemplate.h
+++ b/Source/net/TimeoutQueueTemplate.h
@@ -55,7 +55,9 @@
     for (Member *it : m_earlier) {
         it->m_deadline = std::max(it->m_startedAt + duration, std::min(it->m_deadline, noticeEnd));
     }
-    m_earlier.sort(isEarlier);
+    if (!std::is_sorted(m_earlier.begin(), m_earlier.end(), isEarlier)) {
+        m_earlier.sort(isEarlier);
+    }
     if (const Member *const member = first()) {
         arm(member->m_deadline);
     }
