Net: Reset a connection whose response is not read in time

The time limit on a response that its caller does not read closed the connection with an orderly end, so that a part of a response without a length, as on HTTP/1.0, looked complete. It is a reset now.

IdleTimeoutTest.ResponseThatIsNotReadEndsByAReset failed before. IdleLimitDoesNotCutAResponse and PartsOfARequestAreRefusedAtTheEndOfTheTimeLimit hold the limits on responses and on parts of requests.

--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -472,8 +472,9 @@
                                                      : hasUnreadInput();
     if (isInTime) {
         startTimeout();
-    } else if (m_phase == Phase::Exchange
-               || (m_phase == Phase::Head && !m_unread.hasPartialHead())) {
+    } else if (m_phase == Phase::Exchange) {
+        m_end.reset(CloseCause::BreakOff);
+    } else if (m_phase == Phase::Head && !m_unread.hasPartialHead()) {
         closeNow();
     } else {
         rejectOverdue();
--- a/Tests/net/IdleTimeoutTest.cpp
+++ b/Tests/net/IdleTimeoutTest.cpp
@@ -18,6 +18,8 @@
 constexpr std::string_view Get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 constexpr milliseconds IdleTimeout{ 100 };
 constexpr seconds RaisedTimeout{ 60 };
+/// More than the sockets of both sides hold.
+constexpr std::size_t BodySize = 8'000'000;
 
 class IdleTimeoutTest : public LoopTest
 {
@@ -124,6 +126,54 @@
     EXPECT_EQ(server->connectionCount(), 1u);
 }
 
+// Guards against a caller that reads nothing and keeps its response for ever, and against a
+// response cut by that time limit that looks complete because its end is that of the connection.
+TEST_F(IdleTimeoutTest, ResponseThatIsNotReadEndsByAReset)
+{
+    m_limits.writeTimeout = IdleTimeout;
+    HttpExchangePtr pending;
+    HttpServer server(m_loop, "127.0.0.1", 0, m_limits, [&pending](const HttpExchangePtr &it) {
+        pending = it;
+        pending->startReply(200, {});
+        pending->send(std::string(BodySize, 'x'));
+    });
+    PromptCaller caller(server.port());
+    caller.send("GET / HTTP/1.0\r\n\r\n");
+    runUntil([&] { return pending != nullptr && server.connectionCount() == 0; });
+    EXPECT_TRUE(caller.isDisconnected());
+}
+
+// Guards against a short idle limit that cuts the response to a caller which pauses in reading.
+TEST_F(IdleTimeoutTest, IdleLimitDoesNotCutAResponse)
+{
+    HttpServer server(m_loop, "127.0.0.1", 0, m_limits, [](const HttpExchangePtr &exchange) {
+        exchange->reply(200, {}, std::string(BodySize, 'x'));
+    });
+    PromptCaller caller(server.port());
+    caller.send(Get);
+    awaitIdleTimeout();
+    awaitIdleTimeout();
+    bool isOpen = true;
+    const Timer reader = m_loop.scheduleEvery(milliseconds(1), [&] { isOpen = caller.receive(); });
+    runUntil([&] { return !isOpen || caller.received().size() > BodySize; });
+    EXPECT_GT(caller.received().size(), BodySize);
+}
+
+// Guards against a request that is ended silently because it does not arrive in time.
+TEST_F(IdleTimeoutTest, PartsOfARequestAreRefusedAtTheEndOfTheTimeLimit)
+{
+    m_limits.headerTimeout = IdleTimeout;
+    const std::unique_ptr<HttpServer> server = serve();
+    for (const std::string_view part :
+         { "GET / HTTP/1.1\r\nHost:",
+           "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx" }) {
+        PromptCaller caller(server->port());
+        caller.send(part);
+        runUntil([&caller] { return !caller.receive(); });
+        EXPECT_EQ(caller.received().substr(0, 13), "HTTP/1.1 408 ") << part;
+    }
+}
+
 // Guards against raised limits on sizes that do not hold for open connections.
 TEST_F(IdleTimeoutTest, RaisedSizesHoldForOpenConnections)
 {
