Net: Close no connection whose client waits for its response

When memory ran short, connections with a request in progress were reset although their clients could do nothing: what they held, responses behind the one in progress, is released when the target answers. They count as stalled only while a response waits to be read.

MemoryBudgetTest.ClientThatWaitsForItsResponseIsNotStalled holds it.

--- a/Source/net/ConnectionAccount.h
+++ b/Source/net/ConnectionAccount.h
@@ -39,7 +39,13 @@
     /// Sets whether a request of the connection is in progress.
     void setBusy(bool isBusy) { m_isBusy = isBusy; }
 
+    /// Sets whether bytes of a response wait for the client to read.
+    void setWriting(bool isWriting) { m_isWriting = isWriting; }
+
     bool isBusy() const { return m_isBusy; }
+    /// Whether the client must send or read something before anything changes. Otherwise it waits
+    /// for a response, and what it holds is released when the response arrives.
+    bool awaitsClient() const { return !m_isBusy || m_isWriting; }
     bool isEvicted() const { return m_isEvicted; }
     std::size_t heldBytes() const { return m_bufferedBytes + m_bodyBytes; }
     MonotonicTime lastProgress() const { return m_lastProgress; }
@@ -56,6 +62,7 @@
     std::size_t m_newBytes = 0;
     MonotonicTime m_lastProgress;
     bool m_isBusy = false;
+    bool m_isWriting = false;
     bool m_isEvicted = false;
 };
 
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -143,6 +143,7 @@
     if (info->n_deleted > 0) {
         self->m_account->onProgress(self->m_server->loop.now());
     }
+    self->m_account->setWriting(evbuffer_get_length(output) > 0);
     if (self->m_phase != Phase::Exchange) {
         return;
     }
--- a/Source/net/MemoryBudget.cpp
+++ b/Source/net/MemoryBudget.cpp
@@ -107,8 +107,8 @@
 {
     ConnectionAccount *result = nullptr;
     for (ConnectionAccount *it : m_accounts) {
-        if (it != &asking && !it->isEvicted() && it->heldBytes() > SmallBodyBytes
-            && now - it->lastProgress() >= StallTime
+        if (it != &asking && !it->isEvicted() && it->awaitsClient()
+            && it->heldBytes() > SmallBodyBytes && now - it->lastProgress() >= StallTime
             && (result == nullptr || it->lastProgress() < result->lastProgress())) {
             result = it;
         }
@@ -120,7 +120,7 @@
 {
     microseconds result = DefaultRetryAfter;
     for (const ConnectionAccount *it : m_accounts) {
-        if (!it->isEvicted() && it->heldBytes() > SmallBodyBytes) {
+        if (!it->isEvicted() && it->awaitsClient() && it->heldBytes() > SmallBodyBytes) {
             result = std::min<microseconds>(result, it->lastProgress() + StallTime - now);
         }
     }
--- a/Source/net/MemoryBudget.h
+++ b/Source/net/MemoryBudget.h
@@ -77,8 +77,8 @@
 private:
     bool makeRoom(const ConnectionAccount &asking, std::size_t growth, std::size_t limit,
                   MonotonicTime now);
-    /// Returns the connection that has made no progress for longest and holds more than a small
-    /// body; null if none is stalled.
+    /// Returns the connection whose client has made no progress for longest although it is awaited,
+    /// and that holds more than a small body; null if none is stalled.
     ConnectionAccount *findStalled(const ConnectionAccount &asking, MonotonicTime now) const;
     /// Logs what was refused and closed, at most once in a period.
     void log(MonotonicTime now);
--- a/Tests/net/MemoryBudgetTest.cpp
+++ b/Tests/net/MemoryBudgetTest.cpp
@@ -76,6 +76,23 @@
     EXPECT_EQ(m_evicted, std::vector<std::size_t>{ 0 });
 }
 
+// Guards against the end of a request in progress, whose client waits for its response and can do
+// nothing about what its connection holds.
+TEST_F(MemoryBudgetTest, ClientThatWaitsForItsResponseIsNotStalled)
+{
+    ConnectionAccount &waiting = addConnection(Start);
+    addConnection(Start);
+    ASSERT_TRUE(grow(0, 1'000'000, Start));
+    waiting.setBusy(true);
+    const MonotonicTime later = Start + MemoryBudget::StallTime;
+    EXPECT_FALSE(grow(1, 800'000, later));
+    EXPECT_TRUE(m_evicted.empty());
+    // Its response waits to be read now.
+    waiting.setWriting(true);
+    EXPECT_TRUE(grow(1, 800'000, later));
+    EXPECT_EQ(m_evicted, std::vector<std::size_t>{ 0 });
+}
+
 // Guards against a client that keeps memory by sending single bytes.
 TEST_F(MemoryBudgetTest, SingleBytesAreNoProgress)
 {
