Tests: Show a complete response that an eviction destroys

A caller loses the rest of a complete response when a new connection exceeds the maximum number, although another idle connection has nothing to lose.

Cause: a connection counts as not busy once the response is in the socket; addConnection() goes by the last progress only, and ConnectionEnd::reset() discards what the caller has not acknowledged.

EvictionTest.ConnectionWithoutUnacknowledgedBytesIsClosedFirst fails.

--- a/Tests/net/EvictionTest.cpp
+++ b/Tests/net/EvictionTest.cpp
@@ -92,5 +92,22 @@
     EXPECT_TRUE(m_exchanges.size() == 1 || !m_exchanges[1]->isEnded());
 }
 
+// Guards against a complete response that is destroyed on its way although another idle connection
+// has nothing to lose.
+TEST_F(EvictionTest, ConnectionWithoutUnacknowledgedBytesIsClosedFirst)
+{
+    static constexpr std::size_t BodySize = 100'000;
+    PromptCaller reading(m_server.port(), ReceiveBuffer);
+    request(reading)->reply(200, {}, std::string(BodySize - 3, 'x') + "end");
+    runUntil([this] { return m_server.exchangesInProgress() == 0; });
+    PromptCaller idle(m_server.port());
+    askOnce(idle);
+    permitNoFurtherConnection();
+    const PromptCaller next(m_server.port());
+    const Timer reader = m_loop.scheduleEvery(milliseconds(1), [&reading] { reading.receive(); });
+    runUntil([&reading] { return reading.isReset() || reading.received().ends_with("end"); });
+    EXPECT_FALSE(reading.isReset());
+}
+
 } // namespace
 } // namespace Tarragon
