Tests: Show a caller that counts as stalled after a pause

A caller that reads its response all the time is reset after a pause of the process of 4 s, if another request needs memory.

Cause: MemoryBudget::findStalled() goes by the last progress that was recorded; the socket, which has room again, is not asked.

EvictionTest.CallerThatReadsDuringAPauseIsNotStalled fails.

--- a/Tests/net/EvictionTest.cpp
+++ b/Tests/net/EvictionTest.cpp
@@ -109,5 +109,30 @@
     EXPECT_FALSE(reading.isReset());
 }
 
+// Guards against a caller that is taken for stalled after a pause although it has read all the
+// time.
+TEST_F(EvictionTest, CallerThatReadsDuringAPauseIsNotStalled)
+{
+    PromptCaller reading(m_server.port(), ReceiveBuffer);
+    stream(reading);
+    PromptCaller other(m_server.port());
+    runUntil([this] { return m_server.connectionCount() == 2; });
+    runFor(milliseconds(100));
+    reduceCapacity();
+    bool isOver = false;
+    m_loop.post([&] {
+        other.send(Get);
+        const MonotonicTime end = m_loop.now() + MemoryBudget::StallTime;
+        while (m_loop.now() <= end) {
+            reading.receive();
+        }
+        isOver = true;
+    });
+    runUntil([&isOver] { return isOver; });
+    runUntil([this, &other] { return m_exchanges.size() == 2 || !other.receive(); });
+    runFor(milliseconds(20));
+    EXPECT_FALSE(m_exchanges[0]->isEnded());
+}
+
 } // namespace
 } // namespace Tarragon
