Tests: Show a caller that counts as stalled because of its target

A caller of pipelined requests is reset under a shortage of memory although it reads all that it gets: the response to its first request takes more than 4 s, and those behind it are held.

Cause: held responses count as buffered bytes of the connection, and nothing records progress while the target is awaited.

EvictionTest.CallerWithHeldResponsesIsNotStalled fails.

--- a/Tests/net/EvictionTest.cpp
+++ b/Tests/net/EvictionTest.cpp
@@ -134,5 +134,25 @@
     EXPECT_FALSE(m_exchanges[0]->isEnded());
 }
 
+// Guards against a caller that is taken for stalled because the first of its pipelined requests has
+// no response yet, so that the others are held.
+TEST_F(EvictionTest, CallerWithHeldResponsesIsNotStalled)
+{
+    PromptCaller waiting(m_server.port());
+    waiting.send(std::string(Get) + std::string(Get));
+    runUntil([this] { return m_exchanges.size() == 2; });
+    m_exchanges[1]->reply(200, {}, std::string(100'000, 'x'));
+    PromptCaller other(m_server.port());
+    runFor(MemoryBudget::StallTime);
+    reduceCapacity();
+    other.send(Get);
+    runUntil([this, &other] {
+        other.receive();
+        return m_exchanges.size() == 3 || !other.received().empty();
+    });
+    runFor(milliseconds(20));
+    EXPECT_FALSE(m_exchanges[0]->isEnded());
+}
+
 } // namespace
 } // namespace Tarragon
