Tests: Show a request that evicts all stalled connections

One request under a shortage of memory closes all connections without progress and is refused all the same.

Cause: MemoryBudget::makeRoom() goes on until there is room, but a connection that was evicted while a response is written releases its memory only in its timer.

EvictionTest.OneRequestClosesNoMoreThanItNeeds fails: 2 connections closed and 1 request refused, expected 1 and 0.

--- a/Tests/net/EvictionTest.cpp
+++ b/Tests/net/EvictionTest.cpp
@@ -154,5 +154,30 @@
     EXPECT_FALSE(m_exchanges[0]->isEnded());
 }
 
+// Guards against one request that closes all connections without progress, since the first of them
+// releases its memory only later, and that is refused all the same.
+TEST_F(EvictionTest, OneRequestClosesNoMoreThanItNeeds)
+{
+    std::vector<std::unique_ptr<PromptCaller>> stalled;
+    for (int i = 0; i < 3; ++i) {
+        stalled.push_back(std::make_unique<PromptCaller>(m_server.port(), ReceiveBuffer));
+        stream(*stalled.back());
+    }
+    PromptCaller other(m_server.port());
+    askOnce(other);
+    runFor(MemoryBudget::StallTime + milliseconds(500));
+    reduceCapacity();
+    const MemoryBudgetCounts before = m_budget.counts();
+    const std::size_t n = m_exchanges.size();
+    other.send(Get);
+    runUntil([&] {
+        other.receive();
+        return m_exchanges.size() > n || !other.received().ends_with("done");
+    });
+    runFor(milliseconds(20));
+    EXPECT_EQ(m_budget.counts().closedForMemory - before.closedForMemory, 1u);
+    EXPECT_EQ(m_budget.counts().refusedRequests, before.refusedRequests);
+}
+
 } // namespace
 } // namespace Tarragon
