Tests: Show a stop that ignores the rest of a request head

A process that stops after a pause closes a connection although the rest of a request head lies in the socket.

Cause: HttpServerConnection::mustStayOpen() goes by the header time limit alone while a head is incomplete.

StoppingTest.RestOfAHeadThatArrivedDuringAPauseCounts fails.

--- a/Tests/net/StoppingTest.cpp
+++ b/Tests/net/StoppingTest.cpp
@@ -89,6 +89,31 @@
     runUntil([this] { return m_server.isQuiet(); });
 }
 
+// Guards against a process that stops after a pause although the rest of a request head has
+// arrived.
+TEST_F(StoppingTest, RestOfAHeadThatArrivedDuringAPauseCounts)
+{
+    HttpServerLimits limits;
+    limits.headerTimeout = milliseconds(100);
+    m_server.setLimits(limits);
+    PromptCaller caller(m_server.port());
+    caller.send(Request.substr(0, 20));
+    runUntil([this] { return m_server.connectionCount() == 1; });
+    runFor(milliseconds(20));
+    m_server.stopListening();
+    bool isQuiet = false;
+    m_loop.post([&] {
+        caller.send(Request.substr(20));
+        // A new connection is expected to send its first request within 800 ms.
+        const MonotonicTime end = m_loop.now() + milliseconds(1'000);
+        while (m_loop.now() < end) {
+        }
+        isQuiet = m_server.isQuiet();
+    });
+    awaitResponse(caller);
+    EXPECT_FALSE(isQuiet);
+}
+
 /// A server whose responses are larger than what its callers can receive without reading.
 class UnreadResponseTest : public LoopTest
 {
