Tests: Show connections that are reset in the backlog after a pause

Cause: HttpServer::State::closeListener() closes the listener once its time has passed. The timer runs before the listener's event, which was not among those that the poll returned.

StoppingTest.WaitingConnectionsAreAcceptedAfterAPause fails.

--- a/Tests/net/StoppingTest.cpp
+++ b/Tests/net/StoppingTest.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Tarragon {
 namespace {
@@ -114,6 +115,32 @@
     EXPECT_FALSE(isQuiet);
 }
 
+// Guards against connections that are reset in the backlog because the time for accepting them has
+// passed during a pause. There are more ready connections than libevent returns from one poll.
+TEST_F(StoppingTest, WaitingConnectionsAreAcceptedAfterAPause)
+{
+    std::vector<std::unique_ptr<PromptCaller>> open;
+    for (int i = 0; i < 60; ++i) {
+        open.push_back(std::make_unique<PromptCaller>(m_server.port()));
+        open.back()->send(Request);
+        awaitResponse(*open.back());
+    }
+    std::unique_ptr<PromptCaller> waiting;
+    m_loop.post([&] {
+        for (const std::unique_ptr<PromptCaller> &it : open) {
+            it->send(Request);
+        }
+        waiting = std::make_unique<PromptCaller>(m_server.port());
+        waiting->send(Request);
+        m_server.stopListening();
+        const MonotonicTime end = m_loop.now() + milliseconds(300);
+        while (m_loop.now() < end) {
+        }
+    });
+    runUntil([&waiting] { return waiting != nullptr; });
+    awaitResponse(*waiting);
+}
+
 /// A server whose responses are larger than what its callers can receive without reading.
 class UnreadResponseTest : public LoopTest
 {
