Tests: Show a response that looks complete after its write timeout

A response without length that is ended because its caller did not read it in time looks complete.

Cause: HttpServerConnection::onTimeout() closes the connection like an idle one, by an orderly end of the stream, where abort() resets it.

UnreadStreamTest.EndByTheWriteTimeoutIsVisible fails.

--- a/Tests/net/BreakOffTest.cpp
+++ b/Tests/net/BreakOffTest.cpp
@@ -88,5 +88,31 @@
                              return std::string(info.param.name);
                          });
 
+class UnreadStreamTest : public SlowReadTest
+{};
+
+// Guards against a response without length that looks complete although the server has ended it
+// because its caller did not read it in time.
+TEST_F(UnreadStreamTest, EndByTheWriteTimeoutIsVisible)
+{
+    static constexpr std::size_t StreamSize = 20'000'000;
+    HttpServerLimits limits;
+    limits.writeTimeout = milliseconds(200);
+    std::vector<HttpExchangePtr> exchanges;
+    const HttpServer server(m_loop, "127.0.0.1", 0, limits,
+                            [&exchanges](const HttpExchangePtr &exchange) {
+                                exchange->startReply(200, {});
+                                exchange->send(std::string(StreamSize, 'x'));
+                                exchanges.push_back(exchange);
+                            });
+    PromptCaller caller(server.port(), ReceiveBuffer);
+    caller.send("GET / HTTP/1.0\r\n\r\n");
+    runUntil([&exchanges] { return exchanges.size() == 1 && exchanges[0]->isEnded(); });
+    const Timer reader = m_loop.scheduleEvery(milliseconds(1), [] {});
+    runUntil([&caller] { return !caller.receive(); });
+    EXPECT_LT(caller.received().size(), StreamSize);
+    EXPECT_TRUE(caller.isReset());
+}
+
 } // namespace
 } // namespace Tarragon
