Tests: Show a timeout queue that an exception stops

All connections of a server would stay open for ever after one timeout that throws.

Cause: BasicTimeoutQueue::onTimer() resets m_armedFor after its callbacks. If one throws, it stays at a time in the past, and no member arms the timer again.

TimeoutQueueLoopTest.GoesOnAfterAnException fails.

--- a/Tests/net/TimeoutQueueTest.cpp
+++ b/Tests/net/TimeoutQueueTest.cpp
@@ -1,4 +1,5 @@
 #include "Support/FirstSeed.h"
+#include "Support/LoopTest.h"
 #include "gateway/VirtualLoop.h"
 #include "net/TimeoutQueueTemplate.h"
 
@@ -9,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <stdexcept>
 #include <vector>
 
 namespace Tarragon {
@@ -206,5 +208,20 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, TimeoutQueueSeedTest, testing::Range(0, 50));
 
+class TimeoutQueueLoopTest : public LoopTest
+{};
+
+// Guards against a queue whose members never time out again after one of them has thrown.
+TEST_F(TimeoutQueueLoopTest, GoesOnAfterAnException)
+{
+    TimeoutQueue queue(m_loop, milliseconds(10));
+    TimeoutQueue::Member throwing([] { throw std::runtime_error("no memory"); });
+    bool hasTimedOut = false;
+    TimeoutQueue::Member other([&hasTimedOut] { hasTimedOut = true; });
+    throwing.start(queue);
+    other.start(queue);
+    runUntil([&hasTimedOut] { return hasTimedOut; });
+}
+
 } // namespace
 } // namespace Tarragon
