Tests: Show a request that was read and is closed as idle

A whole request that was read behind the one in progress gets neither a response nor a refusal if the loop is held up for the idle timeout before its turn.

Cause: HttpServerConnection::onTimeout() asks the socket and the input buffer; the request is in m_unread. No counter names it.

IdleTimeoutTest.RequestThatWaitsForItsTurnIsNotIdle fails.

--- a/Tests/net/IdleTimeoutTest.cpp
+++ b/Tests/net/IdleTimeoutTest.cpp
@@ -157,5 +157,34 @@
     EXPECT_EQ(ConnectionCloses::ofProcess().counts().unprocessedRequests, before + 1);
 }
 
+// Guards against a whole request that was read behind the one in progress, and whose connection is
+// closed as idle before its turn because the loop was held up.
+TEST_F(IdleTimeoutTest, RequestThatWaitsForItsTurnIsNotIdle)
+{
+    std::vector<HttpExchangePtr> exchanges;
+    const HttpServer server(
+            m_loop, "127.0.0.1", 0, m_limits,
+            [&exchanges](const HttpExchangePtr &exchange) { exchanges.push_back(exchange); });
+    PromptCaller caller(server.port());
+    const std::string post = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
+    caller.send(post + post);
+    runUntil([&exchanges] { return exchanges.size() == 1; });
+    // The connection whose time ends first, so that the queue's timer is due.
+    const PromptCaller idle(server.port());
+    runUntil([&server] { return server.connectionCount() == 2; });
+    Timer holdUp;
+    bool isHeldUp = false;
+    m_loop.post([&] {
+        holdUp = m_loop.schedule(microseconds(0), [&] {
+            holdUpLoop();
+            isHeldUp = true;
+        });
+        exchanges[0]->reply(200, {}, "done");
+        holdUpLoop();
+    });
+    runUntil([&] { return exchanges.size() == 2 || (isHeldUp && server.connectionCount() == 0); });
+    EXPECT_EQ(exchanges.size(), 2u);
+}
+
 } // namespace
 } // namespace Tarragon
