Tests: Show a crash at the timeout of a new connection

The process ends with a segmentation fault if the loop is held up for the idle timeout between the acceptance of a connection and its setup.

Cause: the constructor starts the timeout, but attach() sets m_connection later in the same iteration; closeNow() passes null to evhttp_connection_free().

IdleTimeoutTest.ConnectionMayTimeOutBeforeItIsSetUp ends test-net with signal 11.

--- a/Tests/net/IdleTimeoutTest.cpp
+++ b/Tests/net/IdleTimeoutTest.cpp
@@ -157,6 +157,32 @@
     EXPECT_EQ(ConnectionCloses::ofProcess().counts().unprocessedRequests, before + 1);
 }
 
+// Guards against a crash when the loop is held up between the acceptance of a connection and its
+// setup for longer than the idle timeout.
+TEST_F(IdleTimeoutTest, ConnectionMayTimeOutBeforeItIsSetUp)
+{
+    bool isHeldUp = false;
+    const HttpServer server(m_loop, "127.0.0.1", 0, m_limits,
+                            [this, &isHeldUp](const HttpExchangePtr &exchange) {
+                                if (isHeldUp) {
+                                    holdUpLoop();
+                                }
+                                exchange->reply(200, {}, "done");
+                            });
+    PromptCaller idle(server.port());
+    askOnce(idle);
+    PromptCaller slow(server.port());
+    askOnce(slow);
+    std::unique_ptr<PromptCaller> accepted;
+    m_loop.post([&] {
+        holdUpLoop();
+        isHeldUp = true;
+        accepted = std::make_unique<PromptCaller>(server.port());
+        slow.send(Get);
+    });
+    runUntil([&] { return accepted != nullptr && !accepted->receive(); });
+}
+
 // Guards against a whole request that was read behind the one in progress, and whose connection is
 // closed as idle before its turn because the loop was held up.
 TEST_F(IdleTimeoutTest, RequestThatWaitsForItsTurnIsNotIdle)
