--- a/Tests/net/StoppingTest.cpp
+++ b/Tests/net/StoppingTest.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Tarragon {
 namespace {
@@ -89,6 +90,76 @@
     runUntil([this] { return m_server.isQuiet(); });
 }
 
+// Guards against a process that stops after a pause although the rest of a request head has
+// arrived.
+TEST_F(StoppingTest, RestOfAHeadThatArrivedDuringAPauseCounts)
+{
+    HttpServerLimits limits;
+    limits.headerTimeout = milliseconds(100);
+    m_server.setLimits(limits);
+    PromptCaller caller(m_server.port());
+    caller.send(Request.substr(0, 20));
+    runUntil([this] { return m_server.connectionCount() == 1; });
+    runFor(milliseconds(20));
+    m_server.stopListening();
+    bool isQuiet = false;
+    m_loop.post([&] {
+        caller.send(Request.substr(20));
+        // A new connection is expected to send its first request within 800 ms.
+        const MonotonicTime end = m_loop.now() + milliseconds(1'000);
+        while (m_loop.now() < end) {
+        }
+        isQuiet = m_server.isQuiet();
+    });
+    awaitResponse(caller);
+    EXPECT_FALSE(isQuiet);
+}
+
+// Guards against connections that are reset in the backlog because the time for accepting them has
+// passed during a pause. There are more ready connections than libevent returns from one poll.
+TEST_F(StoppingTest, WaitingConnectionsAreAcceptedAfterAPause)
+{
+    std::vector<std::unique_ptr<PromptCaller>> open;
+    for (int i = 0; i < 60; ++i) {
+        open.push_back(std::make_unique<PromptCaller>(m_server.port()));
+        open.back()->send(Request);
+        awaitResponse(*open.back());
+    }
+    std::unique_ptr<PromptCaller> waiting;
+    m_loop.post([&] {
+        for (const std::unique_ptr<PromptCaller> &it : open) {
+            it->send(Request);
+        }
+        waiting = std::make_unique<PromptCaller>(m_server.port());
+        waiting->send(Request);
+        m_server.stopListening();
+        const MonotonicTime end = m_loop.now() + milliseconds(300);
+        while (m_loop.now() < end) {
+        }
+    });
+    runUntil([&waiting] { return waiting != nullptr; });
+    awaitResponse(*waiting);
+}
+
+// Guards against a request that was read behind the one in progress and gets no response because
+// the server closes its connections after the next response.
+TEST_F(StoppingTest, RequestsThatWereReadAreAnsweredBeforeTheClose)
+{
+    std::vector<HttpExchangePtr> exchanges;
+    HttpServer server(
+            m_loop, "127.0.0.1", 0, HttpServerLimits{},
+            [&exchanges](const HttpExchangePtr &exchange) { exchanges.push_back(exchange); });
+    PromptCaller caller(server.port());
+    const std::string post = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
+    caller.send(post + post);
+    runUntil([&exchanges] { return exchanges.size() == 1; });
+    runFor(milliseconds(20));
+    server.closeAfterResponses();
+    exchanges[0]->reply(200, {}, "done");
+    runUntil([&] { return exchanges.size() == 2 || server.connectionCount() == 0; });
+    EXPECT_EQ(exchanges.size(), 2u);
+}
+
 /// A server whose responses are larger than what its callers can receive without reading.
 class UnreadResponseTest : public LoopTest
 {
