Net: Accept connections that came in time before a late stop closes the listener

Callers whose connections waited in the backlog of a process that stops were reset if the loop was held up for 200 ms: the timer ran before the listener's event.

--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -159,7 +159,9 @@
 {
     // Closing a listener makes the kernel reset connections that have not been accepted yet.
     pollfd waiting{ evhttp_bound_socket_get_fd(listener), POLLIN, 0 };
-    if (poll(&waiting, 1, 0) > 0 && loop.now() < closeListenerDeadline) {
+    const MonotonicTime now = loop.now();
+    if (poll(&waiting, 1, 0) > 0
+        && (now < closeListenerDeadline || acceptGrace.mustWait(true, now))) {
         closeTimer = loop.schedule(microseconds(0), [this] { closeListener(); });
         return;
     }
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -2,6 +2,7 @@
 
 #include "net/HttpServer.h"
 #include "net/HttpServerConnection.h"
+#include "net/InputGrace.h"
 #include "net/LingeringConnections.h"
 #include "net/MemoryBudget.h"
 #include "net/TimeoutQueue.h"
@@ -49,6 +50,7 @@
     std::uint16_t port = 0;
     bool listening = false;
     MonotonicTime closeListenerDeadline;
+    InputGrace acceptGrace;
     Timer closeTimer;
     bool closesAfterResponses = false;
     /// Whether the server is being destroyed.
