Net: Ask for all that came in time when a time limit ends

A connection whose limit ended before it was set up ended the process by a null pointer. A whole request that had been read behind the one in progress was closed as idle if the loop was held up before its turn, as only the socket was asked. And a stop closed a connection although the rest of its request's head lay in the socket.

The limit starts when a connection is set up; input that was read and waits for its turn counts as input; and the socket is asked before a partial head is given up at a stop. IdleTimeoutTest.ConnectionMayTimeOutBeforeItIsSetUp, RequestThatWaitsForItsTurnIsNotIdle and StoppingTest.RestOfAHeadThatArrivedDuringAPauseCounts failed before.

--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -83,7 +83,6 @@
     const std::size_t readAhead = std::max<std::size_t>(std::min(MaxReadAheadBytes, share),
                                                         server.limits.headerBytes.value * 2);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, readAhead);
-    startTimeout();
 }
 
 HttpServerConnection::~HttpServerConnection()
@@ -95,6 +94,7 @@
 {
     wrapCallbacks();
     evhttp_connection_set_closecb(m_connection, onClosed, this);
+    startTimeout();
     if (m_account->isEvicted()) {
         onEvicted();
     }
@@ -469,9 +469,7 @@
 void HttpServerConnection::onTimeout()
 {
     // The loop may have been held up, so that the peer was in time although nothing was read yet.
-    const bool isInTime = m_phase == Phase::Exchange ? isWritable(bufferevent_getfd(m_bufferEvent))
-                                                     : hasUnreadInput();
-    if (isInTime) {
+    if (hasPeerActed()) {
         startTimeout();
     } else if (m_phase == Phase::Exchange) {
         m_end.reset(CloseCause::BreakOff);
@@ -524,13 +522,23 @@
         return true;
     }
     if (m_unread.hasPartialHead()) {
-        return now - m_headStartedAt <= m_server->limits.headerTimeout;
+        return now - m_headStartedAt <= m_server->limits.headerTimeout || hasUnreadInput();
     }
     const bool isNew = !m_hasResponded && now - m_acceptedAt < FirstRequestTimeout;
     return isNew || m_unread.size() > 0 || hasUnreadInput()
            || unacknowledgedBytes(bufferevent_getfd(m_bufferEvent)).value_or(0) > 0;
 }
 
+bool HttpServerConnection::hasPeerActed() const
+{
+    if (m_phase == Phase::Exchange) {
+        return isWritable(bufferevent_getfd(m_bufferEvent));
+    }
+    const bool isNextRequestRead =
+            m_phase == Phase::Head && !m_unread.hasPartialHead() && m_unread.size() > 0;
+    return isNextRequestRead || hasUnreadInput();
+}
+
 bool HttpServerConnection::hasUnreadInput() const
 {
     char ch = 0;
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -136,6 +136,8 @@
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
     void uncountExchange();
     bool hasUnreadInput() const;
+    /// Whether the peer has done what is awaited, and it has not been processed yet.
+    bool hasPeerActed() const;
     /// Waits for the peer, with the time limit for what it is to do next.
     void startTimeout();
     /// Ends the connection unless the peer has done in time what was awaited.
