Net: Ask the socket before a connection is closed to make room

A request that arrived in the iteration of the loop in which its idle connection was chosen to make room for a new one was passed to its target and then reset. A caller that read its response during a pause of the process counted as stalled. A complete response on its way was destroyed although another idle connection had nothing to lose. And one request could close all stalled connections, because an evicted one released its memory only later.

No input of a connection that is being closed is passed on. The budget asks the socket of the connection that it chooses: one whose client has acted is not closed, and one with unacknowledged bytes only if no other is found among 16. What an evicted connection holds is released for the budget at once.

--- a/Source/net/ConnectionAccount.cpp
+++ b/Source/net/ConnectionAccount.cpp
@@ -20,6 +20,9 @@
 
 void ConnectionAccount::changeBuffered(std::size_t added, std::size_t removed)
 {
+    if (m_isEvicted) {
+        return;
+    }
     m_budget.add(added);
     m_budget.remove(removed);
     m_bufferedBytes += added;
@@ -50,8 +53,18 @@
     return m_budget.admitsHead(*this, now);
 }
 
+SocketProgress ConnectionAccount::askSocket(MonotonicTime now)
+{
+    const SocketProgress progress = m_query.empty() ? SocketProgress() : m_query();
+    if (progress.hasClientActed) {
+        onProgress(now);
+    }
+    return progress;
+}
+
 void ConnectionAccount::evict()
 {
+    clearBuffered();
     m_isEvicted = true;
     const sigc::slot<void()> close = m_evict;
     close();
--- a/Source/net/ConnectionAccount.h
+++ b/Source/net/ConnectionAccount.h
@@ -9,6 +9,15 @@
 
 namespace Tarragon {
 
+/// What a connection's socket shows, which may be ahead of what was processed.
+struct SocketProgress
+{
+    /// Whether input waits to be read, or a response that the client had not read can go on.
+    bool hasClientActed = false;
+    /// Whether the client's system has acknowledged all that was written.
+    bool isAcknowledged = true;
+};
+
 /// What one connection of a client holds of a MemoryBudget.
 class ConnectionAccount
 {
@@ -36,6 +45,8 @@
     void clearBuffered();
     /// Replaces the slot that closes the connection.
     void setEvict(sigc::slot<void()> evict) { m_evict = std::move(evict); }
+    /// Sets the slot that asks the socket; without one, the client counts as not acting.
+    void setProgressQuery(sigc::slot<SocketProgress()> query) { m_query = std::move(query); }
     /// Sets whether a request of the connection is in progress.
     void setBusy(bool isBusy) { m_isBusy = isBusy; }
 
@@ -49,13 +60,16 @@
     bool isEvicted() const { return m_isEvicted; }
     std::size_t heldBytes() const { return m_bufferedBytes + m_bodyBytes; }
     MonotonicTime lastProgress() const { return m_lastProgress; }
-    /// Closes the connection.
+    /// Asks the socket. Records progress if the client has acted.
+    SocketProgress askSocket(MonotonicTime now);
+    /// Closes the connection. What it holds is released at once for the budget.
     void evict();
     MemoryBudget &budget() const { return m_budget; }
 
 private:
     MemoryBudget &m_budget;
     sigc::slot<void()> m_evict;
+    sigc::slot<SocketProgress()> m_query;
     std::size_t m_bufferedBytes = 0;
     std::size_t m_bodyBytes = 0;
     /// Input since the last progress.
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -83,6 +83,10 @@
     const std::size_t readAhead = std::max<std::size_t>(std::min(MaxReadAheadBytes, share),
                                                         server.limits.headerBytes.value * 2);
     bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, readAhead);
+    m_account->setProgressQuery([this] {
+        const evutil_socket_t fd = bufferevent_getfd(m_bufferEvent);
+        return SocketProgress{ hasPeerActed(), unacknowledgedBytes(fd).value_or(0) == 0 };
+    });
 }
 
 HttpServerConnection::~HttpServerConnection()
@@ -175,6 +179,10 @@
 
 void HttpServerConnection::readInput()
 {
+    if (m_account == nullptr || m_account->isEvicted()) {
+        // No request may be passed on any more; the timer closes the connection.
+        return;
+    }
     switch (m_phase) {
     case Phase::Head:
         if (!m_requestsAhead.isEmpty()) {
--- a/Source/net/MemoryBudget.cpp
+++ b/Source/net/MemoryBudget.cpp
@@ -40,6 +40,24 @@
     return instance;
 }
 
+/// Maximum number of sockets that are asked in the search for a connection to close.
+constexpr int MaxSocketsAsked = 16;
+
+/// Returns the account that satisfies the condition and has been without progress for longest; null
+/// if there is none.
+template<typename Condition>
+ConnectionAccount *longestWithoutProgress(const std::list<ConnectionAccount *> &accounts,
+                                          const Condition &condition)
+{
+    ConnectionAccount *result = nullptr;
+    for (ConnectionAccount *it : accounts) {
+        if (condition(*it) && (result == nullptr || it->lastProgress() < result->lastProgress())) {
+            result = it;
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 MemoryBudget &MemoryBudget::ofProcess()
@@ -105,15 +123,41 @@
 ConnectionAccount *MemoryBudget::findStalled(const ConnectionAccount &asking,
                                              MonotonicTime now) const
 {
-    ConnectionAccount *result = nullptr;
-    for (ConnectionAccount *it : m_accounts) {
-        if (it != &asking && !it->isEvicted() && it->awaitsClient()
-            && it->heldBytes() > SmallBodyBytes && now - it->lastProgress() >= StallTime
-            && (result == nullptr || it->lastProgress() < result->lastProgress())) {
-            result = it;
+    const auto isStalled = [&asking, now](const ConnectionAccount &it) {
+        return &it != &asking && !it.isEvicted() && it.awaitsClient()
+               && it.heldBytes() > SmallBodyBytes && now - it.lastProgress() >= StallTime;
+    };
+    for (int i = 0; i < MaxSocketsAsked; ++i) {
+        ConnectionAccount *result = longestWithoutProgress(m_accounts, isStalled);
+        // A client may have acted during a pause of this process.
+        if (result == nullptr || !result->askSocket(now).hasClientActed) {
+            return result;
         }
     }
-    return result;
+    return nullptr;
+}
+
+ConnectionAccount &MemoryBudget::chooseForCount(ConnectionAccount &added, MonotonicTime now) const
+{
+    std::vector<const ConnectionAccount *> inUse;
+    const auto isIdle = [&inUse, now](const ConnectionAccount &it) {
+        return !it.isEvicted() && !it.isBusy() && it.lastProgress() < now
+               && std::find(inUse.begin(), inUse.end(), &it) == inUse.end();
+    };
+    ConnectionAccount *first = nullptr;
+    for (int i = 0; i < MaxSocketsAsked; ++i) {
+        ConnectionAccount *result = longestWithoutProgress(m_accounts, isIdle);
+        if (result == nullptr) {
+            break;
+        }
+        const SocketProgress progress = result->askSocket(now);
+        if (!progress.hasClientActed && progress.isAcknowledged) {
+            return *result;
+        }
+        first = first == nullptr && !progress.hasClientActed ? result : first;
+        inUse.push_back(result);
+    }
+    return first == nullptr ? added : *first;
 }
 
 milliseconds MemoryBudget::retryAfter(MonotonicTime now) const
@@ -130,18 +174,10 @@
 void MemoryBudget::addConnection(ConnectionAccount &account, MonotonicTime now)
 {
     if (m_counts.connections >= m_counts.maxConnections) {
-        // The connection that has been without a request in progress for longest is closed, or else
-        // the new one.
-        ConnectionAccount *chosen = &account;
-        for (ConnectionAccount *it : m_accounts) {
-            if (!it->isEvicted() && !it->isBusy() && it->lastProgress() < now
-                && (chosen == &account || it->lastProgress() < chosen->lastProgress())) {
-                chosen = it;
-            }
-        }
+        ConnectionAccount &chosen = chooseForCount(account, now);
         ++m_counts.closedForCount;
         log(now);
-        chosen->evict();
+        chosen.evict();
     }
     ++m_counts.connections;
     m_accounts.push_back(&account);
--- a/Source/net/MemoryBudget.h
+++ b/Source/net/MemoryBudget.h
@@ -80,6 +80,8 @@
     /// Returns the connection whose client has made no progress for longest although it is awaited,
     /// and that holds more than a small body; null if none is stalled.
     ConnectionAccount *findStalled(const ConnectionAccount &asking, MonotonicTime now) const;
+    /// Returns the connection to close in favour of a new one; the new one if there is no other.
+    ConnectionAccount &chooseForCount(ConnectionAccount &added, MonotonicTime now) const;
     /// Logs what was refused and closed, at most once in a period.
     void log(MonotonicTime now);
 
