Net: Read what has arrived before a time limit ends a call

Calls whose responses had arrived while the process stood still ended as timed out, and connections to targets that had been made meanwhile counted as connect timeouts.

Cause: the timer of a call acts before the socket is read when it fires late, after SIGCONT or with more ready descriptors than libevent returns from its first poll (32).

At the end of its time a call asks its socket: for input, the end of the stream or an error while it awaits a response, for room while it connects and the time of the whole call has not passed. If there is any, it asks again in the next iteration, for 100 ms at most (InputGrace). The question is poll(), because a read with MSG_PEEK would consume the error that tells a reset from an orderly end. A paused call does not wait. A call costs no further system call unless its time has passed.

--- a/Source/net/HttpClientConnection.cpp
+++ b/Source/net/HttpClientConnection.cpp
@@ -5,8 +5,11 @@
 #include "net/Guard.h"
 #include "net/HttpCallState.h"
 #include "net/HttpClientState.h"
+#include "net/HttpIdleTimeout.h"
 #include "net/HttpResponseFraming.h"
 #include "net/HttpSyntax.h"
+#include "net/KeepAliveProbes.h"
+#include "net/SocketQueues.h"
 #include "net/SocketReset.h"
 
 #include <event2/buffer.h>
@@ -17,11 +20,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <optional>
 #include <string_view>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace Tarragon {
@@ -32,20 +32,6 @@
 constexpr std::size_t MaxReadAheadBytes = 65'536;
 /// Maximum size of a response's status line and header fields together.
 constexpr ev_ssize_t MaxHeadBytes = 32'768;
-/// Shorter than the idle timeout of servers (HttpServerLimits), so that a call seldom reuses a
-/// connection that the server is just closing.
-constexpr seconds MaxIdleTime{ 10 };
-/// If the peer states its idle timeout, the connection is closed this much earlier, because a
-/// request sent later could arrive after the peer has closed the connection.
-constexpr milliseconds IdleMargin{ 1'000 };
-constexpr milliseconds MinIdleTime{ 200 };
-/// TCP keep-alive probes, which detect an unresponsive peer while nothing is being sent.
-constexpr int KeepAliveIdleSeconds = 2;
-constexpr int KeepAliveIntervalSeconds = 1;
-constexpr int KeepAliveProbes = 2;
-/// Time in milliseconds after which the kernel closes a connection with unacknowledged data.
-/// Several times the retransmission timeout of the slowest path between regions.
-constexpr unsigned int TcpUserTimeoutMs = 2'500;
 /// evhttp's timeout restarts with every byte. It is therefore set to a week, and a timer enforces
 /// the timeouts of calls.
 constexpr int EvhttpTimeoutSeconds = 604'800;
@@ -94,37 +80,6 @@
     return "unknown error";
 }
 
-void enableKeepAliveProbes(evutil_socket_t fd)
-{
-    const int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveIdleSeconds, sizeof KeepAliveIdleSeconds);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveIntervalSeconds,
-               sizeof KeepAliveIntervalSeconds);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof KeepAliveProbes);
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMs, sizeof TcpUserTimeoutMs);
-}
-
-/// Returns how long a connection may stay idle. The Keep-Alive header states the peer's timeout in
-/// whole seconds.
-microseconds idleTimeoutOf(const HttpHeaders &headers)
-{
-    static constexpr std::string_view Key = "timeout=";
-    const std::string value = headers.find("Keep-Alive").value_or("");
-    const std::size_t position = value.find(Key);
-    if (position == std::string::npos) {
-        return MaxIdleTime;
-    }
-    const std::optional<std::uint64_t> stated = parseContentLength(
-            value.substr(position + Key.size(), value.find(',', position) - position - Key.size()));
-    if (!stated.has_value()) {
-        return MaxIdleTime;
-    }
-    const seconds limit(std::min<std::uint64_t>(*stated, MaxIdleTime.count() * 10));
-    return std::clamp<microseconds>(limit - IdleMargin, MinIdleTime, MaxIdleTime);
-}
-
 } // namespace
 
 /// Marks that a callback of the connection is running, so that the connection is not freed while
@@ -194,6 +149,8 @@
     m_scanner.reset();
     m_reusable = false;
     m_chunked = false;
+    m_isReadDeferred = false;
+    m_inputGrace.reset();
     m_acceptUnframed = request.acceptUnframed;
     m_rejectionReason.clear();
     m_error = EVREQ_HTTP_EOF;
@@ -274,8 +231,7 @@
     if (m_headSeen) {
         bufferevent_enable(m_bufferEvent, EV_READ);
         if (m_chunked) {
-            bufferevent_trigger(m_bufferEvent, EV_READ,
-                                BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+            deferRead();
         }
     }
 }
@@ -327,14 +283,30 @@
         m_client->discard(*this);
         return;
     }
-    const microseconds left = m_deadline - m_client->loop.now();
+    const MonotonicTime now = m_client->loop.now();
+    const microseconds left = m_deadline - now;
     if (m_connected && left > microseconds(0)) {
+        m_inputGrace.reset();
         armTimer(left);
         return;
     }
+    // A connection that is made after the call's time would only carry a request in vain.
+    const bool hasInput =
+            m_connected ? hasUnreadInput()
+                        : left > microseconds(0) && isWritable(bufferevent_getfd(m_bufferEvent));
+    if (m_inputGrace.mustWait(hasInput, now)) {
+        armTimer(microseconds(0));
+        return;
+    }
     fail(true, "timed out");
 }
 
+bool HttpClientConnection::hasUnreadInput() const
+{
+    return (bufferevent_get_enabled(m_bufferEvent) & EV_READ) != 0
+           && (m_isReadDeferred || isReadable(bufferevent_getfd(m_bufferEvent)));
+}
+
 HttpStage HttpClientConnection::stage() const
 {
     if (!m_connected) {
@@ -493,6 +465,12 @@
     m_decoder = ChunkedDecoder();
     evbuffer_drain(m_encodedBody, evbuffer_get_length(m_encodedBody));
     evbuffer_add_buffer(m_encodedBody, bufferevent_get_input(m_bufferEvent));
+    deferRead();
+}
+
+void HttpClientConnection::deferRead()
+{
+    m_isReadDeferred = true;
     bufferevent_trigger(m_bufferEvent, EV_READ,
                         BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -501,6 +479,7 @@
 {
     HttpClientConnection *self = static_cast<HttpClientConnection *>(arg);
     const CallbackScope scope(*self);
+    self->m_isReadDeferred = false;
     if (self->m_call != nullptr && !self->m_call->paused) {
         self->decodeBody();
     }
--- a/Source/net/HttpClientConnection.h
+++ b/Source/net/HttpClientConnection.h
@@ -5,6 +5,7 @@
 #include "net/ChunkedDecoder.h"
 #include "net/HttpCall.h"
 #include "net/HttpClient.h"
+#include "net/InputGrace.h"
 #include "net/PeerEnd.h"
 #include "net/ResponseHeadScanner.h"
 
@@ -57,6 +58,8 @@
     /// Whether an idle connection can be reused: the peer has neither closed it nor sent anything,
     /// and its last response is not older than `maxIdleTime`.
     bool isUsable(microseconds maxIdleTime) const;
+    /// Whether input of the call has arrived that was not processed, and reading is not paused.
+    bool hasUnreadInput() const;
     /// Whether a callback of evhttp is running.
     bool isInCallback() const { return m_callbackDepth > 0; }
 
@@ -79,6 +82,8 @@
     bool rejectHead(HttpStage stage, std::string reason);
     /// Replaces evhttp's callbacks, so that this class reads a chunked body.
     void takeOverBody();
+    /// Decodes what was received of a chunked body in a later callback.
+    void deferRead();
     void decodeBody();
     void timeOut();
     void fail(bool timedOut, const std::string &reason);
@@ -110,6 +115,7 @@
     std::shared_ptr<HttpCall::State> m_call;
     RequestId m_requestId;
     MonotonicTime m_deadline;
+    InputGrace m_inputGrace;
     bool m_isStarting = false;
     bool m_anySent = false;
     bool m_allSent = false;
@@ -120,6 +126,7 @@
     ResponseHeadScanner m_scanner;
     bool m_reusable = false;
     bool m_chunked = false;
+    bool m_isReadDeferred = false;
     bool m_acceptUnframed = false;
     /// Time after which the connection is closed while idle.
     microseconds m_idleTimeout{ 0 };
--- a/Source/net/SocketQueues.cpp
+++ b/Source/net/SocketQueues.cpp
@@ -30,6 +30,12 @@
     return queueLength(fd, SIOCINQ);
 }
 
+bool isReadable(evutil_socket_t fd)
+{
+    pollfd waiting{ fd, POLLIN, 0 };
+    return poll(&waiting, 1, 0) > 0;
+}
+
 bool isWritable(evutil_socket_t fd)
 {
     pollfd waiting{ fd, POLLOUT, 0 };
--- a/Source/net/SocketQueues.h
+++ b/Source/net/SocketQueues.h
@@ -16,6 +16,10 @@
 /// nothing if the system does not tell.
 std::optional<std::size_t> unreadBytes(evutil_socket_t fd);
 
+/// Whether a read of a TCP socket would return at once, with data, the end of the stream or an
+/// error. Unlike a read, this does not consume the error.
+bool isReadable(evutil_socket_t fd);
+
 /// Whether the system accepts more bytes for a TCP socket at present.
 bool isWritable(evutil_socket_t fd);
 
