Net: Use connections that were made before a late connect timeout

A target that listens was reported as unknown, and a connection between entries was closed and made again after a backoff, when the process had stood still beyond the timeout although the connection had been made.

Cause: the timer of the timeout acts before the socket is seen as writable when it fires late. When it fires, the check and the connector now ask the socket, and take its result (SO_ERROR) if there is one. One system call per timeout.

ConnectionCheckTest.ConnectionMadeDuringDelayCounts (unknown in place of accepted) and RpcConnectorTest.ConnectionMadeDuringDelayIsUsed (2 connections in place of 1) failed before. Not shown: a refusal that arrives during the delay, since the loopback device refuses within connect().

--- a/Source/net/ConnectionCheck.cpp
+++ b/Source/net/ConnectionCheck.cpp
@@ -2,6 +2,7 @@
 
 #include "net/Guard.h"
 #include "net/SocketAddress.h"
+#include "net/SocketQueues.h"
 
 #include <event2/event.h>
 
@@ -61,7 +62,7 @@
         }
     }
     if (m_event != nullptr && event_add(m_event, nullptr) == 0) {
-        m_timer = m_loop.schedule(timeout, [this] { end(ConnectionOutcome::Unknown); });
+        m_timer = m_loop.schedule(timeout, [this] { onTimeout(); });
         return;
     }
     m_timer = m_loop.schedule(microseconds(0), [this, outcome] { end(outcome); });
@@ -75,6 +76,16 @@
     end(outcomeOf(error));
 }
 
+void ConnectionCheck::onTimeout()
+{
+    // The loop may have been held up, so that the outcome is known although it was not seen yet.
+    if (isWritable(m_socket)) {
+        onWritable();
+    } else {
+        end(ConnectionOutcome::Unknown);
+    }
+}
+
 void ConnectionCheck::end(ConnectionOutcome outcome)
 {
     close();
--- a/Source/net/ConnectionCheck.h
+++ b/Source/net/ConnectionCheck.h
@@ -39,6 +39,7 @@
 
     void connect(const std::string &address, std::uint16_t port, milliseconds timeout);
     void onWritable();
+    void onTimeout();
     void end(ConnectionOutcome outcome);
     void close();
 
--- a/Source/net/RpcConnector.cpp
+++ b/Source/net/RpcConnector.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "net/Guard.h"
 #include "net/SocketAddress.h"
+#include "net/SocketQueues.h"
 
 #include <event2/event.h>
 
@@ -59,7 +60,7 @@
         retry();
         return;
     }
-    m_timeout = m_loop.schedule(m_options.connectTimeout, [this] { retry(); });
+    m_timeout = m_loop.schedule(m_options.connectTimeout, [this] { onTimeout(); });
 }
 
 void RpcConnector::onWritable()
@@ -78,6 +79,16 @@
         retry();
 }
 
+void RpcConnector::onTimeout()
+{
+    // The loop may have been held up, so that the connection was made in time.
+    if (isWritable(m_socket)) {
+        onWritable();
+    } else {
+        retry();
+    }
+}
+
 void RpcConnector::retry()
 {
     closeAttempt();
--- a/Source/net/RpcConnector.h
+++ b/Source/net/RpcConnector.h
@@ -51,6 +51,7 @@
 
     void connect();
     void onWritable();
+    void onTimeout();
     void retry();
     void closeAttempt();
 
--- a/Tests/Support/LoopDelay.h
+++ b/Tests/Support/LoopDelay.h
@@ -16,8 +16,8 @@
 
 /// Delays a loop, so that its timers fire late. After the delay more descriptors are ready than
 /// libevent returns from its first poll, and those of the loop's other events come after them.
-/// Timers therefore fire before input is read that has arrived during the delay. Delays a loop once:
-/// afterwards libevent polls for more descriptors.
+/// Timers therefore fire before input is read that has arrived during the delay. Delays a loop
+/// once: afterwards libevent polls for more descriptors.
 class LoopDelay
 {
 public:
--- a/Tests/net/ConnectionCheckTest.cpp
+++ b/Tests/net/ConnectionCheckTest.cpp
@@ -1,5 +1,6 @@
 #include "net/ConnectionCheck.h"
 
+#include "Support/LoopDelay.h"
 #include "Support/LoopTest.h"
 #include "Support/RawListener.h"
 
@@ -33,5 +34,23 @@
     EXPECT_EQ(check("no address", port), ConnectionOutcome::Unknown);
 }
 
+// Guards against a listening process that is not recognised because the timeout fires late, before
+// the connection is seen.
+TEST_F(ConnectionCheckTest, ConnectionMadeDuringDelayCounts)
+{
+    static constexpr milliseconds Timeout{ 50 };
+    const RawListener listener(m_loop);
+    LoopDelay delay(m_loop);
+    std::optional<ConnectionOutcome> result;
+    std::unique_ptr<ConnectionCheck> check;
+    delay.delayUntil(m_loop.now() + 4 * Timeout, [&] {
+        check = std::make_unique<ConnectionCheck>(
+                m_loop, "127.0.0.1", listener.port(), Timeout,
+                [&result](ConnectionOutcome outcome) { result = outcome; });
+    });
+    runUntil([&result] { return result.has_value(); });
+    EXPECT_EQ(result, ConnectionOutcome::Accepted);
+}
+
 } // namespace
 } // namespace Tarragon
--- a/Tests/net/RpcConnectorTest.cpp
+++ b/Tests/net/RpcConnectorTest.cpp
@@ -1,6 +1,8 @@
 #include "net/RpcConnector.h"
 
+#include "Support/LoopDelay.h"
 #include "Support/LoopTest.h"
+#include "Support/RawListener.h"
 #include "net/RpcListener.h"
 #include "net/RpcRuntime.h"
 
@@ -30,5 +32,30 @@
     EXPECT_EQ(streams, 2);
 }
 
+// Guards against a connection that is given up although it was made in time, because the timeout
+// fires late.
+TEST_F(RpcConnectorTest, ConnectionMadeDuringDelayIsUsed)
+{
+    RpcRuntime runtime(m_loop.base());
+    RawListener listener(m_loop);
+    LoopDelay delay(m_loop);
+    RpcConnectorOptions options;
+    options.connectTimeout = milliseconds(50);
+    std::unique_ptr<RpcConnector> connector;
+    kj::Own<RpcStream> stream;
+    Timer begin;
+    m_loop.post([&] {
+        // Both timers fire in the next iteration, in this order.
+        connector = std::make_unique<RpcConnector>(
+                m_loop, "127.0.0.1", listener.port(), options, 1,
+                [&stream](kj::Own<RpcStream> &it) { stream = kj::mv(it); });
+        begin = m_loop.schedule(microseconds(0), [&] {
+            delay.delayUntil(m_loop.now() + 4 * options.connectTimeout, [] {});
+        });
+    });
+    runUntil([&] { return stream.get() != nullptr && !listener.sockets().empty(); });
+    EXPECT_EQ(listener.sockets().size(), 1u);
+}
+
 } // namespace
 } // namespace Tarragon
