Peer: Count replies that have arrived when a late timeout runs

Callers saw, after a pause or a stall of an entry, permits, trials and tokens refused and gossip lost although the other entry had replied in time; two such timeouts closed a sound connection.

Cause: the timeout of a call runs among the callbacks of the loop. A reply that lies in the socket then is read later, or has just been read and is processed by kj's continuations, which run after the callbacks.

Change: a timeout is decided when kj's queue is empty (evalLast). If input waits in the socket or in the buffer of the connection then, the loop reads first, for 100 ms at most (InputGrace). RpcStream and RpcSession say whether input is unread.

Evidence, on the code before: RepliesThatArrivedBeforeALateTimeoutCount lost 4 of 4 replies, then both of 2 parallel calls, and the connection, so that the next call failed; RepliesBehindOtherInputBeforeALateTimeout- Count (100 other descriptors ready before the reply) lost its reply. Both pass now. APeerThatSendsBytesWithoutEndTimesOut passed before and after.

Why it works: no reply that has arrived can be between the socket and the call when the timeout ends the call, except behind more input than the loop reads in 100 ms.

--- a/Source/net/RpcSession.h
+++ b/Source/net/RpcSession.h
@@ -36,6 +36,8 @@
     capnp::Capability::Client remote();
     /// Resolves when the connection has ended or was closed because of malformed input.
     kj::Promise<void> onDisconnect() { return m_network.onDisconnect(); }
+    /// Whether input has arrived that the session has not read.
+    bool hasUnreadInput() const { return m_stream->hasUnreadInput(); }
 
 private:
     kj::Own<RpcStream> m_stream;
--- a/Source/net/RpcStream.cpp
+++ b/Source/net/RpcStream.cpp
@@ -1,6 +1,7 @@
 #include "net/RpcStream.h"
 
 #include "base/Error.h"
+#include "net/SocketQueues.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -334,6 +335,11 @@
     return evbuffer_get_length(bufferevent_get_input(m_event));
 }
 
+bool RpcStream::hasUnreadInput() const
+{
+    return bufferedInput() > 0 || unreadBytes(bufferevent_getfd(m_event)).value_or(0) > 0;
+}
+
 std::size_t RpcStream::bufferedOutput() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_event));
--- a/Source/net/RpcStream.h
+++ b/Source/net/RpcStream.h
@@ -41,6 +41,8 @@
 
     /// Returns the number of received bytes that have not been read yet.
     std::size_t bufferedInput() const;
+    /// Whether input has arrived that has not been read, in the socket or in the buffer.
+    bool hasUnreadInput() const;
     /// Returns the number of bytes of the write in progress that were copied but not sent yet.
     std::size_t bufferedOutput() const;
 
--- a/Source/peer/PeerClient.cpp
+++ b/Source/peer/PeerClient.cpp
@@ -8,6 +8,7 @@
                        std::uint64_t seed, const RpcConnectorOptions &options)
     : m_loop(loop)
     , m_replies(*this)
+    , m_timedOut(*this)
     , m_connector(loop, address, port, options, seed, sigc::mem_fun(*this, &PeerClient::onStream))
 {}
 
@@ -35,6 +36,20 @@
 
 void PeerClient::onTimeout(std::uint64_t id)
 {
+    // The continuations that process what has been read run after the callbacks of the loop.
+    m_timedOut.add(kj::evalLast([this, id] { endTimedOut(id); }));
+}
+
+void PeerClient::endTimedOut(std::uint64_t id)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    const bool hasInput = m_session.get() != nullptr && m_session->hasUnreadInput();
+    if (it->second.grace.mustWait(hasInput, m_loop.now())) {
+        it->second.timer = m_loop.schedule(microseconds(0), [this, id] { onTimeout(id); });
+        return;
+    }
     if (++m_timeouts >= MaxTimeouts && m_session.get() != nullptr)
         m_close = m_loop.schedule(microseconds(0), [this] { close(); });
     fail(id);
--- a/Source/peer/PeerClient.h
+++ b/Source/peer/PeerClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/Guard.h"
+#include "net/InputGrace.h"
 #include "net/RpcConnector.h"
 #include "net/RpcSession.h"
 #include "peer/Peer.capnp.h"
@@ -26,7 +27,8 @@
 
 /// Calls the Peer interface of one other entry. Connects on construction and reconnects whenever
 /// the connection ends. Requires the thread's RpcRuntime. Must not be destroyed from within one of
-/// its callbacks.
+/// its callbacks. A reply that has arrived when the timeout of its call is processed counts,
+/// however late that is.
 class PeerClient : private kj::TaskSet::ErrorHandler
 {
 public:
@@ -89,6 +91,7 @@
     {
         Timer timer;
         std::function<void()> failed;
+        InputGrace grace;
     };
 
     template<typename Results>
@@ -101,6 +104,8 @@
     void onStream(kj::Own<RpcStream> &stream);
     void onReply();
     void onTimeout(std::uint64_t id);
+    /// Ends a call that timed out, unless there is input that may contain its reply.
+    void endTimedOut(std::uint64_t id);
     /// Ends the call and reports its failure to the caller. Does nothing if the call has ended.
     void fail(std::uint64_t id);
     void close();
@@ -115,6 +120,7 @@
     std::size_t m_pending = 0;
     int m_timeouts = 0;
     kj::TaskSet m_replies;
+    kj::TaskSet m_timedOut;
     kj::Promise<void> m_disconnect = nullptr;
     /// Closes the session from the event loop, since a continuation must not destroy its own
     /// promise.
--- a/Tests/net/RpcStreamTest.cpp
+++ b/Tests/net/RpcStreamTest.cpp
@@ -70,6 +70,20 @@
     EXPECT_EQ(read(*m_remote, 9), "head tail");
 }
 
+// Guards against time limits that end although input waits in the socket or in the buffer.
+TEST_F(RpcStreamTest, ReportsUnreadInputInSocketAndBuffer)
+{
+    EXPECT_FALSE(m_local->hasUnreadInput());
+    m_remote->write("ab", 2).wait(scope());
+    EXPECT_TRUE(m_local->hasUnreadInput());
+    EXPECT_EQ(m_local->bufferedInput(), 0u);
+    EXPECT_EQ(read(*m_local, 1), "a");
+    EXPECT_EQ(m_local->bufferedInput(), 1u);
+    EXPECT_TRUE(m_local->hasUnreadInput());
+    EXPECT_EQ(read(*m_local, 1), "b");
+    EXPECT_FALSE(m_local->hasUnreadInput());
+}
+
 // Guards against unbounded buffers: a reader that stops must block the writer instead of filling
 // the memory of both ends.
 TEST_F(RpcStreamTest, SlowReaderBlocksTheWriterWithBoundedBuffers)
--- a/Tests/peer/PeerRpcTest.cpp
+++ b/Tests/peer/PeerRpcTest.cpp
@@ -7,16 +7,22 @@
 #include "peer/RegistryCodec.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
+#include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace Tarragon {
 namespace {
 
 constexpr microseconds CallTimeout{ 5'000'000 };
+/// Timeout of calls during which the loop is held up.
+constexpr milliseconds ShortTimeout{ 50 };
 /// Time after which a test that is still waiting for its sockets fails.
 constexpr microseconds WatchdogTime{ 20'000'000 };
 
@@ -37,9 +43,12 @@
     void serve(std::uint16_t port = 0)
     {
         PeerHandlers handlers;
-        handlers.heartbeat = [](PeerRpc::Heartbeat::Reader mine,
-                                PeerRpc::Heartbeat::Builder theirs) {
+        handlers.heartbeat = [this](PeerRpc::Heartbeat::Reader mine,
+                                    PeerRpc::Heartbeat::Builder theirs) {
             theirs.setGeneration(mine.getGeneration() + 1);
+            if (m_holdUp) {
+                m_holdUp();
+            }
         };
         handlers.fetchPlan = [](PeerRpc::Peer::FetchPlanParams::Reader,
                                 PeerRpc::Peer::FetchPlanResults::Builder) {
@@ -89,6 +98,16 @@
         return result;
     }
 
+    /// Blocks the loop for the time as soon as the reply to a heartbeat has been written.
+    void holdUpAfterReply(microseconds time)
+    {
+        kj::evalLast([this, time] {
+            const MonotonicTime end = m_loop.now() + time;
+            while (m_loop.now() < end) {
+            }
+        }).detach([](kj::Exception &&) {});
+    }
+
     /// Returns the bytes that a client sends on a new connection to make a call.
     std::string recordedCall()
     {
@@ -144,6 +163,8 @@
     Timer m_watchdog;
     std::unique_ptr<PeerServer> m_server;
     std::unique_ptr<PeerClient> m_client;
+    /// Called for every heartbeat that the server receives.
+    std::function<void()> m_holdUp;
     std::uint16_t m_port = 0;
 };
 
@@ -192,6 +213,95 @@
     EXPECT_EQ(heartbeat(2).first, PeerOutcome::Done);
 }
 
+// Guards against calls that fail although their replies have arrived in time, because the process
+// was held up and their timeouts run before the replies are processed. Two of them would close the
+// connection.
+TEST_F(PeerRpcTest, RepliesThatArrivedBeforeALateTimeoutCount)
+{
+    serve();
+    connect();
+    int connections = 0;
+    m_client->connected().connect([&connections] { ++connections; });
+    ASSERT_EQ(heartbeat(1).first, PeerOutcome::Done);
+    m_holdUp = [this] { holdUpAfterReply(2 * ShortTimeout); };
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        EXPECT_EQ(heartbeat(i, ShortTimeout), std::pair(PeerOutcome::Done, i + 1));
+    }
+    std::vector<PeerOutcome> outcomes;
+    for (int i = 0; i < PeerClient::MaxTimeouts; ++i) {
+        m_client->call(
+                &PeerRpc::Peer::Client::heartbeatRequest, ShortTimeout,
+                [](PeerRpc::Peer::HeartbeatParams::Builder) {},
+                [&](PeerOutcome outcome, const PeerRpc::Peer::HeartbeatResults::Reader *) {
+                    outcomes.push_back(outcome);
+                });
+    }
+    EXPECT_EQ(heartbeat(1).first, PeerOutcome::Done);
+    EXPECT_EQ(outcomes, std::vector<PeerOutcome>(PeerClient::MaxTimeouts, PeerOutcome::Done));
+    m_holdUp = nullptr;
+    EXPECT_EQ(heartbeat(1).first, PeerOutcome::Done);
+    EXPECT_EQ(connections, 0);
+}
+
+// Guards against the same if so much has arrived meanwhile that the reply is not among what the
+// loop reads first.
+TEST_F(PeerRpcTest, RepliesBehindOtherInputBeforeALateTimeoutCount)
+{
+    static constexpr std::size_t OtherInputs = 100;
+    serve();
+    connect();
+    ASSERT_EQ(heartbeat(1).first, PeerOutcome::Done);
+    std::vector<kj::Own<RpcStream>> streams;
+    std::vector<kj::Promise<std::size_t>> reads;
+    std::vector<std::array<char, 1>> bytes(OtherInputs);
+    std::size_t received = 0;
+    for (std::size_t i = 0; i < OtherInputs; ++i) {
+        int sockets[2];
+        ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets), 0);
+        for (const int it : sockets) {
+            streams.push_back(kj::heap<RpcStream>(m_loop.base(), it));
+        }
+        reads.push_back(streams[2 * i + 1]
+                                ->tryRead(bytes[i].data(), 1, 1)
+                                .then([&received](std::size_t n) {
+                                    received += n;
+                                    return n;
+                                })
+                                .eagerlyEvaluate(nullptr));
+    }
+    m_holdUp = [&] {
+        for (std::size_t i = 0; i < OtherInputs; ++i) {
+            // Completes at once; a handler must not wait.
+            const kj::Promise<void> written = streams[2 * i]->write("x", 1);
+        }
+        holdUpAfterReply(2 * ShortTimeout);
+    };
+    EXPECT_EQ(heartbeat(1, ShortTimeout), std::pair(PeerOutcome::Done, std::uint64_t{ 2 }));
+    EXPECT_EQ(received, OtherInputs);
+}
+
+// Guards against a call without a reply that does not time out because the peer sends other bytes.
+TEST_F(PeerRpcTest, APeerThatSendsBytesWithoutEndTimesOut)
+{
+    RawListener listener(m_loop);
+    m_port = listener.port();
+    connect();
+    std::size_t sent = 0;
+    // An incomplete message: its head announces more words than the test sends.
+    std::string bytes("\0\0\0\0\xff\xff\x07\0", 8);
+    const Timer send = m_loop.scheduleEvery(milliseconds(1), [&] {
+        if (!listener.sockets().empty() && sent < 2'000'000) {
+            listener.sockets().front()->send(bytes);
+            sent += bytes.size();
+            bytes.assign(8'000, '\0');
+        }
+    });
+    const MonotonicTime start = m_loop.now();
+    EXPECT_EQ(heartbeat(1, ShortTimeout).first, PeerOutcome::Unknown);
+    EXPECT_LT(m_loop.now() - start, seconds(5));
+    EXPECT_GT(sent, 0u);
+}
+
 // Guards against a peer that sends invalid bytes and disturbs the calls of other peers.
 TEST_F(PeerRpcTest, GarbageCostsItsSenderTheConnectionOnly)
 {
