Gateway: Name why a request ended without an answer

Callers saw whole requests end without an answer, and no line told why: when the process evicted the connection, ended, or stopped waiting for a caller to read, the line said caller-gone, as if the caller had left. Requests that waited behind others on their connection (answered and held, or read and not passed on) had no line. A handler that threw gave a line without the id, and a request that was followed went on to a line outcome=timeout status=504, though nothing was sent.

Cause: an exchange told its handler only that the peer had disconnected, whoever had ended the connection; input that had been read was dropped when the connection ended.

The exchange now has the cause (net/CloseCause), and the outcome of the request is that cause, in the log and the metrics. ConnectionEnd keeps the start of the input that was not processed and records it with the input that arrives later. A response that was held is logged as response-unsent. A handler that throws ends the request as handler-failed, with the exception's text. Connections that callers ended are counted as caller-gone in client_ends_total, and CloseCause gets unread. The cause of a cancelled send is request-ended instead of caller-gone. Callers see no difference. One line at an abnormal end, none else.

CallerResponseTest: the enumerator was renamed, nothing else.

--- a/Source/gateway/CallerResponse.cpp
+++ b/Source/gateway/CallerResponse.cpp
@@ -9,8 +9,8 @@
         return "given-up";
     case CancelCause::ResponseBegun:
         return "response-begun";
-    case CancelCause::CallerGone:
-        return "caller-gone";
+    case CancelCause::RequestEnded:
+        return "request-ended";
     }
     return "";
 }
--- a/Source/gateway/CallerResponse.h
+++ b/Source/gateway/CallerResponse.h
@@ -18,8 +18,8 @@
     GivenUp,
     /// The response to the caller began with another response.
     ResponseBegun,
-    /// The caller has disconnected.
-    CallerGone,
+    /// The connection to the caller has ended.
+    RequestEnded,
 };
 
 std::string_view toString(CancelCause cause);
--- a/Source/gateway/CallerResponseTemplate.h
+++ b/Source/gateway/CallerResponseTemplate.h
@@ -87,9 +87,9 @@
 {
     m_exchange = nullptr;
     if (m_current != nullptr) {
-        cancel(*m_current, CancelCause::CallerGone);
+        cancel(*m_current, CancelCause::RequestEnded);
     }
-    retire(std::move(m_fallback), CancelCause::CallerGone);
+    retire(std::move(m_fallback), CancelCause::RequestEnded);
 }
 
 template<TimerLoop Loop, ResponseExchange Exchange, ResponseAttempt<Exchange> Attempt>
--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -47,7 +47,7 @@
             std::make_shared<RoutedRequest>(context, exchange);
     request->m_selfReference = request;
     request->m_disconnectedConnection = exchange->disconnected().connect(
-            sigc::mem_fun(*request, &RoutedRequest::onCallerDisconnected));
+            sigc::mem_fun(*request, &RoutedRequest::onConnectionEnded));
     request->start();
 }
 
@@ -500,9 +500,9 @@
     fail("timeout", "no response before the deadline");
 }
 
-void RoutedRequest::onCallerDisconnected()
+void RoutedRequest::onConnectionEnded()
 {
-    end("caller-gone", 0, "");
+    end(std::string(toString(m_exchange->endCause())), 0, m_exchange->failure());
 }
 
 void RoutedRequest::end(const std::string &outcome, int status, const std::string &reason)
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -12,7 +12,7 @@
 namespace Tarragon {
 
 /// A request of a caller from its arrival to its final response. Lives until the response has been
-/// passed on or the caller has disconnected.
+/// passed on or the connection to the caller has ended.
 class RoutedRequest : public std::enable_shared_from_this<RoutedRequest>
 {
 public:
@@ -71,7 +71,7 @@
                       microseconds retryAfter);
     void replyUnauthorized();
     void onDeadline();
-    void onCallerDisconnected();
+    void onConnectionEnded();
     void end(const std::string &outcome, int status, const std::string &reason);
     /// Logs the end of the request; a successful one only if the sampler admits it.
     void logEnd(const std::string &outcome, int status, const std::string &reason,
--- a/Source/net/ConnectionCloses.cpp
+++ b/Source/net/ConnectionCloses.cpp
@@ -24,25 +24,6 @@
 
 } // namespace
 
-std::string_view toString(CloseCause cause)
-{
-    switch (cause) {
-    case CloseCause::Response:
-        return "response";
-    case CloseCause::Rejection:
-        return "rejection";
-    case CloseCause::BreakOff:
-        return "break-off";
-    case CloseCause::Idle:
-        return "idle";
-    case CloseCause::Eviction:
-        return "eviction";
-    case CloseCause::ServerEnd:
-        return "server-end";
-    }
-    return "";
-}
-
 ConnectionCloses &ConnectionCloses::ofProcess()
 {
     static ConnectionCloses instance;
@@ -70,7 +51,9 @@
 void ConnectionCloses::recordUnprocessed(const ClosedConnection &closed,
                                          const UnprocessedInput &input, MonotonicTime now)
 {
-    if (input.size() == 0) {
+    // Callers may give up a request that they have not sent whole.
+    const bool isExpected = closed.cause == CloseCause::CallerGone && !input.hasWholeHead();
+    if (input.size() == 0 || isExpected) {
         return;
     }
     ++m_counts.unprocessed;
@@ -96,6 +79,24 @@
     LOG4CPLUS_WARN(logger(), line.text());
 }
 
+void ConnectionCloses::logUnsent(CloseCause cause, const std::string &request, int status)
+{
+    LOG4CPLUS_WARN(logger(), LogLine("net", "response-unsent")
+                                     .add("cause", toString(cause))
+                                     .add("request", request)
+                                     .add("status", status)
+                                     .text());
+}
+
+void ConnectionCloses::logHandlerFailure(const std::string &request, std::string_view reason)
+{
+    LOG4CPLUS_ERROR(logger(), LogLine("net", "request-failed")
+                                      .add("cause", toString(CloseCause::HandlerFailed))
+                                      .add("request", request)
+                                      .add("reason", reason)
+                                      .text());
+}
+
 void ConnectionCloses::recordSocket(evutil_socket_t fd, CloseCause cause, MonotonicTime now)
 {
     if (!hasPeerFinished(fd)) {
@@ -131,8 +132,8 @@
         byCause += prefix + "_ends_total{cause=\"" + std::string(toString(it)) + "\"} "
                    + std::to_string(m_counts.byCause[std::size_t(it)]) + "\n";
     }
-    return "# HELP " + prefix + "_ends_total Connections of clients that this process ended\n"
-           + "# TYPE " + prefix + "_ends_total counter\n" + byCause
+    return "# HELP " + prefix + "_ends_total Connections of clients that have ended\n" + "# TYPE "
+           + prefix + "_ends_total counter\n" + byCause
            + metricText(prefix + "_early_closes_total", "counter",
                         "Idle connections closed before the idle timeout in force", m_counts.early)
            + metricText(prefix + "_unprocessed_closes_total", "counter",
--- a/Source/net/ConnectionCloses.h
+++ b/Source/net/ConnectionCloses.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "net/CloseCause.h"
 #include "net/UnprocessedInput.h"
 
 #include <event2/util.h>
@@ -11,32 +12,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Tarragon {
 
-/// Why a server closed a connection for good.
-enum class CloseCause {
-    /// The last response was written.
-    Response,
-    /// An error response was written to a request that was not accepted.
-    Rejection,
-    /// A response broke off.
-    BreakOff,
-    /// The connection was idle.
-    Idle,
-    /// The memory or the descriptor was needed for others.
-    Eviction,
-    /// The server ended, usually with the process.
-    ServerEnd,
-};
-
-/// All causes, in the order of their values.
-constexpr std::array CloseCauses = { CloseCause::Response, CloseCause::Rejection,
-                                     CloseCause::BreakOff, CloseCause::Idle,
-                                     CloseCause::Eviction, CloseCause::ServerEnd };
-
-std::string_view toString(CloseCause cause);
-
 /// A connection of a client that a server has closed.
 struct ClosedConnection
 {
@@ -47,10 +26,10 @@
     milliseconds idleTimeout{ 0 };
 };
 
-/// Counts the connections of clients that a process closes, by their cause, and among them those
-/// whose peer may not have received all of what was written, those with input that no handler got,
-/// and those that were closed as idle before the idle timeout. Logs the latter three, in a bounded
-/// number of lines.
+/// Counts the connections of clients that have ended, by their cause, and among them those whose
+/// peer may not have received all of what was written, those with input that no handler got, and
+/// those that were closed as idle before the idle timeout. Logs the latter three, in a bounded
+/// number of lines, and requests that ended without an answer and have no other line.
 class ConnectionCloses
 {
 public:
@@ -74,11 +53,16 @@
 
     /// Sets the field by which requests are named in the log.
     void setRequestIdField(std::string name) { m_requestIdField = std::move(name); }
-    /// Records that a server ends a connection of its own accord.
+    const std::string &requestIdField() const { return m_requestIdField; }
+    /// Records that a connection has ended.
     void recordEnd(const ClosedConnection &closed, MonotonicTime now);
     /// Records the input of a closed connection that no handler got, if there is any.
     void recordUnprocessed(const ClosedConnection &closed, const UnprocessedInput &input,
                            MonotonicTime now);
+    /// Logs that a request was answered by its handler, but the response was not written.
+    static void logUnsent(CloseCause cause, const std::string &request, int status);
+    /// Logs that the handler of a request has thrown an exception before it followed the request.
+    static void logHandlerFailure(const std::string &request, std::string_view reason);
     /// Records that a socket is about to be closed, unless its peer has finished.
     void recordSocket(evutil_socket_t fd, CloseCause cause, MonotonicTime now);
     /// Records a close. Sizes are empty if the system does not tell.
--- a/Source/net/ConnectionEnd.cpp
+++ b/Source/net/ConnectionEnd.cpp
@@ -8,6 +8,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace Tarragon {
@@ -20,8 +22,19 @@
     , m_close(std::move(close))
 {}
 
+void ConnectionEnd::keepUnprocessed(evbuffer *input)
+{
+    std::array<char, UnprocessedInput::MaxKeptBytes> start;
+    const std::size_t size = evbuffer_get_length(input);
+    const ev_ssize_t n = evbuffer_copyout(input, start.data(), start.size());
+    m_unprocessed.add(std::string_view(start.data(), std::size_t(std::max<ev_ssize_t>(n, 0))));
+    m_unprocessed.addSize(size - std::size_t(std::max<ev_ssize_t>(n, 0)));
+    evbuffer_drain(input, size);
+}
+
 void ConnectionEnd::sendAndClose(std::string_view text)
 {
+    m_cause = CloseCause::Rejection;
     linger(takeOutput().append(text), StreamEnd::Shutdown, m_close);
 }
 
@@ -30,6 +43,7 @@
     if (unacknowledgedBytes(bufferevent_getfd(m_bufferEvent)).value_or(0) == 0) {
         return false;
     }
+    m_cause = cause;
     takeOutput();
     linger({}, StreamEnd::Reset, [this, cause] { reset(cause); });
     return true;
@@ -52,7 +66,8 @@
     m_lingering = std::make_unique<LingeringClose>(
             m_server.loop,
             LingeringSocket(m_server.loop.base(), bufferevent_getfd(m_bufferEvent),
-                            FurtherInput::Discard),
+                            FurtherInput::Discard,
+                            streamEnd == StreamEnd::Reset ? &m_unprocessed : nullptr),
             std::move(pending), streamEnd, m_server.limits.linger,
             [ended](LingerResult) { ended(); });
     m_lingering->progressed().connect([this] { m_account.onProgress(m_server.loop.now()); });
@@ -64,10 +79,10 @@
     const MonotonicTime now = m_server.loop.now();
     const ClosedConnection closed = closedConnection(cause, m_account, now);
     ConnectionCloses &closes = ConnectionCloses::ofProcess();
-    UnprocessedInput unread;
-    unread.addUnread(fd);
+    m_cause = cause;
+    m_unprocessed.addUnread(fd);
     closes.recordEnd(closed, now);
-    closes.recordUnprocessed(closed, unread, now);
+    closes.recordUnprocessed(closed, m_unprocessed, now);
     closes.recordSocket(fd, cause, now);
     m_isReset = true;
     // A regular close would look like the end of a body that is delimited by the end of the
@@ -92,17 +107,24 @@
     const bool hasLingered = hasBegun();
     // libevent must remove its events before evhttp closes the descriptor.
     m_lingering.reset();
-    if (m_isReset || hasPeerFinished(fd)) {
+    if (m_isReset) {
         return;
     }
-    ConnectionCloses::ofProcess().recordEnd(closed, now);
-    if (hasLingered || m_server.isEnding) {
-        ConnectionCloses::ofProcess().recordSocket(fd, cause, now);
+    ConnectionCloses &closes = ConnectionCloses::ofProcess();
+    closes.recordEnd(closed, now);
+    const bool isFinal = hasLingered || m_server.isEnding || hasPeerFinished(fd);
+    if (isFinal) {
+        if (cause != CloseCause::Rejection) {
+            m_unprocessed.addUnread(fd);
+            closes.recordUnprocessed(closed, m_unprocessed, now);
+        }
+        closes.recordSocket(fd, cause, now);
         return;
     }
     // evhttp still shuts down the sending direction; the bufferevent closes no descriptor then.
     bufferevent_setfd(m_bufferEvent, -1);
-    m_server.lingering.add(fd, closed, std::move(account), m_server.limits.linger);
+    m_server.lingering.add(fd, closed, std::move(account), m_server.limits.linger,
+                           std::move(m_unprocessed));
 }
 
 } // namespace Tarragon
--- a/Source/net/ConnectionEnd.h
+++ b/Source/net/ConnectionEnd.h
@@ -8,10 +8,12 @@
 #include <sigc++/sigc++.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 struct bufferevent;
+struct evbuffer;
 
 namespace Tarragon {
 
@@ -30,6 +32,12 @@
 
     /// Whether the connection is ending by sendAndClose() or resetWhenAcknowledged().
     bool hasBegun() const { return m_lingering != nullptr; }
+    /// Sets why the connection is about to be closed.
+    void setCause(CloseCause cause) { m_cause = cause; }
+    /// Returns why the server ends the connection; nothing if it does not.
+    const std::optional<CloseCause> &cause() const { return m_cause; }
+    /// Moves input that no handler gets out of the buffer, for the log.
+    void keepUnprocessed(evbuffer *input);
     /// Sends the text behind what was written, discards input, and calls the slot when the peer has
     /// all of it.
     void sendAndClose(std::string_view text);
@@ -55,6 +63,8 @@
     CloseSlot m_close;
     std::unique_ptr<LingeringClose> m_lingering;
     bool m_isReset = false;
+    std::optional<CloseCause> m_cause;
+    UnprocessedInput m_unprocessed;
 };
 
 } // namespace Tarragon
--- a/Source/net/HeldResponse.h
+++ b/Source/net/HeldResponse.h
@@ -23,6 +23,8 @@
     /// The exchange of the response; null if its HttpExchange was destroyed.
     HttpExchange::State *exchange = nullptr;
     std::string method;
+    /// Id of the request, for the log; empty if it has none.
+    std::string requestId;
     int status = 0;
     HttpHeaders headers;
     std::string body;
--- a/Source/net/HttpExchange.cpp
+++ b/Source/net/HttpExchange.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpExchange.h"
 
 #include "base/Error.h"
+#include "net/ConnectionCloses.h"
 #include "net/Guard.h"
 #include "net/HeldResponse.h"
 #include "net/HttpExchangeState.h"
@@ -99,6 +100,8 @@
     setTarget(std::move(pipelined.target));
     held->exchange = this;
     held->method = method;
+    held->requestId =
+            requestHeaders->find(ConnectionCloses::ofProcess().requestIdField()).value_or("");
 }
 
 HttpExchange::State::~State()
@@ -122,7 +125,7 @@
     request = nullptr;
 }
 
-void HttpExchange::State::onPeerDisconnected()
+void HttpExchange::State::onConnectionEnded(CloseCause cause)
 {
     evhttp_request *freed = request != nullptr && request->evcon == nullptr ? request : nullptr;
     detach();
@@ -131,6 +134,7 @@
         evhttp_request_free(freed);
     }
     if (!std::exchange(ended, true)) {
+        endCause = cause;
         const sigc::signal<void()> disconnected = disconnectedSignal;
         guarded("HTTP exchange", [&disconnected] { disconnected.emit(); });
     }
@@ -426,11 +430,37 @@
     connection->breakOff();
 }
 
+void HttpExchange::fail(const std::string &reason)
+{
+    if (isEnded()) {
+        return;
+    }
+    m_state->endCause = CloseCause::HandlerFailed;
+    m_state->failure = reason;
+    const sigc::signal<void()> disconnected = m_state->disconnectedSignal;
+    if (disconnected.empty()) {
+        const std::string &field = ConnectionCloses::ofProcess().requestIdField();
+        ConnectionCloses::logHandlerFailure(headers().find(field).value_or(""), reason);
+    }
+    abort();
+    guarded("HTTP exchange", [&disconnected] { disconnected.emit(); });
+}
+
 bool HttpExchange::isEnded() const
 {
     return m_state->ended;
 }
 
+CloseCause HttpExchange::endCause() const
+{
+    return m_state->endCause;
+}
+
+const std::string &HttpExchange::failure() const
+{
+    return m_state->failure;
+}
+
 sigc::signal<void()> &HttpExchange::disconnected()
 {
     return m_state->disconnectedSignal;
--- a/Source/net/HttpExchange.h
+++ b/Source/net/HttpExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/CloseCause.h"
 #include "net/HttpHeaders.h"
 #include "net/RequestBody.h"
 
@@ -58,10 +59,17 @@
     /// Resets the connection, so that the peer sees that the response is truncated. If the response
     /// is held, the connection is closed in its turn and nothing of the response is sent.
     void abort();
-    /// Whether the exchange has ended or the peer has disconnected.
+    /// Like abort(), because the handler has thrown an exception; also emits disconnected(). Logs
+    /// the request if nothing is connected to that.
+    void fail(const std::string &reason);
+    /// Whether the exchange has ended or the connection has.
     bool isEnded() const;
+    /// Returns why the connection ended before the exchange. Valid when disconnected() is emitted.
+    CloseCause endCause() const;
+    /// Returns the reason that fail() was given; empty if it was not called.
+    const std::string &failure() const;
 
-    /// Emitted once when the peer disconnects before the exchange has ended.
+    /// Emitted once when the connection ends before the exchange.
     sigc::signal<void()> &disconnected();
     /// Emitted when the buffered bytes of a streamed response have been written to the socket, and
     /// when a response without buffered bytes is no longer held.
--- a/Source/net/HttpExchangeState.h
+++ b/Source/net/HttpExchangeState.h
@@ -32,7 +32,7 @@
     /// to it.
     void detach();
     /// Calls detach(), marks the exchange as ended and emits disconnected().
-    void onPeerDisconnected();
+    void onConnectionEnded(CloseCause cause);
     /// Uses an evhttp request from now on, and starts to deliver what was held of the response.
     void bind(evhttp_request *evhttpRequest);
     void loadTarget();
@@ -52,6 +52,10 @@
     std::shared_ptr<HeldResponse> held;
     bool started = false;
     bool ended = false;
+    /// Why the connection ended before the exchange.
+    CloseCause endCause = CloseCause::CallerGone;
+    /// Why the handler failed; empty if it did not.
+    std::string failure;
     bool chunkedSupported = false;
     bool bodyless = false;
     /// Bytes that a streamed body still needs to reach its announced Content-Length.
--- a/Source/net/HttpServer.cpp
+++ b/Source/net/HttpServer.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <exception>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -122,6 +123,19 @@
     connections.erase(connection);
 }
 
+void HttpServer::State::handle(const HttpExchangePtr &exchange) const
+{
+    try {
+        handler(exchange);
+    } catch (const std::exception &error) {
+        if (exchange->isEnded()) {
+            logCallbackError("HTTP server", error);
+        } else {
+            exchange->fail(error.what());
+        }
+    }
+}
+
 void HttpServer::State::listen(const std::string &address, std::uint16_t requestedPort)
 {
     const std::optional<SocketAddress> socketAddress = parseSocketAddress(address, requestedPort);
--- a/Source/net/HttpServerConnection.cpp
+++ b/Source/net/HttpServerConnection.cpp
@@ -256,10 +256,7 @@
     const HttpExchangePtr pointer =
             std::make_shared<HttpExchange>(std::make_unique<HttpExchange::State>(
                     shared_from_this(), std::move(request), address, response));
-    const bool done = guarded("HTTP server", [this, &pointer] { m_server->handler(pointer); });
-    if (!done) {
-        pointer->abort();
-    }
+    m_server->handle(pointer);
 }
 
 void HttpServerConnection::startNextResponse()
@@ -269,7 +266,9 @@
     --m_server->exchangesInProgress;
     if (m_nextResponse->isAborted) {
         m_nextResponse = nullptr;
+        keepUnprocessed();
         m_phase = Phase::BrokenOff;
+        m_end.setCause(CloseCause::BreakOff);
         closeNow();
         return;
     }
@@ -448,11 +447,7 @@
     state->requestBody = std::move(m_body);
     m_body.reset();
     exchange = state.get();
-    const HttpExchangePtr pointer = std::make_shared<HttpExchange>(std::move(state));
-    const bool done = guarded("HTTP server", [this, &pointer] { m_server->handler(pointer); });
-    if (!done) {
-        pointer->abort();
-    }
+    m_server->handle(std::make_shared<HttpExchange>(std::move(state)));
 }
 
 void HttpServerConnection::applyLimits()
@@ -486,6 +481,7 @@
         startTimeout();
     } else if (m_phase == Phase::Exchange
                || (m_phase == Phase::Head && !m_unread.hasPartialHead())) {
+        m_end.setCause(m_phase == Phase::Head ? CloseCause::Idle : CloseCause::Unread);
         closeNow();
     } else {
         rejectOverdue();
@@ -585,6 +581,7 @@
     const std::shared_ptr<HttpServerConnection> self =
             static_cast<HttpServerConnection *>(arg)->shared_from_this();
     if (self->m_account->isEvicted()) {
+        self->keepUnprocessed();
         self->m_end.reset(CloseCause::Eviction);
     } else if (self->m_phase == Phase::Head || self->m_phase == Phase::Exchange) {
         self->readInput();
@@ -626,6 +623,7 @@
     if (m_phase == Phase::Closed || m_end.hasBegun()) {
         return;
     }
+    keepUnprocessed();
     if (!m_end.resetWhenAcknowledged(CloseCause::BreakOff)) {
         m_end.reset(CloseCause::BreakOff);
         return;
@@ -633,7 +631,15 @@
     m_phase = Phase::BrokenOff;
     m_account->setBusy(false);
     dropInput();
-    endExchanges();
+    endExchanges(CloseCause::BreakOff);
+}
+
+void HttpServerConnection::keepUnprocessed()
+{
+    if (m_phase == Phase::Head || m_phase == Phase::Exchange) {
+        m_end.keepUnprocessed(m_unread.buffer());
+        m_end.keepUnprocessed(bufferevent_get_input(m_bufferEvent));
+    }
 }
 
 void HttpServerConnection::dropInput()
@@ -655,33 +661,26 @@
 
 CloseCause HttpServerConnection::closeCause() const
 {
+    if (m_end.cause().has_value()) {
+        return *m_end.cause();
+    }
     if (m_server->isEnding) {
         return CloseCause::ServerEnd;
     }
-    switch (m_phase) {
-    case Phase::Head:
-        return m_isLastResponse ? CloseCause::Response : CloseCause::Idle;
-    case Phase::Body:
-    case Phase::ChunkedBody:
-    case Phase::Rejected:
-        return CloseCause::Rejection;
-    case Phase::Exchange:
-    case Phase::BrokenOff:
-    case Phase::Closed:
-        break;
-    }
-    return CloseCause::BreakOff;
+    // Otherwise evhttp closes connections of its own accord only if the peer has ended them.
+    return m_phase == Phase::Head && m_isLastResponse ? CloseCause::Response
+                                                      : CloseCause::CallerGone;
 }
 
-void HttpServerConnection::endExchanges()
+void HttpServerConnection::endExchanges(CloseCause cause)
 {
     uncountExchange();
     m_server->exchangesInProgress -= m_requestsAhead.size();
     HttpExchange::State *state = std::exchange(exchange, nullptr);
     if (state != nullptr) {
-        state->onPeerDisconnected();
+        state->onConnectionEnded(cause);
     }
-    m_requestsAhead.endAll();
+    m_requestsAhead.endAll(cause);
 }
 
 void HttpServerConnection::onClosed(evhttp_connection *, void *arg)
@@ -693,10 +692,12 @@
     evbuffer_remove_cb(bufferevent_get_output(self->m_bufferEvent), onOutputChanged, self.get());
     event_del(self->m_timer);
     self->m_timeout.stop();
-    self->m_end.handOver(self->closeCause(), std::move(self->m_account));
+    const CloseCause cause = self->closeCause();
+    self->keepUnprocessed();
+    self->m_end.handOver(cause, std::move(self->m_account));
     self->m_phase = Phase::Closed;
     self->m_server->remove(self.get());
-    self->endExchanges();
+    self->endExchanges(cause);
 }
 
 } // namespace Tarragon
--- a/Source/net/HttpServerConnection.h
+++ b/Source/net/HttpServerConnection.h
@@ -135,10 +135,12 @@
     void reject(int status, std::string_view reason, std::string_view fields = {});
     /// Makes evhttp close the connection.
     void closeNow();
-    /// Returns why the connection is being closed, if the peer has not closed it.
+    /// Returns why the connection is being closed.
     CloseCause closeCause() const;
     /// Ends the exchange in progress and the requests ahead because the connection is closed.
-    void endExchanges();
+    void endExchanges(CloseCause cause);
+    /// Records the input that no handler gets.
+    void keepUnprocessed();
     /// Subtracts the exchange from the server's exchangesInProgress, if it was counted.
     void uncountExchange();
     bool hasUnreadInput() const;
--- a/Source/net/HttpServerState.h
+++ b/Source/net/HttpServerState.h
@@ -34,6 +34,8 @@
     bool isQuiet() const;
     void attachNewConnections();
     void remove(HttpServerConnection *connection);
+    /// Passes a request to the handler. If that throws, the exchange fails.
+    void handle(const HttpExchangePtr &exchange) const;
 
     EventLoop &loop;
     HttpServerLimits limits;
--- a/Source/net/LingeringConnections.cpp
+++ b/Source/net/LingeringConnections.cpp
@@ -20,7 +20,7 @@
 
 void LingeringConnections::add(evutil_socket_t fd, const ClosedConnection &closed,
                                std::unique_ptr<ConnectionAccount> account,
-                               const LingerLimits &limits)
+                               const LingerLimits &limits, UnprocessedInput unprocessed)
 {
     account->clearBuffered();
     account->setBusy(false);
@@ -29,7 +29,8 @@
         close(fd);
     });
     ConnectionAccount &counted = *account;
-    std::unique_ptr<UnprocessedInput> discarded = std::make_unique<UnprocessedInput>();
+    std::unique_ptr<UnprocessedInput> discarded =
+            std::make_unique<UnprocessedInput>(std::move(unprocessed));
     // Nothing of an idle connection can be lost by a reset once all responses have arrived.
     const FurtherInput furtherInput =
             closed.cause == CloseCause::Idle && unacknowledgedBytes(fd).value_or(1) == 0
--- a/Source/net/LingeringConnections.h
+++ b/Source/net/LingeringConnections.h
@@ -24,9 +24,11 @@
     LingeringConnections(const LingeringConnections &) = delete;
     LingeringConnections &operator=(const LingeringConnections &) = delete;
 
-    /// Takes ownership of a socket to which nothing further is written, and of its account.
+    /// Takes ownership of a socket to which nothing further is written, and of its account. Further
+    /// input is added to what was not processed before.
     void add(evutil_socket_t fd, const ClosedConnection &closed,
-             std::unique_ptr<ConnectionAccount> account, const LingerLimits &limits);
+             std::unique_ptr<ConnectionAccount> account, const LingerLimits &limits,
+             UnprocessedInput unprocessed);
     bool isEmpty() const { return m_connections.empty(); }
     std::size_t size() const { return m_connections.size(); }
 
--- a/Source/net/RequestsAhead.cpp
+++ b/Source/net/RequestsAhead.cpp
@@ -1,5 +1,6 @@
 #include "net/RequestsAhead.h"
 
+#include "net/ConnectionCloses.h"
 #include "net/HttpExchangeState.h"
 
 #include <algorithm>
@@ -42,13 +43,15 @@
     return next;
 }
 
-void RequestsAhead::endAll()
+void RequestsAhead::endAll(CloseCause cause)
 {
     // Handlers of disconnected() may destroy other exchanges, which clears the pointers to them.
     const std::deque<std::shared_ptr<HeldResponse>> responses = std::exchange(m_responses, {});
     for (const std::shared_ptr<HeldResponse> &it : responses) {
-        if (it->exchange != nullptr) {
-            it->exchange->onPeerDisconnected();
+        if (it->exchange != nullptr && !it->exchange->ended) {
+            it->exchange->onConnectionEnded(cause);
+        } else if (!it->isAborted) {
+            ConnectionCloses::logUnsent(cause, it->requestId, it->status);
         }
     }
 }
--- a/Source/net/RequestsAhead.h
+++ b/Source/net/RequestsAhead.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/CloseCause.h"
 #include "net/HeldResponse.h"
 
 #include <cstddef>
@@ -22,8 +23,9 @@
     void add(const std::shared_ptr<HeldResponse> &response) { m_responses.push_back(response); }
     /// Removes and returns the response whose turn is next.
     std::shared_ptr<HeldResponse> takeNext();
-    /// Removes all responses and tells their exchanges that the peer has disconnected.
-    void endAll();
+    /// Removes all responses because the connection has ended. Tells exchanges that have not ended,
+    /// and logs the others, whose responses were not written.
+    void endAll(CloseCause cause);
 
 private:
     std::deque<std::shared_ptr<HeldResponse>> m_responses;
--- a/Source/net/UnprocessedInput.h
+++ b/Source/net/UnprocessedInput.h
@@ -18,6 +18,8 @@
 
     /// Adds bytes that were read and discarded.
     void add(std::string_view data);
+    /// Adds bytes whose content is not known.
+    void addSize(std::size_t bytes) { m_size += bytes; }
     /// Adds what waits in the socket, which stays unread.
     void addUnread(evutil_socket_t fd);
     /// Returns the number of bytes.
--- a/Tests/gateway/CallerResponseTest.cpp
+++ b/Tests/gateway/CallerResponseTest.cpp
@@ -231,7 +231,7 @@
     const SourceNumber second = run.add();
     run.response().close();
     EXPECT_THAT(run.openAttempts(), IsEmpty());
-    EXPECT_THAT(run.cancelled(), ElementsAre(CancelCause::CallerGone, CancelCause::CallerGone));
+    EXPECT_THAT(run.cancelled(), ElementsAre(CancelCause::RequestEnded, CancelCause::RequestEnded));
     run.receive(first, true);
     run.receive(second, true);
     run.response().reply(504, {}, "");
