Tests: Hold that explain shows requests without an answer

Their lines come from the part net of the log. tarragonctl explain shows every line with the id, whatever its part; nothing held it for these.

--- a/Tests/ctl/ExplainTest.cpp
+++ b/Tests/ctl/ExplainTest.cpp
@@ -102,6 +102,28 @@
     EXPECT_EQ(json["beliefs"][0]["fields"]["change"], "joined");
 }
 
+// Guards against a request that ended without an answer and whose only line, of the part of the
+// program that handles connections, is not shown.
+TEST_F(ExplainTest, RequestsWithoutAnAnswerAreShown)
+{
+    const std::string file = write(
+            "one.log",
+            "time=2026-01-01T00:00:01.000Z level=WARN net: event=input-unprocessed cause=eviction "
+            "idleMs=4000.1 limitMs=60000.0 bytes=118 wholeHead=true request=a1 closes=1\n"
+            "time=2026-01-01T00:00:02.000Z level=WARN net: event=response-unsent cause=server-end "
+            "request=a2 status=200\n"
+            "time=2026-01-01T00:00:03.000Z level=ERROR net: event=request-failed "
+            "cause=handler-failed request=a3 reason=\"no memory\"\n");
+    const std::array causes = { "eviction", "server-end", "handler-failed" };
+    for (std::size_t i = 0; i < causes.size(); ++i) {
+        const auto [code, text] = explain("--json a" + std::to_string(i + 1) + " " + file);
+        ASSERT_EQ(code, 0) << text;
+        const nlohmann::json json = nlohmann::json::parse(text);
+        ASSERT_EQ(json.at("path").size(), 1u);
+        EXPECT_EQ(json["path"][0]["fields"]["cause"], causes[i]);
+    }
+}
+
 // Guards against an unknown request id that is reported like a request without failures.
 TEST_F(ExplainTest, UnknownRequestIsAnError)
 {
