Net: Let a reduced time limit hold for what begins after the change

The cause is not proved; a caller that goes by the limit at its last use of the connection fits it, and a connection was closed by a reduced limit 5 s after its change.

A reduced limit does not shorten the time of a connection that is idle already, as before.

--- a/Source/net/HttpServer.h
+++ b/Source/net/HttpServer.h
@@ -29,8 +29,7 @@
     /// Returns the port that the server listens on.
     std::uint16_t port() const;
     /// Changes the limits, for all open connections at once. Sizes apply to requests whose head has
-    /// not been read yet. Connections that wait under a timeout that is reduced keep some time; see
-    /// TimeoutQueue::ReductionNotice.
+    /// not been read yet. A time limit that is reduced holds for what begins after the change.
     void setLimits(const HttpServerLimits &limits);
     /// Makes the server close every connection after the next response on it, which carries
     /// "Connection: close". New connections are still accepted.
--- a/Source/net/TimeoutQueue.h
+++ b/Source/net/TimeoutQueue.h
@@ -18,9 +18,6 @@
 class BasicTimeoutQueue
 {
 public:
-    /// Minimum time from a reduction of the duration to the timeout of a member that was running
-    /// before. Callers learn of a change as late as entries do, whose bound is 2.5 s.
-    static constexpr milliseconds ReductionNotice{ 5'000 };
     /// Maximum number of members that time out in one iteration of the loop.
     static constexpr std::size_t MaxTimeoutsAtOnce = 64;
 
@@ -64,7 +61,8 @@
     BasicTimeoutQueue(const BasicTimeoutQueue &) = delete;
     BasicTimeoutQueue &operator=(const BasicTimeoutQueue &) = delete;
 
-    /// Changes the duration for all members, also those that are running.
+    /// Changes the duration. A longer one extends the time of members that are running; a shorter
+    /// one does not end it earlier, because their peers may go by the one before.
     void setDuration(milliseconds duration);
     milliseconds duration() const { return m_duration; }
     std::size_t size() const { return m_members.size() + m_earlier.size(); }
--- a/Source/net/TimeoutQueueTemplate.h
+++ b/Source/net/TimeoutQueueTemplate.h
@@ -52,9 +52,8 @@
         it->m_list = &m_earlier;
     }
     m_earlier.splice(m_earlier.end(), m_members);
-    const MonotonicTime noticeEnd = m_loop.now() + ReductionNotice;
     for (Member *it : m_earlier) {
-        it->m_deadline = std::max(it->m_startedAt + duration, std::min(it->m_deadline, noticeEnd));
+        it->m_deadline = std::max(it->m_deadline, it->m_startedAt + duration);
     }
     if (!std::is_sorted(m_earlier.begin(), m_earlier.end(), isEarlier)) {
         m_earlier.sort(isEarlier);
