Gateway: Deliver a response that arrived before a late deadline

Callers got 504 with the verdict may-have-run although the target's response had arrived while the process stood still, also for requests that must not be repeated.

Cause: the deadline timer acts before the socket is read when it fires late.

LateDeadlineTest.ResponseThatArrivedIsDelivered, .ChunkedResponseThatArrivedIsDelivered (504 in place of 200) and .CallerThatLeavesDuringDelayEndsItsRequest (timeout in place of caller-gone or answered) failed before. HalfAHeadTimesOut, HalfABodyTimesOut and WithoutInputEndsAtOnce passed before and pass now; they guard the bounds. RoutedRequestTest, SecondResponseTest, LatePermit, PipelinedRead: 39 passed; RequestLogTest, RefusalCopy, SuspectRequest, CallerResponseTest: 67 passed.

--- a/Source/gateway/RoutedRequest.cpp
+++ b/Source/gateway/RoutedRequest.cpp
@@ -489,6 +489,10 @@
 {
     const std::shared_ptr<RoutedRequest> self = shared_from_this();
     if (const TargetAttempt *const attempt = m_response.current()) {
+        if (m_inputGrace.mustWait(attempt->hasUnreadInput(), m_context.loop.now())) {
+            m_deadlineTimer = m_context.loop.schedule(microseconds(0), [this] { onDeadline(); });
+            return;
+        }
         m_verdict = combined(m_verdict, Verdict::MayHaveRun);
         logFailedAttempt(m_request.id, m_fingerprint, *attempt);
         m_response.giveUpCurrent();
--- a/Source/gateway/RoutedRequest.h
+++ b/Source/gateway/RoutedRequest.h
@@ -4,6 +4,7 @@
 #include "gateway/GatewayContext.h"
 #include "gateway/TargetAttempt.h"
 #include "net/ConnectionCheck.h"
+#include "net/InputGrace.h"
 
 #include <memory>
 #include <set>
@@ -115,6 +116,7 @@
     milliseconds m_retryAfter{ 0 };
     std::unique_ptr<ConnectionCheck> m_targetCheck;
     Timer m_deadlineTimer;
+    InputGrace m_inputGrace;
     Timer m_retryTimer;
     sigc::connection m_disconnectedConnection;
     /// Keeps this object alive until the request has ended.
--- a/Source/gateway/TargetAttempt.h
+++ b/Source/gateway/TargetAttempt.h
@@ -38,6 +38,8 @@
 
     /// Whether more of the response can arrive.
     bool isOpen() const { return m_call != nullptr && !m_isComplete && !m_isBroken; }
+    /// Whether a part of the response has arrived that was not processed.
+    bool hasUnreadInput() const { return isOpen() && m_call->hasUnreadInput(); }
     const TargetId &target() const { return m_target; }
     bool isDecided() const { return m_outcome.has_value(); }
     SendOutcome outcome() const { return m_outcome.value_or(SendOutcome::Aborted); }
--- a/Source/net/HttpCall.cpp
+++ b/Source/net/HttpCall.cpp
@@ -74,6 +74,11 @@
     }
 }
 
+bool HttpCall::hasUnreadInput() const
+{
+    return m_state->connection != nullptr && m_state->connection->hasUnreadInput();
+}
+
 const ConnectionUse &HttpCall::use() const
 {
     return m_state->use;
--- a/Source/net/HttpCall.h
+++ b/Source/net/HttpCall.h
@@ -43,6 +43,9 @@
     /// this response could not be told from the response to such a call. Must be called after the
     /// response head has been received.
     void excludeIdFromConnection();
+    /// Whether input of the call has arrived that was not processed, and the call is not paused.
+    /// For time limits, which may fire before such input is read.
+    bool hasUnreadInput() const;
     /// Returns the connection that carries the call, also after the call has ended.
     const ConnectionUse &use() const;
     /// Returns the state that the call shares with its connection; used by HttpClient only.
