Tests: Evict connections that may still be evicted

Two tests of the log lines of evictions came with connections that are no longer closed: one whose client waits for its response, and one whose request has arrived. The first client now leaves its response unread, the second sends its request right after its connection was chosen. The expected lines and causes are the same, one for each request.

--- a/Tests/gateway/EndWithoutAnswerTest.cpp
+++ b/Tests/gateway/EndWithoutAnswerTest.cpp
@@ -21,6 +21,10 @@
 /// waiting for the responses before it.
 constexpr std::array Positions = { "first", "behind", "held", "waiting" };
 
+/// A response that does not fit into the buffers of the sockets.
+constexpr int ReceiveBuffer = 4'096;
+constexpr std::size_t LongBody = 8'000'000;
+
 class EndWithoutAnswerTest : public GatewayTest
 {
 protected:
@@ -141,8 +145,10 @@
 // Guards against requests that end with an evicted connection and look like ones whose caller left.
 TEST_F(EndWithoutAnswerTest, EvictionForMemoryIsNamed)
 {
-    PromptCaller caller(m_front->port());
-    fillPositions(caller);
+    // Only a client that does not read its response counts as stalled.
+    PromptCaller caller(m_front->port(), ReceiveBuffer);
+    fillPositions(caller, answer(200, sealed("first"), std::string(LongBody, 'x')));
+    runFor(milliseconds(100));
     evictStalled();
     awaitClose(caller);
     expectCauses(allOf("eviction"));
@@ -164,7 +170,8 @@
     runUntil([&caller] { return caller.receive() && !caller.received().empty(); });
     runFor(milliseconds(5));
     m_budget.setLimits(m_counts.capacityBytes, m_budget.counts().connections);
-    const PromptCaller other(m_front->port());
+    // A connection whose request has arrived is not chosen; this one arrives right after that.
+    const ConnectionAccount other(m_budget, m_loop.now(), [] {});
     caller.send(request("GET", "waiting"));
     awaitClose(caller);
     expectCauses({ { "waiting", "eviction" } });
