Net: Let the account of a lingering connection ask its own socket

The account of a connection goes on when the connection has ended and its caller may not have read all. The budget then asked the connection that no longer exists, a use after free, if there were too many connections or memory was short. Found by reading the change before the landing; no run has shown it.

--- a/Source/net/LingeringConnections.cpp
+++ b/Source/net/LingeringConnections.cpp
@@ -28,6 +28,9 @@
         m_connections.at(fd).closed.cause = CloseCause::Eviction;
         close(fd);
     });
+    account->setProgressQuery([fd] {
+        return SocketProgress{ false, unacknowledgedBytes(fd).value_or(0) == 0 };
+    });
     ConnectionAccount &counted = *account;
     std::unique_ptr<UnprocessedInput> discarded =
             std::make_unique<UnprocessedInput>(std::move(unprocessed));
